--- /dev/null
+++ b/lacewingpond/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between the daemons of the fleet."""
--- /dev/null
+++ b/lacewingpond/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one daemon, read from TOML."""
--- /dev/null
+++ b/lacewingpond/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs of decisions and metrics."""
--- /dev/null
+++ b/lacewingpond/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/lacewingpond/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/lacewingpond/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small pieces that every part of the project uses."""
--- /dev/null
+++ b/lacewingpond/util/findings.py
@@ -0,0 +1,21 @@
+"""Findings about settings and intents, collected and reported together."""
+
+from msgspec import Struct
+
+
+class Finding(Struct, frozen=True):
+    """One problem and the place where it was found.
+
+    Parameters
+    ----------
+    place : str
+        File and key path, or the path within an intent.
+    problem : str
+        What is wrong, in one sentence.
+    """
+
+    place: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.problem}"
