--- /dev/null
+++ b/lacewingpond/bench/benches.py
@@ -0,0 +1,5 @@
+"""All benchmarks by name."""
+
+from lacewingpond.bench.base import Bench
+
+BENCHES: dict[str, Bench] = {}
--- /dev/null
+++ b/lacewingpond/util/stopwatch.py
@@ -0,0 +1,31 @@
+"""Measures the processor time and the memory that a call takes."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+
+
+def cpu_seconds(call: Callable[[], object], repeats: int = 3) -> float:
+    """Return the least processor time of `repeats` calls, in seconds."""
+    best = float("inf")
+    for _ in range(repeats):
+        started = time.process_time()
+        call()
+        best = min(best, time.process_time() - started)
+    return best
+
+
+def retained_bytes(build: Callable[[], object]) -> int:
+    """Return the bytes that the result of `build` keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        result = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        del result
+    finally:
+        tracemalloc.stop()
+    return after - before
