--- /dev/null
+++ b/lacewingpond/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs belong to the fleet and answer now."""
