--- /dev/null
+++ b/lacewingpond/replay/runner.py
@@ -0,0 +1,104 @@
+"""Plays a trace through both variants and compares the outcome with its bounds."""
+
+from msgspec import Struct
+
+from lacewingpond.replay.base import Measures, Player, Variant
+from lacewingpond.replay.players import PLAYERS
+from lacewingpond.replay.trace import Expectation, Trace
+from lacewingpond.util.errors import UserError
+
+
+class Row(Struct, frozen=True):
+    """One measure of a trace beside its bound.
+
+    Parameters
+    ----------
+    trace : str
+        File name of the trace.
+    measure : str
+        Name of the measure.
+    current, naive : float or None
+        Values of the two variants; None where a variant does not report it.
+    target : str
+        The bound in words, or empty.
+    held : bool
+        Whether the real decisions kept the bound.
+    """
+
+    trace: str
+    measure: str
+    current: float | None
+    naive: float | None
+    target: str
+    held: bool
+
+
+def replay(name: str, trace: Trace) -> tuple[Row, ...]:
+    """Play `trace` and return a row for each measure.
+
+    Raises
+    ------
+    UserError
+        If no player knows the scenario.
+    """
+    player = _player_for(name, trace)
+    current = player.play(trace, Variant.CURRENT)
+    naive = player.play(trace, Variant.NAIVE)
+    expected = {bound.measure: bound for bound in trace.header.expect}
+    measures = dict.fromkeys([*expected, *current, *naive])
+    return tuple(
+        _row(name, measure, current, naive, expected.get(measure))
+        for measure in measures
+    )
+
+
+def _player_for(name: str, trace: Trace) -> Player:
+    player = PLAYERS.get(trace.header.scenario)
+    if player is None:
+        known = ", ".join(sorted(PLAYERS)) or "none"
+        raise UserError(
+            f"{name}: unknown scenario {trace.header.scenario!r}; known: {known}"
+        )
+    return player
+
+
+def _row(
+    name: str,
+    measure: str,
+    current: Measures,
+    naive: Measures,
+    bound: Expectation | None,
+) -> Row:
+    value = current.get(measure)
+    other = naive.get(measure)
+    return Row(
+        trace=name,
+        measure=measure,
+        current=value,
+        naive=other,
+        target=_describe(bound),
+        held=bound is None or _holds(bound, value, other),
+    )
+
+
+def _holds(bound: Expectation, value: float | None, naive: float | None) -> bool:
+    if value is None:
+        return False
+    if bound.at_most is not None and value > bound.at_most:
+        return False
+    if bound.at_least is not None and value < bound.at_least:
+        return False
+    return not bound.below_naive or (naive is not None and value < naive)
+
+
+def _describe(bound: Expectation | None) -> str:
+    if bound is None:
+        return ""
+    parts = []
+    if bound.at_most is not None:
+        parts.append(f"<= {bound.at_most:g}")
+    if bound.at_least is not None:
+        parts.append(f">= {bound.at_least:g}")
+    if bound.below_naive:
+        parts.append("< naive")
+    return " and ".join(parts)
--- /dev/null
+++ b/lacewingpond/settings/load.py
@@ -0,0 +1,113 @@
+"""Reads a settings file and reports everything that is wrong with it at once."""
+
+import ipaddress
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from lacewingpond.settings.model import SecretSettings, Settings
+from lacewingpond.util.convert import convert_struct
+from lacewingpond.util.findings import Finding
+
+LOG_LEVELS = ("decisions", "changes", "none")
+MIN_SECRET_BYTES = 16
+
+
+def load_settings(path: Path) -> Result[Settings, tuple[Finding, ...]]:
+    """Read and check the settings file at `path`."""
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as exc:
+        return Err((Finding(str(path), exc.strerror or "can't be read"),))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        return Err((Finding(str(path), f"is not TOML: {exc}"),))
+    return check_settings(data, str(path))
+
+
+def check_settings(
+    data: Mapping[str, object], place: str
+) -> Result[Settings, tuple[Finding, ...]]:
+    """Turn parsed settings into `Settings`, or return all findings."""
+    findings: list[Finding] = []
+    cfg = convert_struct(Settings, dict(data), place, findings)
+    if cfg is not None:
+        _check_addresses(cfg, place, findings)
+        _check_log(cfg, place, findings)
+        _check_secret(cfg.fleet_secret, f"{place}.fleet_secret", findings)
+        _check_secret(cfg.operator_token, f"{place}.operator_token", findings)
+    return Err(tuple(findings)) if cfg is None or findings else Ok(cfg)
+
+
+def read_secret(source: SecretSettings) -> bytes:
+    """Return the secret that `source` names, without white space around it.
+
+    Raises
+    ------
+    OSError, KeyError
+        If the file or the variable can't be read.
+    """
+    if source.file:
+        return Path(source.file).read_bytes().strip()
+    return os.environ[source.variable].strip().encode()
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split ``host:port`` with an IP number into its parts.
+
+    Raises
+    ------
+    ValueError
+        If `text` is no such address.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isascii() or not port.isdigit():
+        raise ValueError("must be host:port")
+    ipaddress.ip_address(host.strip("[]"))
+    if int(port) > 65535:
+        raise ValueError("port is above 65535")
+    return host.strip("[]"), int(port)
+
+
+def _check_addresses(cfg: Settings, place: str, findings: list[Finding]) -> None:
+    wanted = {
+        "listen.callers": cfg.listen.callers,
+        "listen.peers": cfg.listen.peers,
+        "listen.operators": cfg.listen.operators,
+        "platform.store": cfg.platform.store,
+        "platform.vm_list": cfg.platform.vm_list or cfg.platform.store,
+    }
+    if cfg.metrics.statsd:
+        wanted["metrics.statsd"] = cfg.metrics.statsd
+    for key, text in wanted.items():
+        try:
+            parse_address(text)
+        except ValueError as exc:
+            findings.append(Finding(f"{place}.{key}", f"{text!r}: {exc}"))
+
+
+def _check_log(cfg: Settings, place: str, findings: list[Finding]) -> None:
+    if cfg.log.level not in LOG_LEVELS:
+        choices = ", ".join(LOG_LEVELS)
+        findings.append(Finding(f"{place}.log.level", f"must be one of {choices}"))
+    if cfg.log.sample > 1.0:
+        findings.append(Finding(f"{place}.log.sample", "must be 0 to 1"))
+
+
+def _check_secret(source: SecretSettings, place: str, findings: list[Finding]) -> None:
+    if bool(source.file) == bool(source.variable):
+        findings.append(Finding(place, "name either a file or a variable"))
+        return
+    try:
+        secret = read_secret(source)
+    except OSError as exc:
+        findings.append(Finding(f"{place}.file", f"{source.file}: {exc.strerror}"))
+    except KeyError:
+        findings.append(Finding(f"{place}.variable", f"{source.variable} is not set"))
+    else:
+        if len(secret) < MIN_SECRET_BYTES:
+            findings.append(
+                Finding(place, f"must be at least {MIN_SECRET_BYTES} bytes long")
+            )
--- /dev/null
+++ b/lacewingpond/ui/commands/replay.py
@@ -0,0 +1,83 @@
+"""`lacewingpond replay`: recorded traces against their stated outcomes."""
+
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from lacewingpond.replay.players import PLAYERS
+from lacewingpond.replay.runner import Row, replay
+from lacewingpond.replay.trace import Trace
+from lacewingpond.ui.output import FORMAT_OPTION, to_json, wants_json, whole_number
+from lacewingpond.ui.table import number, render
+from lacewingpond.util.errors import UserError
+
+
+class ReplayCommand(Command):
+    """Replays traces, or writes them anew from a seed."""
+
+    name = "replay"
+    description = "Replay recorded traces and check their stated outcomes."
+    help = (
+        "Example: <info>lacewingpond replay traces/*.jsonl</info>\n"
+        "Writes the traces anew: "
+        "<info>lacewingpond replay --generate traces --seed 1</info>\n"
+        "The exit status is 1 when an outcome is broken."
+    )
+    arguments = [argument("traces", "Trace files.", optional=True, multiple=True)]
+    options = [
+        FORMAT_OPTION,
+        option("generate", None, "Write all traces to this folder.", flag=False),
+        option("seed", None, "Seed of the traces.", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        as_json = wants_json(self.option("format"))
+        if self.option("generate"):
+            return self._generate(Path(self.option("generate")))
+        paths = [Path(name) for name in self.argument("traces") or []]
+        if not paths:
+            raise UserError("replay: name at least one trace file")
+        rows = [
+            row for path in paths for row in replay(path.name, Trace.from_file(path))
+        ]
+        self.line(to_json(rows) if as_json else _table(rows))
+        broken = [row for row in rows if not row.held]
+        for row in broken:
+            self.line_error(_sentence(row))
+        return 1 if broken else 0
+
+    def _generate(self, folder: Path) -> int:
+        folder.mkdir(parents=True, exist_ok=True)
+        seed = whole_number("seed", self.option("seed"))
+        for player in PLAYERS.values():
+            for name, trace in player.generate(seed):
+                (folder / name).write_bytes(trace.to_bytes())
+                self.line(str(folder / name))
+        return 0
+
+
+def _table(rows: list[Row]) -> str:
+    header = ("trace", "measure", "current", "naive", "target", "held")
+    return render(
+        header,
+        [
+            (
+                row.trace,
+                row.measure,
+                number(row.current),
+                number(row.naive),
+                row.target,
+                "yes" if row.held else "BROKEN",
+            )
+            for row in rows
+        ],
+    )
+
+
+def _sentence(row: Row) -> str:
+    return (
+        f"{row.trace}: {row.measure} is {number(row.current)}, "
+        f"which must be {row.target} (naive: {number(row.naive)})"
+    )
--- /dev/null
+++ b/lacewingpond/util/convert.py
@@ -0,0 +1,66 @@
+"""Turns plain data into typed values, collecting every problem with its place."""
+
+from typing import Any, TypeVar, get_type_hints
+
+import msgspec
+from msgspec import Struct
+
+from lacewingpond.util.findings import Finding
+
+S = TypeVar("S", bound=Struct)
+
+
+def convert_struct(
+    kind: type[S], data: object, place: str, findings: list[Finding]
+) -> S | None:
+    """Return a `kind` made from `data`, or None when there were findings.
+
+    Parameters
+    ----------
+    kind : type of Struct
+        The class wanted; its Struct fields are converted in the same way.
+    data : object
+        A table as a TOML or JSON parser returns it.
+    place : str
+        Where the table stands; put before the names of its keys.
+    findings : list of Finding
+        Takes all problems.
+    """
+    if not isinstance(data, dict):
+        findings.append(Finding(place, "must be a table"))
+        return None
+    known = len(findings)
+    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    for key in data:
+        if key not in fields:
+            findings.append(Finding(f"{place}.{key}", "is not a known key"))
+    hints = get_type_hints(kind, include_extras=True)
+    values: dict[str, Any] = {}
+    for key, field in fields.items():
+        if key in data:
+            hint = hints[field.name]
+            values[field.name] = _convert(hint, data[key], f"{place}.{key}", findings)
+        elif field.required:
+            findings.append(Finding(f"{place}.{key}", "is missing"))
+    return kind(**values) if len(findings) == known else None
+
+
+def _convert(hint: Any, value: object, place: str, findings: list[Finding]) -> Any:
+    if isinstance(hint, type) and issubclass(hint, Struct):
+        return convert_struct(hint, value, place, findings)
+    try:
+        converted = msgspec.convert(value, hint)
+    except msgspec.ValidationError as exc:
+        findings.append(Finding(place, _lower(str(exc))))
+        return None
+    if _is_negative(converted):
+        findings.append(Finding(place, f"must not be negative, is {converted}"))
+    return converted
+
+
+def _is_negative(value: object) -> bool:
+    return isinstance(value, (int, float)) and value < 0
+
+
+def _lower(text: str) -> str:
+    return text[:1].lower() + text[1:]
--- /dev/null
+++ b/tests/settings/test_settings_load.py
@@ -0,0 +1,67 @@
+"""Tests of reading and checking settings."""
+
+import pytest
+
+from lacewingpond.settings.load import check_settings, load_settings, parse_address
+
+
+@pytest.fixture
+def data(tmp_path):
+    secret = tmp_path / "secret"
+    secret.write_text("0123456789abcdef0123\n")
+    return {
+        "vm": {"id": "vm-1", "failure_domain": "a"},
+        "platform": {"store": "127.0.0.1:9000"},
+        "fleet_secret": {"file": str(secret)},
+        "operator_token": {"file": str(secret)},
+    }
+
+
+def places(result):
+    return {finding.place for finding in result.unwrap_err()}
+
+
+def test_good_settings_are_taken(data):
+    assert check_settings(data, "s.toml").unwrap().vm.id == "vm-1"
+
+
+def test_all_findings_come_together(data):
+    data["vm"] = {"id": 3, "colour": "red"}
+    data["log"] = {"sample": -1.0}
+    data["surprise"] = {}
+    assert places(check_settings(data, "s.toml")) == {
+        "s.toml.vm.id",
+        "s.toml.vm.colour",
+        "s.toml.vm.failure_domain",
+        "s.toml.log.sample",
+        "s.toml.surprise",
+    }
+
+
+def test_values_are_checked(data, tmp_path):
+    short = tmp_path / "short"
+    short.write_text("abc")
+    data["listen"] = {"callers": "localhost:80", "peers": "127.0.0.1:99999"}
+    data["log"] = {"level": "loud"}
+    data["fleet_secret"] = {"variable": "LACEWINGPOND_TEST_UNSET"}
+    data["operator_token"] = {"file": str(short)}
+    assert places(check_settings(data, "s")) == {
+        "s.listen.callers",
+        "s.listen.peers",
+        "s.log.level",
+        "s.fleet_secret.variable",
+        "s.operator_token",
+    }
+
+
+def test_file_that_is_no_toml_is_one_finding(tmp_path):
+    path = tmp_path / "bad.toml"
+    path.write_text("vm = [")
+    assert places(load_settings(path)) == {str(path)}
+    assert places(load_settings(tmp_path / "none")) == {str(tmp_path / "none")}
+
+
+@pytest.mark.parametrize("text", ["", "1.2.3.4", "host:1", "1.2.3.4:x", ":80"])
+def test_bad_addresses_are_refused(text):
+    with pytest.raises(ValueError):
+        parse_address(text)
--- /dev/null
+++ b/tests/ui/test_ui_application.py
@@ -0,0 +1,48 @@
+"""Tests of the command line's errors and exit statuses."""
+
+import json
+
+import pytest
+
+from lacewingpond.ui import application
+
+
+@pytest.fixture
+def command(monkeypatch, capsys):
+    def run(*words):
+        monkeypatch.setattr("sys.argv", ["lacewingpond", *words])
+        status = application.run()
+        captured = capsys.readouterr()
+        return status, captured.out, captured.err
+
+    return run
+
+
+def test_unknown_command_is_one_line(command):
+    status, _, err = command("nonsense")
+    assert status == 2
+    assert err.startswith("lacewingpond: ")
+    assert "Traceback" not in err
+
+
+def test_check_lists_findings_and_exits_with_2(command, tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text("[vm]\nid = 1\n")
+    status, out, _ = command("check", str(path), "--format", "json")
+    assert status == 2
+    assert any(f["place"].endswith("vm.id") for f in json.loads(out))
+
+
+def test_unknown_format_is_refused(command):
+    status, _, err = command("check", "s.toml", "--format", "xml")
+    assert (status, "--format" in err) == (2, True)
+
+
+def test_unknown_benchmark_is_named(command):
+    status, _, err = command("bench", "nonsense")
+    assert (status, "nonsense" in err) == (2, True)
+
+
+def test_missing_trace_is_named(command):
+    status, _, err = command("replay", "/nonexistent.jsonl")
+    assert (status, "/nonexistent.jsonl" in err) == (2, True)
