Add stand-ins of the platform and of targets

Both run as greenlets of one process and switch their faults at run time over a control path, so that tests and the demo can provoke each failure that the fleet must stand: outage, hang, slowness, lost answers, a lagging list and an older store; gray, flapping, cold, shedding, draining, crashing and silent targets. Every call and every run is counted.

--- /dev/null
+++ b/lacewingpond/standin/faulty.py
@@ -0,0 +1,153 @@
+"""A store with rate limits and faults around another store."""
+
+from collections.abc import Callable
+
+from result import Err, Result
+
+from lacewingpond.standin.bucket import Bucket
+from lacewingpond.standin.faults import PlatformFaults
+from lacewingpond.store.base import (
+    Entry,
+    Store,
+    StoreError,
+    StoreFailure,
+    VmList,
+    VmRecord,
+    WatchBatch,
+)
+from lacewingpond.store.counts import CallCounts
+from lacewingpond.util.clock import Clock
+
+HANG_POLL_S = 0.05
+
+REFUSED = StoreError(StoreFailure.UNAVAILABLE, "the store is away")
+ANSWER_LOST = StoreError(StoreFailure.UNKNOWN, "the answer was lost")
+THROTTLED = StoreError(StoreFailure.THROTTLED, "above the store's rate")
+
+
+class FaultyStore:
+    """Counts calls, limits their rate and plays faults; implements `Store`.
+
+    Parameters
+    ----------
+    store : Store
+        Keeps the values.
+    clock : Clock
+        Times limits and delays.
+    faults : PlatformFaults
+        May be changed at any time.
+    counts : CallCounts
+        Counts each call; may be shared.
+    writes, reads : Bucket or None
+        Rate limits; may be shared; None means none.
+    """
+
+    __slots__ = ("_store", "_clock", "faults", "counts", "_writes", "_reads")
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        faults: PlatformFaults | None = None,
+        counts: CallCounts | None = None,
+        writes: Bucket | None = None,
+        reads: Bucket | None = None,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self.faults = faults if faults is not None else PlatformFaults()
+        self.counts = counts if counts is not None else CallCounts()
+        self._writes = writes
+        self._reads = reads
+
+    def get(self, key: str) -> Result[Entry | None, StoreError]:
+        """Read one key; `Ok(None)` when it does not exist."""
+        return self._read("get", lambda: self._store.get(key))
+
+    def scan(self, prefix: str) -> Result[tuple[Entry, ...], StoreError]:
+        """Read all keys that start with `prefix`, in order."""
+        return self._read("scan", lambda: self._store.scan(prefix))
+
+    def put_if(
+        self, key: str, value: bytes, expected_revision: int, lease: str | None = None
+    ) -> Result[int, StoreError]:
+        """Write `key` if its revision is `expected_revision` (0: must not exist)."""
+        return self._write(
+            "put_if", lambda: self._store.put_if(key, value, expected_revision, lease)
+        )
+
+    def delete_if(self, key: str, expected_revision: int) -> Result[int, StoreError]:
+        """Remove `key` if its revision is `expected_revision`."""
+        return self._write(
+            "delete_if", lambda: self._store.delete_if(key, expected_revision)
+        )
+
+    def watch(
+        self, prefix: str, after_revision: int, timeout_s: float
+    ) -> Result[WatchBatch, StoreError]:
+        """Wait for changes below `prefix` after a revision, at most `timeout_s`."""
+        self.counts.waiting += 1
+        try:
+            return self._read(
+                "watch", lambda: self._store.watch(prefix, after_revision, timeout_s)
+            )
+        finally:
+            self.counts.waiting -= 1
+
+    def grant_lease(self, ttl_s: float) -> Result[str, StoreError]:
+        """Create a lease; keys bound to it vanish when it lapses."""
+        return self._write("grant_lease", lambda: self._store.grant_lease(ttl_s))
+
+    def keep_alive(self, lease: str) -> Result[None, StoreError]:
+        """Renew a lease."""
+        return self._write("keep_alive", lambda: self._store.keep_alive(lease))
+
+    def _read(self, kind: str, call: Callable[[], Result]) -> Result:
+        error = self._admit(kind, self._reads)
+        if error is not None:
+            return Err(error)
+        answer = call()
+        # An outage that began while a watch waited cuts the watch too.
+        return Err(REFUSED) if self.faults.outage else answer
+
+    def _write(self, kind: str, call: Callable[[], Result]) -> Result:
+        error = self._admit(kind, self._writes)
+        if error is not None:
+            return Err(error)
+        answer = call()
+        if answer.is_ok() and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return Err(ANSWER_LOST)
+        return answer
+
+    def _admit(self, kind: str, bucket: Bucket | None) -> StoreError | None:
+        self.counts.add(kind)
+        if self.faults.delay_s > 0.0:
+            self._clock.sleep(self.faults.delay_s)
+        while self.faults.hang:
+            self._clock.sleep(HANG_POLL_S)
+        if self.faults.outage:
+            return REFUSED
+        if bucket is not None and not bucket.take():
+            return THROTTLED
+        return None
+
+
+class FaultyVmList:
+    """Counts reads of a VM list and plays its outage; implements `VmList`."""
+
+    __slots__ = ("_vms", "faults", "counts")
+
+    def __init__(
+        self, vms: VmList, faults: PlatformFaults, counts: CallCounts | None = None
+    ) -> None:
+        self._vms = vms
+        self.faults = faults
+        self.counts = counts if counts is not None else CallCounts()
+
+    def read(self) -> Result[tuple[VmRecord, ...], StoreError]:
+        """Return the VMs that the platform lists now."""
+        self.counts.add("vms")
+        if self.faults.list_outage:
+            return Err(StoreError(StoreFailure.UNAVAILABLE, "the VM list is away"))
+        return self._vms.read()
--- /dev/null
+++ b/lacewingpond/standin/platform.py
@@ -0,0 +1,234 @@
+"""A stand-in of the platform: its store and VM list over HTTP."""
+
+import bottle
+import msgspec
+from msgspec import Struct
+from result import Result
+
+from lacewingpond.standin.bucket import Bucket
+from lacewingpond.standin.faults import PlatformFaults
+from lacewingpond.standin.faulty import FaultyStore, FaultyVmList
+from lacewingpond.standin.handler import CONNECTION_KEY
+from lacewingpond.standin.options import PlatformOptions
+from lacewingpond.standin.server import StandinServer
+from lacewingpond.store.base import StoreError, StoreFailure, VmRecord
+from lacewingpond.store.counts import CallCounts
+from lacewingpond.store.memory import MemoryStore, MemoryVmList, StoreImage
+from lacewingpond.store.wire import (
+    KV_PATH,
+    LEASES_PATH,
+    REVISION_HEADER,
+    SCAN_PATH,
+    VMS_PATH,
+    WATCH_PATH,
+)
+from lacewingpond.util.clock import Clock
+
+STATUS_BY_FAILURE = {
+    StoreFailure.UNAVAILABLE: 503,
+    StoreFailure.CONFLICT: 409,
+    StoreFailure.TOO_LARGE: 413,
+    StoreFailure.THROTTLED: 429,
+}
+MAX_WATCH_S = 60.0
+
+
+class PlatformStats(Struct, frozen=True):
+    """Calls that the platform has counted."""
+
+    calls: dict[str, int]
+    waiting: int
+    revision: int
+
+
+class StandinPlatform:
+    """Serves a `MemoryStore` and a `MemoryVmList` over HTTP.
+
+    Parameters
+    ----------
+    options : PlatformOptions
+        Address and limits.
+    clock : Clock
+        Times leases, watches, limits and delays.
+    """
+
+    __slots__ = ("store", "vms", "faults", "counts", "_faulty", "_list", "_server")
+    __slots__ += ("_image", "_options")
+
+    def __init__(self, options: PlatformOptions, clock: Clock) -> None:
+        self._options = options
+        self.store = MemoryStore(clock)
+        self.vms = MemoryVmList(clock, lag_s=options.list_lag_s)
+        self.faults = PlatformFaults(list_lag_s=options.list_lag_s)
+        self.counts = CallCounts()
+        self._faulty = FaultyStore(
+            self.store,
+            clock,
+            self.faults,
+            self.counts,
+            Bucket(clock, options.writes_per_s, options.writes_per_s),
+            Bucket(clock, options.reads_per_s, options.reads_per_s),
+        )
+        self._list = FaultyVmList(self.vms, self.faults, self.counts)
+        self._image: StoreImage | None = None
+        self._server = StandinServer(options.host, options.port, self._build(), clock)
+
+    @classmethod
+    def from_options(cls, options: PlatformOptions, clock: Clock) -> "StandinPlatform":
+        """Return a platform that is not started yet."""
+        return cls(options, clock)
+
+    @property
+    def port(self) -> int:
+        """Port that it listens on, once started."""
+        return self._server.server_port
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that it listens on, once started."""
+        return f"{self._options.host}:{self.port}"
+
+    def start(self) -> None:
+        """Listen; connections are served by greenlets."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening and end all connections."""
+        self._server.cut_connections()
+        self._server.stop(timeout=0.2)
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace all faults."""
+        for name in faults.__struct_fields__:
+            setattr(self.faults, name, getattr(faults, name))
+        self.vms.lag_s = faults.list_lag_s
+        if faults.outage:
+            self._server.cut_connections()
+
+    def keep_image(self) -> None:
+        """Remember the store's content for `come_back_older`."""
+        self._image = self.store.image()
+
+    def come_back_older(self) -> bool:
+        """Go back to the kept image; False when there is none."""
+        if self._image is None:
+            return False
+        self.store.restore(self._image)
+        return True
+
+    def _build(self) -> bottle.Bottle:
+        app = bottle.Bottle()
+        app.catchall = False
+        app.route(f"{KV_PATH}<key:path>", "GET", self._get)
+        app.route(f"{KV_PATH}<key:path>", "PUT", self._put)
+        app.route(f"{KV_PATH}<key:path>", "DELETE", self._delete)
+        app.route(SCAN_PATH, "GET", self._scan)
+        app.route(WATCH_PATH, "GET", self._watch)
+        app.route(LEASES_PATH, "POST", self._grant_lease)
+        app.route(f"{LEASES_PATH}/<lease>", "PUT", self._keep_alive)
+        app.route(VMS_PATH, "GET", self._read_vms)
+        app.route(VMS_PATH, "PUT", self._set_vms)
+        app.route("/_stats", "GET", self._stats)
+        app.route("/_control", "POST", self._control)
+        app.route("/_control/keep-image", "POST", self._control_keep_image)
+        app.route("/_control/come-back-older", "POST", self._control_older)
+        return app
+
+    def _get(self, key: str) -> bytes:
+        answer = self._faulty.get(key)
+        if answer.is_ok() and answer.ok_value is None:
+            bottle.response.status = 404
+            return b""
+        if answer.is_ok():
+            entry = answer.ok_value
+            bottle.response.set_header(REVISION_HEADER, str(entry.revision))
+            return entry.value
+        return self._failed(answer.err_value)
+
+    def _put(self, key: str) -> bytes:
+        value = bottle.request.body.read()
+        expected = self._integer("expected")
+        lease = bottle.request.query.get("lease")
+        return self._revision(self._faulty.put_if(key, value, expected, lease))
+
+    def _delete(self, key: str) -> bytes:
+        return self._revision(self._faulty.delete_if(key, self._integer("expected")))
+
+    def _scan(self) -> bytes:
+        return self._packed(self._faulty.scan(bottle.request.query.get("prefix", "")))
+
+    def _watch(self) -> bytes:
+        prefix = bottle.request.query.get("prefix", "")
+        timeout_s = min(self._number("timeout"), MAX_WATCH_S)
+        return self._packed(
+            self._faulty.watch(prefix, self._integer("after"), timeout_s)
+        )
+
+    def _grant_lease(self) -> bytes:
+        return self._packed(self._faulty.grant_lease(self._number("ttl")))
+
+    def _keep_alive(self, lease: str) -> bytes:
+        return self._packed(self._faulty.keep_alive(lease))
+
+    def _read_vms(self) -> bytes:
+        return self._packed(self._list.read())
+
+    def _set_vms(self) -> bytes:
+        body = bottle.request.body.read()
+        self.vms.set(self._decoded(body, tuple[VmRecord, ...]))
+        return b""
+
+    def _stats(self) -> bytes:
+        stats = PlatformStats(
+            self.counts.by_kind, self.counts.waiting, self.store.revision
+        )
+        bottle.response.content_type = "application/json"
+        return msgspec.json.encode(stats)
+
+    def _control(self) -> bytes:
+        body = bottle.request.body.read()
+        self.set_faults(self._decoded(body, PlatformFaults))
+        return b""
+
+    def _control_keep_image(self) -> bytes:
+        self.keep_image()
+        return b""
+
+    def _control_older(self) -> bytes:
+        if not self.come_back_older():
+            raise bottle.HTTPResponse("no image was kept", 409)
+        return b""
+
+    def _revision(self, answer: Result[int, StoreError]) -> bytes:
+        if answer.is_err():
+            return self._failed(answer.err_value)
+        bottle.response.set_header(REVISION_HEADER, str(answer.ok_value))
+        return b""
+
+    def _packed(self, answer: Result) -> bytes:
+        if answer.is_err():
+            return self._failed(answer.err_value)
+        bottle.response.content_type = "application/msgpack"
+        return msgspec.msgpack.encode(answer.ok_value)
+
+    def _failed(self, error: StoreError) -> bytes:
+        if error.failure is StoreFailure.UNKNOWN:
+            raise bottle.request.environ[CONNECTION_KEY].drop_request()
+        bottle.response.status = STATUS_BY_FAILURE[error.failure]
+        bottle.response.content_type = "application/msgpack"
+        return msgspec.msgpack.encode(error)
+
+    def _integer(self, name: str) -> int:
+        return int(self._number(name))
+
+    def _number(self, name: str) -> float:
+        try:
+            return float(bottle.request.query.get(name, ""))
+        except ValueError:
+            raise bottle.HTTPResponse(f"{name} is not a number", 400) from None
+
+    def _decoded(self, body: bytes, kind: type) -> object:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.DecodeError as exc:
+            raise bottle.HTTPResponse(str(exc), 400) from None
--- /dev/null
+++ b/tests/standin/test_standin_target.py
@@ -0,0 +1,120 @@
+"""Tests of the stand-in target's faults."""
+
+import gevent
+import msgspec
+import pytest
+import urllib3
+
+from lacewingpond.standin.options import TargetOptions
+from lacewingpond.standin.target import StandinTarget
+from lacewingpond.util.clock import RuntimeClock
+
+HTTP_ERROR = urllib3.exceptions.HTTPError
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def start(**options):
+        options = TargetOptions(**{"work_s": 0.0, **options})
+        target = StandinTarget.from_options(options, RuntimeClock())
+        target.start()
+        started.append(target)
+        return target
+
+    yield start
+    for target in started:
+        target.stop()
+
+
+def pool_for(target):
+    host, port = target.address.split(":")
+    return urllib3.HTTPConnectionPool(host, int(port), retries=False, timeout=0.3)
+
+
+def test_work_is_counted_by_idempotency_key_and_request_id(start):
+    target = start(name="t1")
+    headers = {"Idempotency-Key": "k1", "X-Request-Id": "r1", "Authorization": "x"}
+    answer = pool_for(target).request("POST", "/pay", body=b"42", headers=headers)
+    assert (answer.status, answer.data) == (200, b"42")
+    assert answer.headers["Lacewingpond-Target"] == "t1"
+    assert float(answer.headers["Lacewingpond-Load"]) > 0
+    stats = target.stats.report()
+    assert stats.runs_by_idempotency_key == {"k1": 1}
+    assert stats.runs_by_request_id == {"r1": 1}
+    assert stats.keys_seen == 1
+
+
+def test_gray_target_fails_work_and_answers_probes(start):
+    target = start(gray_share=1.0)
+    pool = pool_for(target)
+    assert pool.request("GET", "/x").status == 500
+    assert pool.request("GET", "/_probe").status == 200
+    target.configure(msgspec.structs.replace(target.options, probe_says="truth"))
+    assert pool.request("GET", "/_probe").status == 503
+
+
+def test_full_target_sheds_with_the_marker(start):
+    target = start(slots=1, backlog=0, work_s=0.2)
+    assert pool_for(target).request("GET", "/").headers["X-Not-Run"] == "1"
+    target.configure(msgspec.structs.replace(target.options, backlog=1))
+    pool = pool_for(target)
+    answers = [gevent.spawn(pool.request, "GET", "/?work=0.1") for _ in range(4)]
+    statuses = sorted(answer.get().status for answer in answers)
+    assert statuses[0] == 200
+    assert 503 in statuses
+
+
+def test_draining_target_runs_nothing(start):
+    target = start(draining=True)
+    answer = pool_for(target).request("POST", "/")
+    assert (answer.status, target.stats.run) == (503, 0)
+
+
+def test_marked_request_crashes_and_the_target_returns(start):
+    target = start(restart_s=0.05)
+    pool = pool_for(target)
+    with pytest.raises(HTTP_ERROR):
+        pool.request("GET", "/", headers={"X-Crash": "1"})
+    gevent.sleep(0.01)
+    with pytest.raises(HTTP_ERROR):
+        pool.request("GET", "/")
+    gevent.sleep(0.2)
+    assert pool.request("GET", "/").status == 200
+    assert (target.stats.crashes, target.stats.run) == (1, 2)
+
+
+def test_open_connections_go_silent_and_new_ones_work(start):
+    target = start()
+    old, new = pool_for(target), pool_for(target)
+    assert old.request("GET", "/").status == 200
+    target.silence_connections()
+    with pytest.raises(HTTP_ERROR):
+        old.request("GET", "/")
+    assert new.request("GET", "/").status == 200
+
+
+def test_cancel_ends_a_running_request(start):
+    target = start(work_s=5.0)
+    pool = urllib3.HTTPConnectionPool("127.0.0.1", target.port, retries=False)
+    running = gevent.spawn(pool.request, "GET", "/", headers={"X-Request-Id": "r"})
+    gevent.sleep(0.05)
+    assert pool.request("POST", "/_cancel/r").status == 200
+    assert running.get(timeout=2).status == 499
+
+
+def test_options_change_over_the_control_path(start):
+    target = start()
+    pool = pool_for(target)
+    answer = pool.request("POST", "/_control", body=b'{"load_says": 0.9}')
+    assert answer.status == 200
+    assert pool.request("GET", "/_load").json() == {"load": 0.9}
+    assert pool.request("POST", "/_control", body=b'{"slots": "x"}').status == 400
+
+
+def test_event_stream_and_sized_answer(start):
+    target = start()
+    pool = pool_for(target)
+    assert pool.request("GET", "/?events=3").data.count(b"data:") == 3
+    assert len(pool.request("GET", "/?size=200000").data) == 200_000
