Add the peer channel over TCP and the in-process network for tests

Daemons need to call one another without a mesh. A connection is opened on demand, authenticated both ways by an HMAC over both hellos, and closed when idle. Frames are msgpack with a bounded length, and queues are bounded. A call is NOT_SENT only when the writing of its bytes never began. A connection on which a call timed out while nothing arrived is retired, so that a silent connection costs one timeout. The in-process network loses, delays, reorders and blocks messages and runs without greenlets.

--- /dev/null
+++ b/lacewingpond/peers/inbound.py
@@ -0,0 +1,146 @@
+"""The connection that another VM opened to this one."""
+
+from collections.abc import Callable
+
+from gevent import socket
+from gevent.lock import Semaphore
+from gevent.pool import Pool
+
+from lacewingpond.peers.base import Handler
+from lacewingpond.peers.frames import (
+    RECEIVE_BYTES,
+    Frame,
+    FrameError,
+    FrameKind,
+    FrameReader,
+    encode,
+    kind_name,
+    to_frame,
+    to_message,
+)
+from lacewingpond.peers.options import PeerOptions
+from lacewingpond.peers.traffic import Traffic
+
+MAX_ERROR_CHARS = 200
+BUSY = "too many messages are being handled"
+
+
+class InboundLink:
+    """Hands arriving messages to their handlers and writes the answers.
+
+    Parameters
+    ----------
+    vm_id : str
+        The authenticated VM at the other end.
+    sock : socket
+        Its connection.
+    options : PeerOptions
+        Bounds.
+    handlers : dict
+        Handler by name of the message class.
+    pool : gevent.pool.Pool
+        Runs the handlers of all connections.
+    traffic : Traffic
+        Counts what passes.
+    on_handler_error : callable
+        Takes the VM id, the kind of message and the exception of a handler.
+    """
+
+    __slots__ = (
+        "vm_id",
+        "_sock",
+        "_options",
+        "_handlers",
+        "_pool",
+        "_traffic",
+        "_on_handler_error",
+        "_write_lock",
+    )
+
+    def __init__(
+        self,
+        vm_id: str,
+        sock: socket.socket,
+        options: PeerOptions,
+        handlers: dict[str, Handler],
+        pool: Pool,
+        traffic: Traffic,
+        on_handler_error: Callable[[str, str, Exception], None],
+    ) -> None:
+        self.vm_id = vm_id
+        self._sock = sock
+        self._options = options
+        self._handlers = handlers
+        self._pool = pool
+        self._traffic = traffic
+        self._on_handler_error = on_handler_error
+        self._write_lock = Semaphore()
+
+    def serve(self) -> str:
+        """Read frames until the connection ends; return why it ended."""
+        options = self._options
+        reader = FrameReader(options.max_frame_bytes, options.max_array_items)
+        try:
+            while data := self._sock.recv(RECEIVE_BYTES):
+                for value, size in reader.feed(data):
+                    self._take(to_frame(value), size)
+        except TimeoutError:
+            return "idle"
+        except (OSError, FrameError) as exc:
+            return str(exc)
+        return "closed by the peer"
+
+    def _take(self, frame: Frame, size: int) -> None:
+        if frame.kind not in (FrameKind.CALL, FrameKind.ONE_WAY):
+            raise FrameError("an answer on a connection that carries calls")
+        name = kind_name(frame.body)
+        handler = self._handlers.get(name)
+        if handler is None:
+            self._traffic.received("unknown", size)
+            self._answer_error(frame, "no handler for this kind of message")
+            return
+        self._traffic.received(name, size)
+        if self._pool.full():
+            self._answer_error(frame, BUSY)
+            return
+        self._pool.spawn(self._handle, handler, name, frame)
+
+    def _handle(self, handler: Handler, name: str, frame: Frame) -> None:
+        try:
+            answer = handler(self.vm_id, to_message(frame.body))
+        except Exception as exc:  # noqa: BLE001
+            self._on_handler_error(self.vm_id, name, exc)
+            self._answer_error(frame, f"handler failed: {type(exc).__name__}")
+            return
+        if frame.kind is FrameKind.ONE_WAY:
+            return
+        if answer is None:
+            self._answer_error(frame, "handler gave no answer")
+            return
+        data = encode(Frame(FrameKind.ANSWER, frame.number, answer))
+        if len(data) > self._options.max_frame_bytes:
+            self._answer_error(frame, "answer longer than a frame")
+            return
+        self._write(type(answer).__name__, data)
+
+    def _answer_error(self, frame: Frame, detail: str) -> None:
+        if frame.kind is not FrameKind.CALL:
+            return
+        detail = detail[:MAX_ERROR_CHARS]
+        self._write("error", encode(Frame(FrameKind.ERROR, frame.number, detail)))
+
+    def _write(self, kind: str, data: bytes) -> None:
+        with self._write_lock:
+            try:
+                self._sock.sendall(data)
+            except OSError:
+                self.close()
+                return
+        self._traffic.sent(kind, len(data))
+
+    def close(self) -> None:
+        """End the connection; the reading greenlet sees its end."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            self._sock.close()
--- /dev/null
+++ b/lacewingpond/peers/memory.py
@@ -0,0 +1,233 @@
+"""A network within one process, for tests and replays.
+
+Many VMs exchange messages on one clock, with loss, delay, reordering, one-way
+partitions, paused and crashed VMs. It runs without greenlets: calls are delivered at
+once within the caller, everything later by `MemoryNetwork.run_due`.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import msgpack
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewingpond.peers.base import Handler, Message, PeerError, PeerFailure
+from lacewingpond.peers.frames import Frame, FrameKind, encode, to_message
+from lacewingpond.peers.traffic import Traffic
+from lacewingpond.util.clock import Clock
+
+
+class MemoryOptions(Struct, frozen=True):
+    """Faults of the network.
+
+    Parameters
+    ----------
+    loss : float
+        Share of the messages, 0 to 1, that is lost in each direction.
+    min_delay_s, max_delay_s : float
+        Bounds of a message's uniform delay; differing delays reorder messages.
+    waits : bool
+        True lets a call sleep on the clock for its delay (needs a greenlet);
+        False delivers it at once and takes no time.
+    """
+
+    loss: float = 0.0
+    min_delay_s: float = 0.0
+    max_delay_s: float = 0.0
+    waits: bool = False
+
+
+class MemoryNetwork:
+    """Connects the channels of many VMs.
+
+    Parameters
+    ----------
+    clock : Clock
+        Tells when a delayed message is due.
+    rng : random.Random
+        Draws loss and delay.
+    options : MemoryOptions
+        Faults; may be replaced while the network runs.
+    """
+
+    __slots__ = (
+        "options",
+        "clock",
+        "_rng",
+        "_channels",
+        "_blocked",
+        "_paused",
+        "_held",
+        "_due",
+        "_order",
+    )
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, options: MemoryOptions | None = None
+    ) -> None:
+        self.options = options or MemoryOptions()
+        self.clock = clock
+        self._rng = rng
+        self._channels: dict[str, MemoryPeerChannel] = {}
+        self._blocked: set[tuple[str, str]] = set()
+        self._paused: set[str] = set()
+        self._held: dict[str, list[Callable[[], None]]] = {}
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def channel(self, vm_id: str) -> "MemoryPeerChannel":
+        """Attach a VM, in place of an earlier process with the same id."""
+        channel = MemoryPeerChannel(self, vm_id)
+        self._channels[vm_id] = channel
+        return channel
+
+    def crash(self, vm_id: str) -> None:
+        """Detach a VM: calls to it are refused, its held messages are lost."""
+        self._channels.pop(vm_id, None)
+        self._held.pop(vm_id, None)
+        self._paused.discard(vm_id)
+
+    def block(self, sender: str, receiver: str) -> None:
+        """Lose all messages from `sender` to `receiver`, in this direction only."""
+        self._blocked.add((sender, receiver))
+
+    def unblock(self, sender: str, receiver: str) -> None:
+        """Let messages pass again."""
+        self._blocked.discard((sender, receiver))
+
+    def pause(self, vm_id: str) -> None:
+        """Hold all messages to `vm_id` until it resumes."""
+        self._paused.add(vm_id)
+
+    def resume(self, vm_id: str) -> None:
+        """Deliver the held messages of `vm_id`."""
+        self._paused.discard(vm_id)
+        for deliver in self._held.pop(vm_id, []):
+            deliver()
+
+    def run_due(self) -> None:
+        """Deliver the delayed messages whose time has come."""
+        while self._due and self._due[0][0] <= self.clock.now():
+            _, _, deliver = heapq.heappop(self._due)
+            deliver()
+
+    def post(self, sender: str, receiver: str, message: Message) -> bool:
+        """Queue a one-way message; False when the receiver is not attached."""
+        if receiver not in self._channels:
+            return False
+        if not self._loses(sender, receiver):
+            self._later(self._delay(), receiver, sender, message)
+        return True
+
+    def call(
+        self, sender: str, receiver: str, message: Message, timeout_s: float
+    ) -> Result[Message, PeerError]:
+        """Deliver a call; its effect may come after its timeout."""
+        if receiver not in self._channels:
+            return Err(PeerError(PeerFailure.NOT_SENT, "connection refused"))
+        delay_s = self._delay()
+        back_s = self._delay()
+        if self._loses(sender, receiver):
+            return self._timed_out(timeout_s)
+        if receiver in self._paused or delay_s >= timeout_s:
+            self._later(delay_s, receiver, sender, message)
+            return self._timed_out(timeout_s)
+        self._wait(delay_s)
+        answer = self._deliver(receiver, sender, message)
+        lost = self._loses(receiver, sender) or delay_s + back_s >= timeout_s
+        if lost:
+            return self._timed_out(timeout_s - delay_s)
+        self._wait(back_s)
+        if answer is None:
+            return Err(PeerError(PeerFailure.UNKNOWN, "no answer"))
+        return Ok(answer)
+
+    def _timed_out(self, seconds: float) -> Result[Message, PeerError]:
+        self._wait(seconds)
+        return Err(PeerError(PeerFailure.UNKNOWN, "timeout"))
+
+    def _wait(self, seconds: float) -> None:
+        if self.options.waits:
+            self.clock.sleep(seconds)
+
+    def _loses(self, sender: str, receiver: str) -> bool:
+        if (sender, receiver) in self._blocked:
+            return True
+        return self.options.loss > 0 and self._rng.random() < self.options.loss
+
+    def _delay(self) -> float:
+        options = self.options
+        if options.max_delay_s <= 0.0:
+            return 0.0
+        return self._rng.uniform(options.min_delay_s, options.max_delay_s)
+
+    def _later(
+        self, delay_s: float, receiver: str, sender: str, message: Message
+    ) -> None:
+        def deliver() -> None:
+            if receiver in self._paused:
+                self._held.setdefault(receiver, []).append(deliver)
+            else:
+                self._deliver(receiver, sender, message)
+
+        due_at = self.clock.now() + delay_s
+        heapq.heappush(self._due, (due_at, next(self._order), deliver))
+
+    def _deliver(self, receiver: str, sender: str, message: Message) -> Message | None:
+        channel = self._channels.get(receiver)
+        return None if channel is None else channel.handle(sender, message)
+
+
+class MemoryPeerChannel:
+    """The peer channel of one VM in a `MemoryNetwork`.
+
+    Messages are encoded and decoded as on a real stream. A handler that raises ends
+    the test, as it would hide a fault.
+    """
+
+    __slots__ = ("vm_id", "traffic", "_network", "_handlers")
+
+    def __init__(self, network: MemoryNetwork, vm_id: str) -> None:
+        self.vm_id = vm_id
+        self.traffic = Traffic()
+        self._network = network
+        self._handlers: dict[str, Handler] = {}
+
+    def call(
+        self, vm_id: str, message: Message, timeout_s: float
+    ) -> Result[Message, PeerError]:
+        """Send `message` and wait for its answer."""
+        self._count(message)
+        return self._network.call(self.vm_id, vm_id, message, timeout_s)
+
+    def send(self, vm_id: str, message: Message) -> bool:
+        """Queue `message` without waiting; False when it was dropped."""
+        self._count(message)
+        return self._network.post(self.vm_id, vm_id, message)
+
+    def register(self, kind: type[Message], handler: Handler) -> None:
+        """Let `handler` take all arriving messages of class `kind`."""
+        self._handlers[kind.__name__] = handler
+
+    def handle(self, sender: str, message: Message) -> Message | None:
+        """Hand an arriving message to its handler and return the answer."""
+        name = type(message).__name__
+        handler = self._handlers.get(name)
+        if handler is None:
+            return None
+        answer = handler(sender, _as_received(message, type(message)))
+        if answer is None:
+            return None
+        self._count(answer)
+        return _as_received(answer, type(answer))
+
+    def _count(self, message: Message) -> None:
+        size = len(encode(Frame(FrameKind.CALL, 1, message)))
+        self.traffic.sent(type(message).__name__, size)
+
+
+def _as_received(message: Message, kind: type[Message]) -> Message:
+    return to_message(msgpack.unpackb(encode(message)), kind)
--- /dev/null
+++ b/tests/peers/test_peers_tcp.py
@@ -0,0 +1,259 @@
+"""Tests of the peer channel over real sockets on loopback."""
+
+import contextlib
+import random
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event
+from msgspec import Struct
+from result import Err, Ok
+
+from lacewingpond.peers.addresses import FixedAddresses
+from lacewingpond.peers.base import Message, PeerFailure
+from lacewingpond.peers.frames import Frame, FrameKind, encode
+from lacewingpond.peers.handshake import Handshake
+from lacewingpond.peers.options import PeerOptions
+from lacewingpond.peers.tcp import TcpPeerChannel
+from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import RuntimeClock
+
+SECRET = b"fleet secret"
+OPTIONS = PeerOptions(max_frame_bytes=10_000, handshake_timeout_s=1.0)
+
+
+class TcpEcho(Message):
+    text: str
+    blob: bytes = b""
+
+
+class Fleet(Struct):
+    channels: dict[str, TcpPeerChannel]
+    logs: dict[str, RecordingDecisionLog]
+    addresses: dict[str, str]
+
+    def add(self, vm_id, secret=SECRET, options=OPTIONS, clock=None):
+        log = RecordingDecisionLog()
+        channel = TcpPeerChannel.from_options(
+            options,
+            vm_id,
+            "1",
+            secret,
+            FixedAddresses(self.addresses),
+            clock or RuntimeClock(),
+            random.Random(1),
+            log,
+            CountingMetrics(),
+        )
+        channel.start()
+        self.channels[vm_id] = channel
+        self.logs[vm_id] = log
+        self.addresses[vm_id] = f"127.0.0.1:{channel.port}"
+        return channel
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet({}, {}, {})
+    yield fleet
+    for channel in fleet.channels.values():
+        channel.stop()
+
+
+def echo(sender, message):
+    return TcpEcho(f"{sender}:{message.text}", message.blob)
+
+
+def dial(fleet, vm_id, sender="b"):
+    host, port = fleet.addresses[vm_id].split(":")
+    sock = socket.create_connection((host, int(port)))
+    Handshake(sender, "1", SECRET, 1.0).dial(sock, vm_id)
+    return sock
+
+
+def wait_for_lines(log, count=1):
+    with gevent.Timeout(5):
+        while len(log.lines) < count:
+            gevent.sleep(0.005)
+    return log.lines
+
+
+def wait_closed(sock):
+    sock.settimeout(5)
+    with contextlib.suppress(ConnectionError):
+        while sock.recv(1000):
+            pass
+
+
+def test_answers_reach_their_own_call(fleet):
+    def slow_first(sender, message):
+        gevent.sleep(0.05 if int(message.text) % 2 else 0)
+        return echo(sender, message)
+
+    a = fleet.add("a")
+    fleet.add("b").register(TcpEcho, slow_first)
+    calls = [
+        gevent.spawn(a.call, "b", TcpEcho(str(n), bytes([n])), 5.0) for n in range(50)
+    ]
+    answers = [call.get() for call in calls]
+    assert answers == [Ok(TcpEcho(f"a:{n}", bytes([n]))) for n in range(50)]
+    assert a.traffic.by_kind["TcpEcho"].sent == 50
+    assert a.traffic.by_kind["TcpEcho"].received == 50
+
+
+def test_refused_connection_is_not_sent(fleet):
+    a = fleet.add("a")
+    fleet.addresses["gone"] = "127.0.0.1:1"
+    result = a.call("gone", TcpEcho("x"), 5.0)
+    assert result.unwrap_err().failure is PeerFailure.NOT_SENT
+    result = a.call("never listed", TcpEcho("x"), 5.0)
+    assert result.unwrap_err().failure is PeerFailure.NOT_SENT
+
+
+def test_timeout_after_the_bytes_left_is_unknown_and_late_answer_is_dropped(fleet):
+    release = Event()
+
+    def hold(sender, message):
+        if message.text == "held":
+            release.wait(5)
+        return echo(sender, message)
+
+    a = fleet.add("a")
+    fleet.add("b").register(TcpEcho, hold)
+    result = a.call("b", TcpEcho("held"), 0.1)
+    assert result.unwrap_err().failure is PeerFailure.UNKNOWN
+    release.set()
+    assert a.call("b", TcpEcho("next"), 5.0) == Ok(TcpEcho("a:next"))
+
+
+def test_peer_that_dies_during_a_call_leaves_it_unknown(fleet):
+    a = fleet.add("a")
+    b = fleet.add("b")
+    arrived = Event()
+
+    def never(sender, message):
+        arrived.set()
+        gevent.sleep(10)
+
+    b.register(TcpEcho, never)
+    call = gevent.spawn(a.call, "b", TcpEcho("x"), 5.0)
+    arrived.wait(5)
+    b.stop()
+    assert call.get().unwrap_err().failure is PeerFailure.UNKNOWN
+
+
+def test_another_secret_gets_no_connection(fleet):
+    a = fleet.add("a", secret=b"another")
+    fleet.add("b").register(TcpEcho, echo)
+    error = a.call("b", TcpEcho("x"), 5.0).unwrap_err()
+    assert error.failure is PeerFailure.NOT_SENT
+    line = wait_for_lines(fleet.logs["b"])[0]
+    assert line[2] == "handshake failed: wrong fleet secret"
+
+
+def test_reaching_another_vm_than_meant_is_not_sent(fleet):
+    a = fleet.add("a")
+    fleet.add("b").register(TcpEcho, echo)
+    fleet.addresses["c"] = fleet.addresses["b"]
+    error = a.call("c", TcpEcho("x"), 5.0).unwrap_err()
+    assert error.failure is PeerFailure.NOT_SENT
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        b"\xc1" * 100,
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\xdd\xff\xff\xff\xff",
+        b"\x91" * 5_000,
+        b"\xc6\x00\x10\x00\x00" + b"x" * 200_000,
+        encode(Frame(FrameKind.ANSWER, 1, None)),
+        encode(Frame(FrameKind.CALL, 1, "no message")),
+    ],
+)
+def test_garbage_ends_its_connection_with_one_line_and_no_other(fleet, garbage):
+    a = fleet.add("a")
+    fleet.add("b").register(TcpEcho, echo)
+    assert isinstance(a.call("b", TcpEcho("before"), 5.0), Ok)
+    sock = dial(fleet, "b", sender="rogue")
+    with contextlib.suppress(ConnectionError):
+        sock.sendall(garbage)
+    wait_closed(sock)
+    wait_for_lines(fleet.logs["b"])
+    assert isinstance(a.call("b", TcpEcho("after"), 5.0), Ok)
+    lines = fleet.logs["b"].lines
+    assert [line[:2] for line in lines] == [("peer-closed", "rogue")]
+
+
+@pytest.mark.parametrize(
+    "garbage", [b"\xc1" * 10, b"\xdd\x00\xff\xff\xff", b"\xc6" * 9]
+)
+def test_garbage_before_the_handshake_is_refused(fleet, garbage):
+    b = fleet.add("b")
+    b.register(TcpEcho, echo)
+    sock = socket.create_connection(("127.0.0.1", b.port))
+    sock.sendall(garbage + b"\x00" * 1_000)
+    wait_closed(sock)
+    lines = wait_for_lines(fleet.logs["b"])
+    assert [line[0] for line in lines] == ["peer-closed"]
+
+
+def test_failing_handler_is_logged_and_answers_an_error(fleet):
+    def fail(sender, message):
+        raise KeyError("oops")
+
+    a = fleet.add("a")
+    fleet.add("b").register(TcpEcho, fail)
+    error = a.call("b", TcpEcho("x"), 5.0).unwrap_err()
+    assert error.detail == "handler failed: KeyError"
+    assert fleet.logs["b"].lines[0][0] == "peer-handler-failed"
+
+
+def test_oversized_message_is_not_sent_and_keeps_the_connection(fleet):
+    a = fleet.add("a")
+    fleet.add("b").register(TcpEcho, echo)
+    error = a.call("b", TcpEcho("x", bytes(20_000)), 5.0).unwrap_err()
+    assert error.failure is PeerFailure.NOT_SENT
+    assert isinstance(a.call("b", TcpEcho("x"), 5.0), Ok)
+
+
+def test_full_queue_drops_one_way_messages(fleet, clock):
+    options = PeerOptions(send_queue_messages=3)
+    a = fleet.add("a", options=options, clock=clock)
+    fleet.add("b", clock=clock)
+    assert [a.send("b", TcpEcho(str(n))) for n in range(5)] == [True] * 3 + [False] * 2
+
+
+def test_silent_connection_is_replaced(fleet, clock):
+    a = fleet.add("a", clock=clock)
+    answers = Event()
+
+    def first_is_silent(sender, message):
+        answers.wait()
+        return echo(sender, message)
+
+    fleet.add("b").register(TcpEcho, first_is_silent)
+    call = gevent.spawn(a.call, "b", TcpEcho("x"), 1.0)
+    gevent.sleep(0.05)
+    clock.advance(2.0)
+    assert isinstance(call.get(), Err)
+    answers.set()
+    again = gevent.spawn(a.call, "b", TcpEcho("y"), 1.0)
+    assert again.get() == Ok(TcpEcho("a:y"))
+    clock.advance(0.1)
+    assert ("peer-closed", "b", "silent") in [
+        line[:3] for line in fleet.logs["a"].lines
+    ]
+
+
+def test_idle_connection_is_closed_and_opened_again(fleet, clock):
+    a = fleet.add("a", clock=clock)
+    fleet.add("b").register(TcpEcho, echo)
+    assert isinstance(a.call("b", TcpEcho("x"), 5.0), Ok)
+    clock.advance(61.0)
+    assert [line[:3] for line in fleet.logs["a"].lines] == [
+        ("peer-closed", "b", "idle")
+    ]
+    assert isinstance(a.call("b", TcpEcho("x"), 5.0), Ok)
