--- a/lacewingpond/ui/application.py
+++ b/lacewingpond/ui/application.py
@@ -8,10 +8,11 @@
 from lacewingpond import __version__
 from lacewingpond.ui.commands.bench import BenchCommand
 from lacewingpond.ui.commands.check import CheckCommand
+from lacewingpond.ui.commands.load import LoadCommand
 from lacewingpond.ui.commands.replay import ReplayCommand
 from lacewingpond.util.errors import UserError
 
-COMMANDS = (BenchCommand, CheckCommand, ReplayCommand)
+COMMANDS = (BenchCommand, CheckCommand, LoadCommand, ReplayCommand)
 USAGE_STATUS = 2
 
 
--- a/lacewingpond/util/convert.py
+++ b/lacewingpond/util/convert.py
@@ -1,6 +1,6 @@
 """Turns plain data into typed values, collecting every problem with its place."""
 
-from typing import Any, TypeVar, get_type_hints
+from typing import Any, TypeVar, get_args, get_origin, get_type_hints
 
 import msgspec
 from msgspec import Struct
@@ -46,8 +46,10 @@
 
 
 def _convert(hint: Any, value: object, place: str, findings: list[Finding]) -> Any:
-    if isinstance(hint, type) and issubclass(hint, Struct):
+    if _is_struct(hint):
         return convert_struct(hint, value, place, findings)
+    if get_origin(hint) is tuple and _is_struct(get_args(hint)[0]):
+        return _convert_list(get_args(hint)[0], value, place, findings)
     try:
         converted = msgspec.convert(value, hint)
     except msgspec.ValidationError as exc:
@@ -58,6 +60,22 @@
     return converted
 
 
+def _convert_list(
+    kind: type[Struct], value: object, place: str, findings: list[Finding]
+) -> tuple[Struct | None, ...] | None:
+    if not isinstance(value, list):
+        findings.append(Finding(place, "must be a list"))
+        return None
+    return tuple(
+        convert_struct(kind, entry, f"{place}[{number}]", findings)
+        for number, entry in enumerate(value)
+    )
+
+
+def _is_struct(hint: Any) -> bool:
+    return isinstance(hint, type) and issubclass(hint, Struct)
+
+
 def _is_negative(value: object) -> bool:
     return isinstance(value, (int, float)) and value < 0
 
