Add the judgement of targets by real outcomes

Each VM sends digests of outcomes to the owner of the service's shard, which tests every target against its peers by cumulative sums, per VM and over all VMs, and answers with verdicts. A VM whose judge is silent judges alone; a bad path of one VM only lowers the target's weight there.

--- /dev/null
+++ b/lacewingpond/health/service_health.py
@@ -0,0 +1,98 @@
+"""What one VM holds about the targets of one service."""
+
+from lacewingpond.config.model import Service
+from lacewingpond.health.judge import ServiceJudge
+from lacewingpond.health.messages import TargetRecord, VerdictRow, target_hash
+from lacewingpond.health.outcome import Outcome
+from lacewingpond.health.tally import Tally
+from lacewingpond.health.verdict import Verdict, VerdictState
+
+
+class ServiceHealth:
+    """Outcomes not yet sent, and the verdicts last heard.
+
+    Parameters
+    ----------
+    service : Service
+        The service and its targets.
+    alone : ServiceJudge
+        Judges by this VM's outcomes only.
+    """
+
+    __slots__ = (
+        "service",
+        "alone",
+        "heard_at",
+        "judge_id",
+        "used_at",
+        "_tallies",
+        "_rows",
+        "_verdicts",
+        "_refused_at",
+    )
+
+    def __init__(self, service: Service, alone: ServiceJudge, now: float) -> None:
+        self.service = service
+        self.alone = alone
+        self.heard_at = now
+        self.judge_id = ""
+        self.used_at = now
+        self._tallies: dict[str, Tally] = {}
+        self._rows: tuple[VerdictRow, ...] = ()
+        self._verdicts: dict[int, Verdict] = {}
+        self._refused_at: dict[str, float] = {}
+
+    def configure(self, service: Service) -> None:
+        """Take over the service's targets."""
+        self.service = service
+        self.alone.configure(service)
+        known = {target.target_id for target in service.targets}
+        for gone in [name for name in self._tallies if name not in known]:
+            del self._tallies[gone]
+        for gone in [name for name in self._refused_at if name not in known]:
+            del self._refused_at[gone]
+
+    def record(
+        self, now: float, target_id: str, outcome: Outcome, latency_s: float
+    ) -> None:
+        """Count one outcome for the next digest."""
+        self.used_at = now
+        self._tallies.setdefault(target_id, Tally()).add(outcome, latency_s)
+        if outcome is Outcome.REFUSED_CONNECTION:
+            self._refused_at[target_id] = now
+        elif outcome is Outcome.OK:
+            self._refused_at.pop(target_id, None)
+
+    def take_records(self) -> tuple[TargetRecord, ...]:
+        """Return the outcomes since the last call."""
+        tallies, self._tallies = self._tallies, {}
+        return tuple(
+            TargetRecord(target_hash(target_id), tally.packed())
+            for target_id, tally in tallies.items()
+        )
+
+    def hear(self, now: float, judge_id: str, rows: tuple[VerdictRow, ...]) -> None:
+        """Keep the judge's verdicts."""
+        self.heard_at = now
+        self.judge_id = judge_id
+        self._rows = rows
+        self._verdicts = {
+            row.target: Verdict(
+                VerdictState(row.state), row.weight / 255.0, now - row.age_s
+            )
+            for row in rows
+            if row.state in VerdictState
+        }
+
+    def held(self) -> tuple[VerdictRow, ...]:
+        """Return the ejections last heard."""
+        return tuple(row for row in self._rows if row.state == VerdictState.EJECTED)
+
+    def heard(self, target_id: str) -> Verdict | None:
+        """Return the judge's verdict, or None when it finds the target healthy."""
+        return self._verdicts.get(target_hash(target_id))
+
+    def refused_within(self, now: float, target_id: str, seconds: float) -> bool:
+        """Return whether the target refused a connection of late."""
+        refused_at = self._refused_at.get(target_id)
+        return refused_at is not None and now - refused_at < seconds
