--- /dev/null
+++ b/lacewingpond/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses the target that runs a request."""
