--- /dev/null
+++ b/lacewingpond/queues/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded queues in front of each service, fair by workspace."""
--- /dev/null
+++ b/lacewingpond/queues/slot.py
@@ -0,0 +1,32 @@
+"""The right to have one request in work at a service."""
+
+from collections.abc import Callable
+
+from lacewingpond.health.outcome import Outcome
+
+
+class Slot:
+    """Held while a request is in work; give it back by `release`.
+
+    Parameters
+    ----------
+    waited_s : float
+        Time in the queue, in seconds.
+    on_release : callable
+        Takes the outcome and the latency in seconds.
+    """
+
+    __slots__ = ("waited_s", "_on_release")
+
+    def __init__(
+        self, waited_s: float, on_release: Callable[[Outcome, float], None]
+    ) -> None:
+        self.waited_s = waited_s
+        self._on_release: Callable[[Outcome, float], None] | None = on_release
+
+    def release(self, outcome: Outcome, latency_s: float) -> None:
+        """Let the next request in; further calls do nothing."""
+        if self._on_release is None:
+            return
+        on_release, self._on_release = self._on_release, None
+        on_release(outcome, latency_s)
--- /dev/null
+++ b/tests/queues/test_fair_queue.py
@@ -0,0 +1,106 @@
+"""Tests of the fair queue."""
+
+import gevent
+import pytest
+
+from lacewingpond.config.model import Config, Service
+from lacewingpond.health.outcome import Outcome
+from lacewingpond.queues.fair_queue import FairQueue
+from lacewingpond.queues.options import QueueOptions
+from lacewingpond.queues.refusal import QueueReason
+from lacewingpond.telemetry.decisions import NullDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+
+ONE_AT_A_TIME = QueueOptions(first_limit=1, min_limit=1, max_limit=1, max_waiting=8)
+
+
+@pytest.fixture
+def queue(clock):
+    queue = FairQueue.from_options(
+        ONE_AT_A_TIME, clock, NullDecisionLog(), CountingMetrics()
+    )
+    queue.configure(Config(services=(Service("s"),)))
+    return queue
+
+
+def learn(queue, clock, latency_s):
+    slot = queue.acquire("s", "w", clock.now() + 60.0).unwrap()
+    slot.release(Outcome.OK, latency_s)
+
+
+def test_workspaces_take_turns(queue, clock):
+    order = []
+
+    def request(workspace):
+        slot = queue.acquire("s", workspace, clock.now() + 60.0).unwrap()
+        order.append(workspace)
+        gevent.sleep(0)
+        slot.release(Outcome.OK, 0.001)
+
+    names = ["first", "big", "big", "big", "small", "small"]
+    gevent.joinall([gevent.spawn(request, name) for name in names])
+    assert order == ["first", "big", "small", "big", "small", "big"]
+
+
+def test_what_cannot_finish_is_refused_at_once(queue, clock):
+    learn(queue, clock, 1.0)
+    refusal = queue.acquire("s", "w", clock.now() + 0.5).unwrap_err()
+    assert refusal.reason is QueueReason.TOO_LATE
+    assert refusal.retry_after_s > 0.0
+
+
+def test_waiting_request_is_refused_when_it_can_no_longer_finish(queue, clock):
+    learn(queue, clock, 0.5)
+    held = queue.acquire("s", "w", clock.now() + 60.0).unwrap()
+    waiter = gevent.spawn(queue.acquire, "s", "w", clock.now() + 2.0)
+    clock.advance(1.4)
+    assert not waiter.ready()
+    clock.advance(0.2)
+    assert waiter.value.unwrap_err().reason is QueueReason.EXPIRED
+    held.release(Outcome.OK, 0.5)
+    assert queue.waiting("s") == 0
+
+
+def test_full_queue_refuses_the_longest_workspace(queue, clock):
+    held = queue.acquire("s", "big", clock.now() + 60.0).unwrap()
+    big = [
+        gevent.spawn(queue.acquire, "s", "big", clock.now() + 60.0) for _ in range(8)
+    ]
+    gevent.sleep(0)
+    small = gevent.spawn(queue.acquire, "s", "small", clock.now() + 60.0)
+    gevent.sleep(0)
+    gevent.sleep(0)
+    assert not small.ready()
+    assert big[-1].value.unwrap_err().reason is QueueReason.FULL
+    held.release(Outcome.OK, 0.01)
+    gevent.killall([*big, small])
+
+
+def test_killed_waiter_leaves_the_queue(queue, clock):
+    held = queue.acquire("s", "w", clock.now() + 60.0).unwrap()
+    waiter = gevent.spawn(queue.acquire, "s", "w", clock.now() + 60.0)
+    gevent.sleep(0)
+    waiter.kill()
+    assert queue.waiting("s") == 0
+    held.release(Outcome.OK, 0.01)
+    assert queue.acquire("s", "w", clock.now() + 60.0).is_ok()
+
+
+def test_release_counts_once(queue, clock):
+    slot = queue.acquire("s", "w", clock.now() + 60.0).unwrap()
+    slot.release(Outcome.OK, 0.01)
+    slot.release(Outcome.OK, 0.01)
+    assert queue.acquire("s", "w", clock.now() + 60.0).is_ok()
+    waiter = gevent.spawn(queue.acquire, "s", "w", clock.now() + 60.0)
+    gevent.sleep(0)
+    assert not waiter.ready()
+    waiter.kill()
+
+
+def test_removed_service_refuses_its_waiters(queue, clock):
+    queue.acquire("s", "w", clock.now() + 60.0).unwrap()
+    waiter = gevent.spawn(queue.acquire, "s", "w", clock.now() + 60.0)
+    gevent.sleep(0)
+    queue.configure(Config())
+    gevent.sleep(0)
+    assert waiter.value.unwrap_err().reason is QueueReason.UNKNOWN_SERVICE
