Add the path of one request: callers, routes, keys and targets

The caller's server parses heads strictly, streams bodies both ways and holds bounded connections. The route table is a tree of path segments, keys are found by digest, and the target client keeps a bounded pool for each target and tells a request that has not left from one whose outcome is unknown.

--- /dev/null
+++ b/lacewingpond/http/connection.py
@@ -0,0 +1,203 @@
+"""Serves the requests of one caller's connection, one after the other."""
+
+import socket
+from typing import TYPE_CHECKING
+
+from gevent.pywsgi import WSGIHandler
+
+from lacewingpond.http.body import RequestBody
+from lacewingpond.http.errors import BodyFailure, HeadError, RequestBodyError
+from lacewingpond.http.head import RequestHead, parse_head
+from lacewingpond.http.reader import RECEIVE_BYTES, SocketReader
+from lacewingpond.http.refusal import RunState, refusal_response
+from lacewingpond.http.request import Request
+from lacewingpond.http.response import Response
+from lacewingpond.http.writer import ResponseWriter, UnsafeResponseError
+from lacewingpond.util.sockets import (
+    SocketState,
+    set_stream_options,
+    socket_state,
+)
+
+if TYPE_CHECKING:
+    from lacewingpond.http.server import CallerServer
+
+KEEPALIVE_IDLE_S = 30
+KEEPALIVE_INTERVAL_S = 10
+KEEPALIVE_PROBES = 3
+
+
+class CallerConnection(WSGIHandler):
+    """One caller's connection; gevent's server runs it in its own greenlet.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The accepted socket.
+    address : str
+        Where the caller is.
+    server : CallerServer
+        Holds the options and the handler of requests.
+    """
+
+    def __init__(
+        self, sock: socket.socket, address: str, server: "CallerServer"
+    ) -> None:
+        self.socket = sock
+        self.address = address
+        self.server = server
+        self.idle = True
+        self._reader = SocketReader(sock, server.options, server.clock)
+
+    def handle(self) -> None:
+        """Serve requests until either side ends the connection."""
+        try:
+            set_stream_options(
+                self.socket, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES
+            )
+            while self._serve_one():
+                pass
+        except OSError as exc:
+            self.server.log.decision("caller-connection", self.address, str(exc))
+        finally:
+            self.socket.close()
+
+    def end_if_idle(self) -> None:
+        """Close the connection unless a request is on it or has arrived."""
+        quiet = socket_state(self.socket) is not SocketState.READABLE
+        if self.idle and not self._reader.buffered and quiet:
+            self.socket.shutdown(socket.SHUT_RD)
+
+    def refuse(self, response: Response) -> None:
+        """Answer without reading a request, and close the connection."""
+        try:
+            self._writer("GET", 1, keep_alive=False).write(response)
+            self._linger()
+        except OSError as exc:
+            self.server.log.decision("caller-connection", self.address, str(exc))
+        finally:
+            self.socket.close()
+
+    def _serve_one(self) -> bool:
+        self.idle = True
+        raw = self._reader.read_head()
+        self.idle = False
+        head = raw.and_then(lambda data: parse_head(data, self.server.options))
+        if head.is_err():
+            return self._refuse_head(head.err())
+        req = self._request(head.ok())
+        response = self._call_handler(req)
+        return self._answer(head.ok(), req, response)
+
+    def _request(self, head: RequestHead) -> Request:
+        body = RequestBody(
+            self._reader,
+            head.content_length,
+            head.chunked,
+            self._send_interim if head.expects_continue else None,
+        )
+        return Request(
+            method=head.method,
+            host=head.host,
+            path=head.path,
+            headers=head.headers,
+            body=body,
+            remote_address=self.address,
+            received_at=self.server.clock.now(),
+            is_disconnected=self._is_disconnected,
+        )
+
+    def _call_handler(self, req: Request) -> Response:
+        try:
+            return self.server.handler(req)
+        except RequestBodyError as exc:
+            return refusal_response(
+                exc.status, RunState.UNKNOWN, "bad-body", exc.detail
+            )
+        except Exception as exc:
+            # One request must never end the connections of the others.
+            self.server.log.decision("handler-error", self.address, repr(exc))
+            return _internal_error()
+
+    def _answer(self, head: RequestHead, req: Request, response: Response) -> bool:
+        keep_alive = self._may_keep(head, req.body)
+        writer = self._writer(head.method, head.version_minor, keep_alive)
+        try:
+            kept = self._write(writer, response)
+        except OSError as exc:
+            self.server.log.decision("answer-cut", self.address, repr(exc))
+            return False
+        except Exception as exc:
+            self.server.log.decision("answer-cut", self.address, repr(exc))
+            return False
+        if kept and req.body.discard(self.server.options.max_discard_bytes):
+            return True
+        if not req.body.ended:
+            self._linger()
+        return False
+
+    def _write(self, writer: ResponseWriter, response: Response) -> bool:
+        try:
+            return writer.write(response)
+        except UnsafeResponseError as exc:
+            self.server.log.decision("answer-refused", self.address, str(exc))
+            return writer.write(_internal_error())
+
+    def _may_keep(self, head: RequestHead, body: RequestBody) -> bool:
+        if self.server.draining or not head.keep_alive or body.broken:
+            return False
+        if body.awaits_continue:
+            return False
+        left = (body.content_length or 0) - body.bytes_read
+        return body.chunked or left <= self.server.options.max_discard_bytes
+
+    def _refuse_head(self, fault: HeadError) -> bool:
+        if fault.status == 0:
+            return False
+        self.server.log.decision("refuse-head", self.address, fault.reason)
+        response = refusal_response(
+            fault.status, RunState.NOT_RUN, fault.reason, fault.detail
+        )
+        self._writer("GET", 1, keep_alive=False).write(response)
+        self._linger()
+        return False
+
+    def _writer(self, method: str, minor: int, keep_alive: bool) -> ResponseWriter:
+        return ResponseWriter(
+            self.socket,
+            self.server.clock,
+            method,
+            minor,
+            keep_alive,
+            self.server.options.write_timeout_s,
+        )
+
+    def _send_interim(self, data: bytes) -> None:
+        try:
+            self.socket.settimeout(self.server.options.write_timeout_s)
+            self.socket.sendall(data)
+        except OSError as exc:
+            raise RequestBodyError(BodyFailure.DISCONNECTED, str(exc)) from exc
+
+    def _is_disconnected(self) -> bool:
+        return socket_state(self.socket) is SocketState.CLOSED
+
+    def _linger(self) -> None:
+        """Let the caller read its answer before the rest of its bytes resets it."""
+        clock = self.server.clock
+        deadline = clock.now() + self.server.options.linger_s
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while (remaining := deadline - clock.now()) > 0:
+                self.socket.settimeout(remaining)
+                if not self.socket.recv(RECEIVE_BYTES):
+                    return
+        except OSError:
+            # The caller has gone or sends nothing more.
+            return
+
+
+def _internal_error() -> Response:
+    return refusal_response(
+        500, RunState.UNKNOWN, "internal-error", "The proxy failed on this request."
+    )
--- /dev/null
+++ b/lacewingpond/http/reader.py
@@ -0,0 +1,153 @@
+"""Reads heads, lines and body bytes from a caller's socket, within time limits."""
+
+import re
+import socket
+
+from result import Err, Ok, Result
+
+from lacewingpond.http.errors import (
+    CALLER_GONE,
+    BodyFailure,
+    HeadError,
+    RequestBodyError,
+)
+from lacewingpond.http.options import HttpOptions
+from lacewingpond.util.clock import Clock
+
+RECEIVE_BYTES = 16_384
+_HEAD_END = b"\r\n\r\n"
+_BARE_LINE_END = re.compile(rb"(?<!\r)\n|\r(?!\n|\Z)")
+
+
+class SocketReader:
+    """Holds at most one received block that nobody has asked for yet.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The caller's connection.
+    options : HttpOptions
+        Limits and timeouts.
+    clock : Clock
+        Measures how long the caller takes.
+    """
+
+    __slots__ = ("_sock", "_options", "_clock", "_buffer", "_waited_s", "_body_bytes")
+
+    def __init__(self, sock: socket.socket, options: HttpOptions, clock: Clock) -> None:
+        self._sock = sock
+        self._options = options
+        self._clock = clock
+        self._buffer = b""
+        self._waited_s = 0.0
+        self._body_bytes = 0
+
+    @property
+    def buffered(self) -> int:
+        """Bytes received and not read yet."""
+        return len(self._buffer)
+
+    def read_head(self) -> Result[bytes, HeadError]:
+        """Wait for the next request and return its head without the empty line."""
+        self._waited_s = 0.0
+        self._body_bytes = 0
+        if not self._buffer and not self._receive_first():
+            return Err(CALLER_GONE)
+        deadline = self._clock.now() + self._options.head_timeout_s
+        while True:
+            # One empty line before a request is allowed by RFC 9112, section 2.2.
+            buffer = self._buffer.removeprefix(b"\r\n")
+            end = buffer.find(_HEAD_END)
+            fault = self._head_fault(buffer, end)
+            if fault is not None:
+                return Err(fault)
+            if end >= 0:
+                self._buffer = buffer[end + len(_HEAD_END) :]
+                return Ok(buffer[:end])
+            remaining = deadline - self._clock.now()
+            more = self._receive(remaining) if remaining > 0 else None
+            if more is None:
+                return Err(HeadError(408, "slow-head", "The head came too slowly."))
+            if not more:
+                return Err(CALLER_GONE)
+            self._buffer += more
+
+    def read_some(self, size: int) -> bytes:
+        """Return 1 to `size` body bytes as they come.
+
+        Raises
+        ------
+        RequestBodyError
+            When the caller has gone or is too slow.
+        """
+        if not self._buffer:
+            self._buffer = self._receive_body()
+        data = self._buffer[:size]
+        self._buffer = self._buffer[size:]
+        return data
+
+    def read_line(self) -> bytes:
+        """Return a line of the chunked coding without its line end.
+
+        Raises
+        ------
+        RequestBodyError
+            When the line is too long, malformed, slow or cut.
+        """
+        limit = self._options.max_chunk_line_bytes
+        while True:
+            end = self._buffer.find(b"\n", 0, limit + 2)
+            if end >= 0:
+                break
+            if len(self._buffer) > limit:
+                raise RequestBodyError(
+                    BodyFailure.MALFORMED, "A chunk line is too long."
+                )
+            self._buffer += self._receive_body()
+        line = self._buffer[: end + 1]
+        self._buffer = self._buffer[end + 1 :]
+        if not line.endswith(b"\r\n") or b"\r" in line[:-2]:
+            raise RequestBodyError(
+                BodyFailure.MALFORMED, "A chunk line has a bare line end."
+            )
+        return line[:-2]
+
+    def _receive_first(self) -> bool:
+        self._buffer = self._receive(self._options.idle_timeout_s) or b""
+        return bool(self._buffer)
+
+    def _receive(self, timeout_s: float) -> bytes | None:
+        """Return bytes, nothing at the end of the stream, or None after a wait."""
+        try:
+            self._sock.settimeout(timeout_s)
+            return self._sock.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            return None
+        except OSError:
+            return b""
+
+    def _receive_body(self) -> bytes:
+        started = self._clock.now()
+        data = self._receive(self._options.body_timeout_s)
+        self._waited_s += self._clock.now() - started
+        if data is None or self._is_too_slow():
+            raise RequestBodyError(BodyFailure.TOO_SLOW, "The body came too slowly.")
+        if not data:
+            raise RequestBodyError(BodyFailure.DISCONNECTED, "The body was cut short.")
+        self._body_bytes += len(data)
+        return data
+
+    def _is_too_slow(self) -> bool:
+        if self._waited_s < self._options.body_timeout_s:
+            return False
+        return self._body_bytes < self._waited_s * self._options.min_body_bytes_per_s
+
+    def _head_fault(self, buffer: bytes, end: int) -> HeadError | None:
+        head = buffer if end < 0 else buffer[: end + 2]
+        if _BARE_LINE_END.search(head):
+            return HeadError(400, "bare-line-end", "Lines must end with CR LF.")
+        if len(head) <= self._options.max_head_bytes:
+            return None
+        if head.find(b"\r\n", 0, self._options.max_request_line_bytes + 2) < 0:
+            return HeadError(414, "uri-too-long", "The request line is too long.")
+        return HeadError(431, "head-too-large", "The header fields are too large.")
--- /dev/null
+++ b/lacewingpond/http/refusal.py
@@ -0,0 +1,70 @@
+"""Refusals as problem details of RFC 9457, which tell whether the request ran."""
+
+import math
+from enum import Enum
+from http import HTTPStatus
+
+import msgspec
+from msgspec import Struct
+
+from lacewingpond.http.headers import Headers
+from lacewingpond.http.response import Response
+
+RUN_HEADER = "Lacewingpond-Run"
+
+
+class RunState(Enum):
+    """What is known of a refused request."""
+
+    NOT_RUN = "not-run"
+    """No target has run it or ever will."""
+    UNKNOWN = "unknown"
+    """A target may have run it."""
+
+
+class Refusal(Struct, frozen=True, omit_defaults=True):
+    """The problem details of a refusal.
+
+    Parameters
+    ----------
+    type, title, status, detail
+        Members of RFC 9457.
+    run : RunState
+        Whether the request ran.
+    reason : str
+        Short name of the cause.
+    retry_after_s : float or None
+        When to try again, in seconds.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    run: RunState
+    reason: str
+    retry_after_s: float | None = None
+
+
+def refusal_response(
+    status: int,
+    run: RunState,
+    reason: str,
+    detail: str,
+    retry_after_s: float | None = None,
+) -> Response:
+    """Return the one form of answer that refuses a request."""
+    refusal = Refusal(
+        type=f"urn:lacewingpond:refusal:{reason}",
+        title=HTTPStatus(status).phrase,
+        status=status,
+        detail=detail,
+        run=run,
+        reason=reason,
+        retry_after_s=retry_after_s,
+    )
+    headers = Headers((("Content-Type", "application/problem+json"),))
+    headers.add(RUN_HEADER, run.value)
+    if retry_after_s is not None:
+        headers.add("Retry-After", str(max(0, math.ceil(retry_after_s))))
+    return Response(status, headers, msgspec.json.encode(refusal))
--- /dev/null
+++ b/lacewingpond/http/request.py
@@ -0,0 +1,41 @@
+"""A caller's request as the pipeline sees it."""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from lacewingpond.http.body import RequestBody
+from lacewingpond.http.headers import Headers
+
+
+class Request(Struct):
+    """One request of one caller.
+
+    Parameters
+    ----------
+    method : str
+        As sent; methods are case-sensitive.
+    host : str
+        Lower-case host without its port.
+    path : str
+        Raw path with its query.
+    headers : Headers
+        All fields as sent.
+    body : RequestBody
+        Streams the body.
+    remote_address : str
+        Address of the other end of the connection.
+    received_at : float
+        Monotonic seconds when the head was complete.
+    is_disconnected : callable
+        Returns True once the caller has closed its connection.
+    """
+
+    method: str
+    host: str
+    path: str
+    headers: Headers
+    body: RequestBody
+    remote_address: str
+    received_at: float
+    is_disconnected: Callable[[], bool]
--- /dev/null
+++ b/lacewingpond/http/server.py
@@ -0,0 +1,211 @@
+"""Accepts callers and hands their requests to a handler."""
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+from gevent.pywsgi import WSGIServer
+
+from lacewingpond.http.connection import CallerConnection
+from lacewingpond.http.options import HttpOptions
+from lacewingpond.http.refusal import RunState, refusal_response
+from lacewingpond.http.request import Request
+from lacewingpond.http.response import Response
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+
+Handler = Callable[[Request], Response]
+
+DRAIN_POLL_S = 0.02
+MAX_REFUSING = 64
+"""Connections above the limits that are answered at once; others are just closed."""
+
+
+class CallerServer:
+    """An HTTP/1.1 server with one greenlet for each connection.
+
+    Parameters
+    ----------
+    options : HttpOptions
+        Address, limits and timeouts.
+    handler : callable
+        Takes a `Request` and returns its `Response`.
+    log : DecisionLog
+        Takes refused connections and heads.
+    clock : Clock
+        Measures timeouts.
+    """
+
+    __slots__ = (
+        "options",
+        "handler",
+        "log",
+        "clock",
+        "draining",
+        "_listener",
+        "_connections",
+        "_per_address",
+        "_refusing",
+    )
+
+    def __init__(
+        self, options: HttpOptions, handler: Handler, log: DecisionLog, clock: Clock
+    ) -> None:
+        self.options = options
+        self.handler = handler
+        self.log = log
+        self.clock = clock
+        self.draining = False
+        self._listener = _Listener(self)
+        self._connections: set[CallerConnection] = set()
+        self._per_address: Counter[str] = Counter()
+        self._refusing = 0
+
+    @classmethod
+    def from_options(
+        cls, options: HttpOptions, handler: Handler, log: DecisionLog, clock: Clock
+    ) -> "CallerServer":
+        """Build a server that does not listen yet."""
+        return cls(options, handler, log, clock)
+
+    @property
+    def port(self) -> int:
+        """The port that the server listens on."""
+        return self._listener.server_port
+
+    @property
+    def connection_count(self) -> int:
+        """Connections held now."""
+        return len(self._connections)
+
+    @property
+    def request_count(self) -> int:
+        """Requests being served now."""
+        return sum(not conn.idle for conn in self._connections)
+
+    def start(self) -> None:
+        """Listen and accept."""
+        self._listener.start()
+
+    def stop_accepting(self) -> None:
+        """Take in what the kernel has queued, then close the listening socket."""
+        if not self._listener.closed:
+            self._listener.accept_pending()
+            self._listener.close()
+
+    def drain(self, grace_s: float) -> int:
+        """Let requests finish, then close all connections.
+
+        Each answer from now on ends its connection. A held connection without a
+        request is closed after `HttpOptions.drain_idle_s`.
+
+        Parameters
+        ----------
+        grace_s : float
+            Longest wait for requests, in seconds.
+
+        Returns
+        -------
+        int
+            Requests that were cut at the end of the grace.
+        """
+        self.draining = True
+        now = self.clock.now()
+        deadline = now + grace_s
+        idle_until = now + min(self.options.drain_idle_s, grace_s)
+        while self._connections and self.clock.now() < deadline:
+            if self.clock.now() >= idle_until:
+                self._end_idle()
+            self.clock.sleep(DRAIN_POLL_S)
+        self._end_idle()
+        self.clock.sleep(0)
+        cut = self.request_count
+        for conn in tuple(self._connections):
+            conn.socket.close()
+        return cut
+
+    def stop(self) -> None:
+        """Stop at once, cutting what is open."""
+        self.stop_accepting()
+        self.drain(0.0)
+
+    def serve_connection(self, sock: socket.socket, address: str) -> None:
+        """Serve one accepted socket until it ends."""
+        conn = CallerConnection(sock, address, self)
+        if self._is_full(address):
+            self._refuse(conn)
+            return
+        self._connections.add(conn)
+        self._per_address[address] += 1
+        try:
+            conn.handle()
+        finally:
+            self._connections.discard(conn)
+            self._forget(address)
+
+    def _refuse(self, conn: CallerConnection) -> None:
+        if self._refusing >= MAX_REFUSING:
+            conn.socket.close()
+            return
+        self._refusing += 1
+        try:
+            conn.refuse(_too_many_connections())
+        finally:
+            self._refusing -= 1
+
+    def _is_full(self, address: str) -> bool:
+        if len(self._connections) >= self.options.max_connections:
+            why = "all"
+        elif self._per_address[address] >= self.options.max_connections_per_address:
+            why = "address"
+        else:
+            return False
+        self.log.decision("refuse-connection", address, f"limit of {why}")
+        return True
+
+    def _forget(self, address: str) -> None:
+        self._per_address[address] -= 1
+        if self._per_address[address] <= 0:
+            del self._per_address[address]
+
+    def _end_idle(self) -> None:
+        for conn in tuple(self._connections):
+            try:
+                conn.end_if_idle()
+            except OSError as exc:
+                self.log.decision("caller-connection", conn.address, str(exc))
+
+
+class _Listener(WSGIServer):
+    """gevent's server, which accepts and spawns."""
+
+    def __init__(self, caller_server: CallerServer) -> None:
+        options = caller_server.options
+        super().__init__(
+            (options.host, options.port),
+            backlog=options.backlog,
+            log=None,
+            error_log=None,
+            handler_class=CallerConnection,
+            environ={"SERVER_NAME": options.host},
+        )
+        self._caller_server = caller_server
+
+    def handle(self, sock: socket.socket, address: tuple) -> None:
+        """Serve one accepted socket."""
+        self._caller_server.serve_connection(sock, str(address[0]))
+
+    def accept_pending(self) -> None:
+        """Accept all connections that the kernel has queued."""
+        while accepted := self.do_read():
+            self.do_handle(*accepted)
+
+
+def _too_many_connections() -> Response:
+    return refusal_response(
+        503,
+        RunState.NOT_RUN,
+        "too-many-connections",
+        "The proxy holds as many connections as it may.",
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/lacewingpond/routing/keys.py
@@ -0,0 +1,56 @@
+"""Finds the key that came with a request."""
+
+import hashlib
+import hmac
+
+from lacewingpond.config.model import Config, Key
+from lacewingpond.http.headers import Headers
+
+KEY_HEADER = "X-Api-Key"
+MAX_KEY_CHARS = 512
+_BEARER = "bearer"
+
+
+class KeyTable:
+    """Keys by their digest."""
+
+    __slots__ = ("_keys",)
+
+    def __init__(self, keys: dict[str, Key]) -> None:
+        self._keys = keys
+
+    @classmethod
+    def from_config(cls, cfg: Config) -> "KeyTable":
+        """Build the table of all granted keys."""
+        return cls({key.digest: key for key in cfg.keys})
+
+    def find(self, key: str) -> Key | None:
+        """Return what is stored of a presented key, or None.
+
+        Only digests are compared, so that the time taken tells nothing of a key.
+        """
+        digest = hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+        found = self._keys.get(digest)
+        if found is None or not hmac.compare_digest(found.digest, digest):
+            return None
+        return found
+
+
+def presented_key(headers: Headers) -> str | None:
+    """Return the one key that came with a request.
+
+    Returns
+    -------
+    str or None
+        None without a key, with a key that is too long, and with several keys
+        that differ.
+    """
+    presented = set(headers.get_all(KEY_HEADER))
+    for value in headers.get_all("Authorization"):
+        scheme, _, credentials = value.partition(" ")
+        if scheme.lower() == _BEARER:
+            presented.add(credentials.strip())
+    if len(presented) != 1:
+        return None
+    key = presented.pop()
+    return key if 0 < len(key) <= MAX_KEY_CHARS else None
--- /dev/null
+++ b/lacewingpond/routing/match.py
@@ -0,0 +1,40 @@
+"""Outcomes of a route lookup."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from lacewingpond.config.model import Route, Service
+
+
+class RouteMatch(Struct, frozen=True):
+    """The route of a request and the service behind it."""
+
+    route: Route
+    service: Service
+
+
+class RouteFailure(Enum):
+    """Why a request has no route."""
+
+    NO_ROUTE = "no-route"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    BAD_PATH = "bad-path"
+
+
+class RouteMiss(Struct, frozen=True):
+    """A request without a route.
+
+    Parameters
+    ----------
+    failure : RouteFailure
+        The reason.
+    detail : str
+        One sentence for the caller.
+    allowed : tuple of str
+        Methods for the ``Allow`` header, with `METHOD_NOT_ALLOWED`.
+    """
+
+    failure: RouteFailure
+    detail: str
+    allowed: tuple[str, ...] = ()
--- /dev/null
+++ b/lacewingpond/routing/node.py
@@ -0,0 +1,35 @@
+"""One node of the tree of path prefixes."""
+
+from lacewingpond.routing.match import RouteMatch
+
+
+class PathNode:
+    """A path prefix, its routes and the longer prefixes below it."""
+
+    __slots__ = ("children", "matches")
+
+    def __init__(self) -> None:
+        self.children: dict[str, PathNode] | None = None
+        self.matches: tuple[RouteMatch, ...] = ()
+
+    def add(self, segments: tuple[str, ...], match: RouteMatch) -> None:
+        """Add a route below this node."""
+        node = self
+        for segment in segments:
+            if node.children is None:
+                node.children = {}
+            node = node.children.setdefault(segment, PathNode())
+        node.matches = (*node.matches, match)
+
+    def find(self, segments: tuple[str, ...]) -> tuple[RouteMatch, ...]:
+        """Return the routes of the longest prefix of `segments`."""
+        node = self
+        found = node.matches
+        for segment in segments:
+            if node.children is None:
+                break
+            node = node.children.get(segment)
+            if node is None:
+                break
+            found = node.matches or found
+        return found
--- /dev/null
+++ b/lacewingpond/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The targets' side: bounded connections and truthful send errors."""
--- /dev/null
+++ b/lacewingpond/targets/wire.py
@@ -0,0 +1,146 @@
+"""The HTTP/1.1 connection to a target: urllib3's, with strict reading of answers."""
+
+import http.client
+import re
+import socket
+from collections.abc import Callable
+
+from urllib3.connection import HTTPConnection
+
+from lacewingpond.targets.errors import ExchangeError, SendReason
+from lacewingpond.targets.stream import AnswerSource
+from lacewingpond.util.sockets import set_stream_options
+
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+MAX_INTERIM_ANSWERS = 16
+_MAX_LINE_BYTES = 4_096
+_MAX_TRAILERS = 32
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
+_LENGTH = re.compile(r"[0-9]{1,18}")
+
+
+class FinalAnswer(http.client.HTTPResponse):
+    """The answer after all interim ones; refuses framing that is in doubt."""
+
+    leftover = False
+    """True when the target sent bytes after the end of its answer."""
+
+    def begin(self) -> None:
+        """Read the status line and the headers."""
+        super().begin()
+        if self.msg.defects:
+            raise ExchangeError(SendReason.PROTOCOL, "malformed headers")
+        lengths = self.msg.get_all("Content-Length", [])
+        codings = self.msg.get_all("Transfer-Encoding", [])
+        if len(lengths) + len(codings) > 1:
+            raise ExchangeError(SendReason.PROTOCOL, "several lengths")
+        if codings and codings[0].strip().lower() != "chunked":
+            raise ExchangeError(SendReason.PROTOCOL, "unknown transfer coding")
+        if lengths and not _LENGTH.fullmatch(lengths[0].strip()):
+            raise ExchangeError(SendReason.PROTOCOL, "bad length")
+
+    def read1(self, n: int = -1) -> bytes:
+        """Return bytes of the body as they come; nothing at its end."""
+        if not self.chunked or self.fp is None or self._method == "HEAD":
+            return super().read1(n)
+        if not self.chunk_left:
+            self._next_chunk()
+            if self.fp is None:
+                return b""
+        size = self.chunk_left if n < 0 else min(n, self.chunk_left)
+        data = self.fp.read1(size)
+        if not data and size:
+            raise http.client.IncompleteRead(b"")
+        self.chunk_left -= len(data)
+        if self.chunk_left == 0:
+            self._expect_line_end()
+        return data
+
+    def _next_chunk(self) -> None:
+        match = _CHUNK_LINE.fullmatch(self.fp.readline(_MAX_LINE_BYTES))
+        if match is None:
+            raise http.client.IncompleteRead(b"")
+        self.chunk_left = int(match[1], 16)
+        if self.chunk_left == 0:
+            self._skip_trailers()
+            self._close_conn()
+
+    def _skip_trailers(self) -> None:
+        for _ in range(_MAX_TRAILERS):
+            line = self.fp.readline(_MAX_LINE_BYTES)
+            if line == b"\r\n":
+                return
+            if not line.endswith(b"\r\n"):
+                break
+        raise http.client.IncompleteRead(b"")
+
+    def _expect_line_end(self) -> None:
+        if self.fp.read(2) != b"\r\n":
+            raise http.client.IncompleteRead(b"")
+
+    def _read_status(self) -> tuple[str, int, str]:
+        # The library skips only 100; the other interim answers have no body either.
+        for _ in range(MAX_INTERIM_ANSWERS):
+            version, status, reason = super()._read_status()
+            if status >= 200:
+                return version, status, reason
+            if status == http.client.SWITCHING_PROTOCOLS:
+                break
+            http.client.parse_headers(self.fp)
+        raise ExchangeError(SendReason.PROTOCOL, "unexpected interim answers")
+
+    def _close_conn(self) -> None:
+        # Bytes behind an answer would be taken for the next one.
+        if self.fp is not None:
+            self.fp.raw.stop()
+            self.leftover = bool(self.fp.peek(1))
+        super()._close_conn()
+
+
+class TargetWire(HTTPConnection):
+    """One connection, which counts the bytes that have left.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address of the target.
+    wait : callable
+        Waits for bytes of an answer; see `AnswerStream`.
+    """
+
+    def __init__(self, host: str, port: int, wait: Callable[[int], None]) -> None:
+        super().__init__(host, port)
+        self.bytes_sent = 0
+        self.answer: FinalAnswer | None = None
+        self._wait_for_answer = wait
+
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        set_stream_options(
+            self.sock, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES
+        )
+
+    def response_class(
+        self,
+        sock: socket.socket,
+        debuglevel: int = 0,
+        method: str | None = None,
+        url: str | None = None,
+    ) -> FinalAnswer:
+        """Return the reader of the next answer."""
+        source = AnswerSource(sock, self._wait_for_answer)
+        self.answer = FinalAnswer(source, debuglevel, method, url)
+        return self.answer
+
+    def send(self, data: bytes) -> None:
+        """Send all of `data`, counting what the kernel has taken."""
+        if self.sock is None:
+            raise ConnectionError("the connection is closed")
+        view = memoryview(data)
+        while view:
+            taken = self.sock.send(view)
+            self.bytes_sent += taken
+            view = view[taken:]
--- /dev/null
+++ b/lacewingpond/util/sockets.py
@@ -0,0 +1,47 @@
+"""Looks at a socket without waiting or reading."""
+
+import socket
+from enum import Enum
+
+
+class SocketState(Enum):
+    """What a read would find."""
+
+    QUIET = "quiet"
+    READABLE = "readable"
+    CLOSED = "closed"
+
+
+def socket_state(sock: socket.socket) -> SocketState:
+    """Return what the next read of `sock` would find."""
+    timeout = sock.gettimeout()
+    try:
+        sock.settimeout(0.0)
+        data = sock.recv(1, socket.MSG_PEEK)
+        sock.settimeout(timeout)
+    except BlockingIOError:
+        sock.settimeout(timeout)
+        return SocketState.QUIET
+    except OSError:
+        return SocketState.CLOSED
+    return SocketState.READABLE if data else SocketState.CLOSED
+
+
+def set_stream_options(
+    sock: socket.socket, idle_s: int, interval_s: int, probes: int
+) -> None:
+    """Send small writes at once, and let the kernel find a vanished peer.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        A TCP socket.
+    idle_s, interval_s, probes : int
+        Keep-alive probes: when they start, how far apart, and how many are lost
+        before the connection counts as dead.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
