--- a/lacewingpond/util/rendezvous.py
+++ b/lacewingpond/util/rendezvous.py
@@ -11,7 +11,7 @@
 
 def score(name: str, candidate: str) -> int:
     """Return the 64-bit weight of `candidate` for `name`."""
-    return xxhash.xxh3_64_intdigest(f"{name}\x00{candidate}")
+    return xxhash.xxh3_64_intdigest(f"{name}\x00{candidate}".encode())
 
 
 def ranked(name: str, candidates: Iterable[str]) -> list[str]:
@@ -21,4 +21,4 @@
 
 def shard_of(name: str, shard_count: int) -> int:
     """Return the shard, from 0 to `shard_count` - 1, that `name` belongs to."""
-    return xxhash.xxh3_64_intdigest(name) % shard_count
+    return xxhash.xxh3_64_intdigest(name.encode()) % shard_count
