Add fleet-wide limits granted in slices

A bucket's rate and burst must hold over all VMs without a message for each request. A bucket is split into slices on fixed shards. The owner of a slice grants tokens that expire; tokens without a report count as outstanding until then, so level and outstanding grants never exceed the slice's burst. Grants for waiting requests are short-lived, so they need no report; larger ones are asked ahead of need in proportion to local demand and what is left over is given back. Slices with a burst below four tokens grant parts of a token, so a small bucket does not strand its tokens in two slices. A lower limit applies at once and a higher one after the configuration has spread.

--- /dev/null
+++ b/lacewingpond/limits/bucket.py
@@ -0,0 +1,94 @@
+"""A token bucket of the configuration and its slices."""
+
+from msgspec import Struct
+
+from lacewingpond.config.model import Config
+from lacewingpond.limits.options import LimitOptions
+from lacewingpond.util.rendezvous import shard_of
+
+TTL_SHARE = 0.25
+"""Life of a prefetched grant as a share of the time that a full bucket lasts."""
+SMALL_SLICE_TOKENS = 4.0
+"""Slices with a smaller burst also grant parts of a token."""
+
+
+class Bucket(Struct, frozen=True):
+    """A fleet-wide limit.
+
+    Parameters
+    ----------
+    bucket_id : str
+        Kind and name, such as ``w:acme``.
+    rate : float
+        Tokens a second, over all VMs.
+    burst : float
+        Tokens that may be used at once, over all VMs.
+    """
+
+    bucket_id: str
+    rate: float
+    burst: float
+
+    def slice_count(self, options: LimitOptions) -> int:
+        """Return into how many slices the bucket is split.
+
+        Two slices are the least for a burst of two tokens, so that one
+        unreachable owner never stops a workspace.
+        """
+        least = 2 if self.burst >= 2.0 else 1
+        wanted = int(self.burst / options.tokens_per_slice)
+        return min(max(wanted, least), options.max_slices)
+
+    def shards(self, shard_count: int, options: LimitOptions) -> tuple[int, ...]:
+        """Return the shards that hold the bucket's slices."""
+        count = min(self.slice_count(options), shard_count)
+        return slice_shards(self.bucket_id, count, shard_count)
+
+    def ttl_s(self, options: LimitOptions) -> float:
+        """Return the life of a prefetched grant, in seconds."""
+        share = TTL_SHARE * self.burst / self.rate
+        return min(max(share, options.demand_ttl_s), options.max_ttl_s)
+
+
+def slice_shards(bucket_id: str, count: int, shard_count: int) -> tuple[int, ...]:
+    """Return `count` different shards for a bucket.
+
+    The number of shards is fixed, so hashing the number of the slice keeps the
+    other slices in place when the count changes, as rendezvous hashing would,
+    without a hash for every shard.
+    """
+    shards: list[int] = []
+    number = 0
+    while len(shards) < count:
+        shard = shard_of(f"{bucket_id}/{number}", shard_count)
+        number += 1
+        if shard not in shards:
+            shards.append(shard)
+    return tuple(shards)
+
+
+def workspace_bucket(name: str) -> str:
+    """Return the bucket id of a workspace."""
+    return f"w:{name}"
+
+
+def route_bucket(name: str) -> str:
+    """Return the bucket id of a route."""
+    return f"r:{name}"
+
+
+def service_bucket(name: str) -> str:
+    """Return the bucket id of a service."""
+    return f"s:{name}"
+
+
+def buckets_of(cfg: Config) -> dict[str, Bucket]:
+    """Return all buckets of a configuration by id."""
+    named = [(workspace_bucket(w.name), w.rate, w.burst) for w in cfg.workspaces]
+    named += [(route_bucket(r.name), r.rate, r.burst) for r in cfg.routes]
+    named += [(service_bucket(s.name), s.rate, s.burst) for s in cfg.services]
+    return {
+        bucket_id: Bucket(bucket_id, rate, max(burst, 1.0))
+        for bucket_id, rate, burst in named
+        if rate > 0.0
+    }
--- /dev/null
+++ b/lacewingpond/limits/limit_table.py
@@ -0,0 +1,81 @@
+"""The limits of all buckets by id, over changes of the configuration."""
+
+from lacewingpond.config.model import Config
+from lacewingpond.limits.bucket import Bucket, buckets_of
+from lacewingpond.limits.limit_history import LimitHistory
+from lacewingpond.limits.options import LimitOptions
+
+
+class LimitTable:
+    """Keeps the newest buckets, and the older versions of changed ones.
+
+    Parameters
+    ----------
+    shard_count : int
+        Number of shards.
+    options : LimitOptions
+        Settings of the limits.
+    """
+
+    __slots__ = ("buckets", "_changed", "_cache", "_count", "_options", "_configured")
+
+    def __init__(self, shard_count: int, options: LimitOptions) -> None:
+        self.buckets: dict[str, Bucket] = {}
+        self._changed: dict[str, LimitHistory] = {}
+        self._cache: dict[str, LimitHistory] = {}
+        self._count = shard_count
+        self._options = options
+        self._configured = False
+
+    def configure(self, cfg: Config, now: float) -> None:
+        """Take a new configuration."""
+        buckets = buckets_of(cfg)
+        old, self.buckets = self.buckets, buckets
+        self._cache.clear()
+        self._forget(now)
+        if self._configured:
+            for bucket_id in _differing(old, buckets):
+                self._change(bucket_id, old.get(bucket_id), now)
+        self._configured = True
+
+    def history(self, bucket_id: str) -> LimitHistory | None:
+        """Return the versions of one bucket; None when there never was one."""
+        changed = self._changed.get(bucket_id)
+        if changed is not None:
+            return changed
+        bucket = self.buckets.get(bucket_id)
+        if bucket is None:
+            return None
+        return self._cached(bucket)
+
+    def drop_cached(self, bucket_id: str) -> None:
+        """Forget what can be computed again for an idle bucket."""
+        self._cache.pop(bucket_id, None)
+
+    def _cached(self, bucket: Bucket) -> LimitHistory:
+        history = self._cache.get(bucket.bucket_id)
+        if history is None:
+            history = LimitHistory(bucket, self._count, self._options)
+            self._cache[bucket.bucket_id] = history
+        return history
+
+    def _change(self, bucket_id: str, old: Bucket | None, now: float) -> None:
+        history = self._changed.get(bucket_id)
+        if history is None and old is None:
+            # No VM can have granted from a bucket that is new to the fleet.
+            return
+        if history is None:
+            history = LimitHistory(old, self._count, self._options)
+            self._changed[bucket_id] = history
+        history.change(self.buckets.get(bucket_id), now)
+
+    def _forget(self, now: float) -> None:
+        for bucket_id, history in list(self._changed.items()):
+            if history.is_forgettable(now):
+                del self._changed[bucket_id]
+
+
+def _differing(old: dict[str, Bucket], new: dict[str, Bucket]) -> list[str]:
+    changed = [bucket_id for bucket_id in new if new[bucket_id] != old.get(bucket_id)]
+    removed = [bucket_id for bucket_id in old if bucket_id not in new]
+    return changed + removed
