Add intents, plans and the chunked form of a configuration

Operators race, so a plan states its base revision, its diff and every finding at once, with an id derived from its content. Bucket numbers double as a kind grows, so a small configuration is four chunks.

--- /dev/null
+++ b/lacewingpond/config/changes.py
@@ -0,0 +1,41 @@
+"""The difference between two revisions, item by item."""
+
+from collections.abc import Iterator
+
+from msgspec import Struct
+
+from lacewingpond.config.kinds import Item, ItemRef, Kind, ref_of
+from lacewingpond.config.model import Key, Route, Service, Workspace
+
+
+class Changes(Struct, frozen=True, omit_defaults=True):
+    """Items put and removed; an item that is put replaces its namesake."""
+
+    workspaces: tuple[Workspace, ...] = ()
+    keys: tuple[Key, ...] = ()
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    removed: tuple[ItemRef, ...] = ()
+
+    @classmethod
+    def from_items(
+        cls, put: tuple[Item, ...], removed: tuple[ItemRef, ...]
+    ) -> "Changes":
+        """Return the changes that put some items and remove others."""
+        by_kind: dict[str, list[Item]] = {kind.value: [] for kind in Kind}
+        for item in put:
+            by_kind[ref_of(item).kind].append(item)
+        fields = {field: tuple(items) for field, items in by_kind.items()}
+        return cls(**fields, removed=removed)
+
+    def put(self) -> Iterator[Item]:
+        """Iterate over all items that are put."""
+        yield from self.workspaces
+        yield from self.keys
+        yield from self.services
+        yield from self.routes
+
+    @property
+    def size(self) -> int:
+        """Number of items put or removed."""
+        return sum(1 for _ in self.put()) + len(self.removed)
--- /dev/null
+++ b/lacewingpond/config/checks.py
@@ -0,0 +1,207 @@
+"""Checks of a draft: all findings and warnings about what intents touched."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Iterator
+
+from lacewingpond.config.draft import Draft
+from lacewingpond.config.kinds import Item, Kind
+from lacewingpond.config.model import Key, Route, Service, Target, Workspace
+from lacewingpond.util.findings import Finding
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+MARKER_PATTERN = re.compile(r"[A-Za-z0-9-]+: ?\S.*")
+MIN_BURST = 1.0
+MAX_LISTED = 5
+
+Problems = Iterator[tuple[str, str]]
+
+
+def find_problems(draft: Draft) -> tuple[Finding, ...]:
+    """Return all findings about the items that the intents touched."""
+    findings: list[Finding] = []
+    for ref in draft.touched():
+        kind = Kind(ref.kind)
+        item = draft.find(kind, ref.name)
+        place = draft.place_of(ref)
+        found = _check(draft, item) if item else _check_removed(draft, kind, ref.name)
+        findings += [Finding(_join(place, field), problem) for field, problem in found]
+    return tuple(findings)
+
+
+def find_warnings(draft: Draft) -> tuple[Finding, ...]:
+    """Return what an operator should know before the draft is confirmed."""
+    warnings: list[Finding] = []
+    for ref in draft.touched():
+        item = draft.find(Kind(ref.kind), ref.name)
+        found = _warn_service(item) if isinstance(item, Service) else ()
+        if isinstance(item, Route):
+            found = _warn_route(draft, item)
+        place = draft.place_of(ref)
+        warnings += [Finding(_join(place, field), problem) for field, problem in found]
+    return tuple(warnings)
+
+
+def _join(place: str, field: str) -> str:
+    return f"{place}.{field}" if field else place
+
+
+def _check(draft: Draft, item: Item) -> Problems:
+    match item:
+        case Workspace():
+            return _check_workspace(item)
+        case Key():
+            return _check_key(draft, item)
+        case Service():
+            return _check_service(item)
+        case Route():
+            return _check_route(draft, item)
+
+
+def _check_name(field: str, name: str) -> Problems:
+    if not NAME_PATTERN.fullmatch(name):
+        rule = "up to 128 letters, digits, dots, dashes and underscores"
+        yield field, f"{name!r} is no name: {rule}"
+
+
+def _check_limit(rate: float, burst: float, may_be_none: bool) -> Problems:
+    if may_be_none and rate == 0.0:
+        return
+    if not (math.isfinite(rate) and rate > 0.0):
+        yield "rate", f"a rate of {rate:g} lets nothing through"
+    if not (math.isfinite(burst) and burst >= MIN_BURST):
+        yield "burst", f"a burst of {burst:g} lets no request through"
+
+
+def _check_workspace(workspace: Workspace) -> Problems:
+    yield from _check_name("name", workspace.name)
+    yield from _check_limit(workspace.rate, workspace.burst, may_be_none=False)
+
+
+def _check_key(draft: Draft, key: Key) -> Problems:
+    yield from _check_name("key_id", key.key_id)
+    if draft.find(Kind.WORKSPACE, key.workspace) is None:
+        yield "workspace", f"there is no workspace {key.workspace!r}"
+    if not DIGEST_PATTERN.fullmatch(key.digest):
+        yield "digest", "not a lower-case hex SHA-256"
+    for other in draft.items(Kind.KEY).values():
+        if other.digest == key.digest and other.key_id != key.key_id:
+            yield "digest", f"key {other.key_id!r} has the same digest"
+
+
+def _check_service(service: Service) -> Problems:
+    yield from _check_name("name", service.name)
+    yield from _check_limit(service.rate, service.burst, may_be_none=True)
+    if not 0.0 <= service.floor <= 1.0:
+        yield "floor", f"{service.floor:g} is no share from 0 to 1"
+    if service.connections_per_target < 1:
+        yield "connections_per_target", "must be 1 or more"
+    if service.not_run_marker and not MARKER_PATTERN.fullmatch(service.not_run_marker):
+        yield "not_run_marker", "not of the form 'Name: value'"
+    seen: set[str] = set()
+    for number, target in enumerate(service.targets):
+        for field, problem in _check_target(target, seen):
+            yield f"targets[{number}].{field}", problem
+        seen.add(target.target_id)
+
+
+def _check_target(target: Target, seen: set[str]) -> Problems:
+    yield from _check_name("target_id", target.target_id)
+    if target.target_id in seen:
+        yield "target_id", f"target {target.target_id!r} is listed twice"
+    if not _is_address(target.address):
+        yield "address", f"{target.address!r} is not an IP number and a port"
+    if target.slots < 1:
+        yield "slots", "must be 1 or more"
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < 65_536
+
+
+def _check_route(draft: Draft, route: Route) -> Problems:
+    yield from _check_name("name", route.name)
+    yield from _check_limit(route.rate, route.burst, may_be_none=True)
+    if draft.find(Kind.SERVICE, route.service) is None:
+        yield "service", f"there is no service {route.service!r}"
+    if not route.path_prefix.startswith("/"):
+        yield "path_prefix", f"{route.path_prefix!r} does not start with '/'"
+    if not (math.isfinite(route.timeout_s) and route.timeout_s > 0.0):
+        yield "timeout_s", f"{route.timeout_s:g} is no time above 0"
+    for number, name in enumerate(route.workspaces):
+        if draft.find(Kind.WORKSPACE, name) is None:
+            yield f"workspaces[{number}]", f"there is no workspace {name!r}"
+    yield from _check_overlap(draft, route)
+
+
+def _check_overlap(draft: Draft, route: Route) -> Problems:
+    prefix = route.path_prefix.rstrip("/")
+    for other in draft.items(Kind.ROUTE).values():
+        if other.name == route.name or other.host.lower() != route.host.lower():
+            continue
+        if other.path_prefix.rstrip("/") != prefix:
+            continue
+        if not _share_methods(route, other):
+            continue
+        yield "path_prefix", f"overlaps route {other.name!r}: same host, path, methods"
+
+
+def _share_methods(one: Route, other: Route) -> bool:
+    if not one.methods or not other.methods:
+        return True
+    return not set(one.methods).isdisjoint(other.methods)
+
+
+def _check_removed(draft: Draft, kind: Kind, name: str) -> Problems:
+    if kind is Kind.SERVICE:
+        yield from _still_used(
+            "route",
+            [r.name for r in draft.items(Kind.ROUTE).values() if r.service == name],
+        )
+    if kind is Kind.WORKSPACE:
+        yield from _still_used(
+            "key",
+            [k.key_id for k in draft.items(Kind.KEY).values() if k.workspace == name],
+        )
+        yield from _still_used(
+            "route",
+            [r.name for r in draft.items(Kind.ROUTE).values() if name in r.workspaces],
+        )
+
+
+def _still_used(label: str, names: list[str]) -> Problems:
+    if not names:
+        return
+    listed = ", ".join(repr(name) for name in names[:MAX_LISTED])
+    more = len(names) - MAX_LISTED
+    yield "", f"still used by {label} {listed}" + (f" and {more} more" * (more > 0))
+
+
+def _warn_service(service: Service) -> Problems:
+    if not service.targets:
+        yield "targets", f"service {service.name!r} has no targets"
+        return
+    slots = sum(target.slots for target in service.targets)
+    ready = sum(target.slots for target in service.targets if not target.draining)
+    if ready < service.floor * slots:
+        share = f"{ready} of {slots} slots"
+        yield "floor", f"floor {service.floor:g} is above the capacity left: {share}"
+        return
+    largest = max(target.slots for target in service.targets)
+    if ready - largest < service.floor * slots:
+        yield "floor", "no target can be ejected without going below the floor"
+
+
+def _warn_route(draft: Draft, route: Route) -> Problems:
+    if route.open and route.rate == 0.0:
+        yield "open", "open to all callers without a rate"
+    service = draft.find(Kind.SERVICE, route.service)
+    if isinstance(service, Service) and not service.targets:
+        yield "service", f"service {route.service!r} has no targets"
--- /dev/null
+++ b/lacewingpond/config/chunks.py
@@ -0,0 +1,106 @@
+"""Chunks: the parts of a configuration that the store holds, named by content."""
+
+import hashlib
+import zlib
+
+import msgspec
+import xxhash
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewingpond.config.kinds import Item, Kind, name_of
+
+DIGEST_BYTES = 16
+COMPRESSION_LEVEL = 1
+MAX_CHUNK_BYTES = 4_000_000
+"""Longest content of one chunk, unpacked."""
+
+ITEMS_PER_CHUNK = {
+    Kind.WORKSPACE: 256,
+    Kind.KEY: 256,
+    Kind.SERVICE: 8,
+    Kind.ROUTE: 256,
+}
+"""Items in a chunk before the number of buckets doubles; a service is large."""
+
+
+class ChunkRef(Struct, frozen=True, array_like=True, order=True):
+    """Names one chunk of a revision.
+
+    Parameters
+    ----------
+    kind : str
+        Value of the `Kind` of its items.
+    bucket : int
+        Hash bucket of the items' names.
+    digest : bytes
+        Digest of the chunk's content.
+    """
+
+    kind: str
+    bucket: int
+    digest: bytes
+
+
+class Chunk(Struct, frozen=True, array_like=True):
+    """A chunk and its packed content."""
+
+    digest: bytes
+    packed: bytes
+
+
+def bucket_of(name: str, buckets: int) -> int:
+    """Return the bucket, from 0 to `buckets` - 1, that holds `name`."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % buckets
+
+
+def buckets_for(kind: Kind, items: int, current: int) -> int:
+    """Return the number of buckets for so many items; it never shrinks."""
+    buckets = max(current, 1)
+    while items > buckets * ITEMS_PER_CHUNK[kind]:
+        buckets *= 2
+    return buckets
+
+
+def split(
+    kind: Kind, items: tuple[Item, ...], buckets: int
+) -> dict[int, tuple[Item, ...]]:
+    """Return the items by bucket, each bucket in order of name."""
+    filled: dict[int, list[Item]] = {}
+    for item in items:
+        filled.setdefault(bucket_of(name_of(item), buckets), []).append(item)
+    return {
+        bucket: tuple(sorted(members, key=name_of))
+        for bucket, members in sorted(filled.items())
+    }
+
+
+def encode(items: tuple[Item, ...]) -> bytes:
+    """Return the content of a chunk."""
+    return msgspec.msgpack.encode(items)
+
+
+def digest_of(content: bytes) -> bytes:
+    """Return the digest that names a chunk with `content`."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+def pack(items: tuple[Item, ...]) -> Chunk:
+    """Return the chunk that holds `items`."""
+    content = encode(items)
+    return Chunk(digest_of(content), zlib.compress(content, COMPRESSION_LEVEL))
+
+
+def unpack(chunk: Chunk, kind: Kind) -> Result[tuple[Item, ...], str]:
+    """Return the items of a chunk; garbage and a wrong digest are errors."""
+    try:
+        inflater = zlib.decompressobj()
+        content = inflater.decompress(chunk.packed, MAX_CHUNK_BYTES)
+    except zlib.error as exc:
+        return Err(f"chunk {chunk.digest.hex()}: {exc}")
+    if digest_of(content) != chunk.digest:
+        return Err(f"chunk {chunk.digest.hex()}: another content than its digest")
+    try:
+        return Ok(msgspec.msgpack.decode(content, type=tuple[kind.item_type, ...]))
+    except msgspec.DecodeError as exc:
+        return Err(f"chunk {chunk.digest.hex()}: {exc}")
--- /dev/null
+++ b/lacewingpond/config/draft.py
@@ -0,0 +1,216 @@
+"""A working copy of a configuration, to which intents are applied."""
+
+import msgspec
+
+from lacewingpond.config.changes import Changes
+from lacewingpond.config.intents import (
+    AddTarget,
+    DrainTarget,
+    GrantKey,
+    Intent,
+    PutRoute,
+    PutService,
+    PutWorkspace,
+    RemoveRoute,
+    RemoveService,
+    RemoveTarget,
+    RemoveWorkspace,
+    SetRate,
+    WithdrawKey,
+)
+from lacewingpond.config.kinds import Item, ItemRef, Kind, items_of, name_of, ref_of
+from lacewingpond.config.model import Config, Service, Target
+from lacewingpond.util.findings import Finding
+
+_REMOVED_KIND = {
+    RemoveWorkspace: Kind.WORKSPACE,
+    RemoveService: Kind.SERVICE,
+    RemoveRoute: Kind.ROUTE,
+}
+_LIMITED_KIND = {
+    "workspace": Kind.WORKSPACE,
+    "service": Kind.SERVICE,
+    "route": Kind.ROUTE,
+}
+
+
+class Draft:
+    """A configuration with intents applied one after another.
+
+    Parameters
+    ----------
+    cfg : Config
+        The configuration that the intents change.
+
+    Attributes
+    ----------
+    findings : list of Finding
+        Intents that could not be applied.
+    """
+
+    __slots__ = ("_cfg", "_base", "_items", "_places", "_stated", "findings")
+
+    def __init__(self, cfg: Config) -> None:
+        self._cfg = cfg
+        self._base: dict[Kind, dict[str, Item]] = {}
+        self._items: dict[Kind, dict[str, Item]] = {}
+        self._places: dict[ItemRef, str] = {}
+        self._stated: dict[ItemRef, str] = {}
+        self.findings: list[Finding] = []
+
+    @classmethod
+    def from_intents(cls, cfg: Config, intents: tuple[Intent, ...]) -> "Draft":
+        """Return `cfg` with all intents applied that can be."""
+        draft = cls(cfg)
+        for number, intent in enumerate(intents):
+            draft.apply(intent, f"intents[{number}]")
+        return draft
+
+    def items(self, kind: Kind) -> dict[str, Item]:
+        """Return the items of `kind` by name, as they are now."""
+        if kind not in self._items:
+            base = {name_of(item): item for item in items_of(self._cfg, kind)}
+            self._base[kind] = base
+            self._items[kind] = dict(base)
+        return self._items[kind]
+
+    def find(self, kind: Kind, name: str) -> Item | None:
+        """Return one item, or None."""
+        return self.items(kind).get(name)
+
+    def find_before(self, kind: Kind, name: str) -> Item | None:
+        """Return one item as it was before the intents, or None."""
+        self.items(kind)
+        return self._base[kind].get(name)
+
+    def touched(self) -> tuple[ItemRef, ...]:
+        """Return all items that intents have put, changed or removed."""
+        return tuple(self._places)
+
+    def place_of(self, ref: ItemRef) -> str:
+        """Return the intent that last touched the item that `ref` names."""
+        return self._places[ref]
+
+    def changes(self) -> Changes:
+        """Return what the intents change in the base."""
+        put: list[Item] = []
+        removed: list[ItemRef] = []
+        for ref in sorted(self._places):
+            kind = Kind(ref.kind)
+            item = self.find(kind, ref.name)
+            before = self.find_before(kind, ref.name)
+            if item is None and before is not None:
+                removed.append(ref)
+            elif item is not None and item != before:
+                put.append(item)
+        return Changes.from_items(tuple(put), tuple(removed))
+
+    def apply(self, intent: Intent, place: str) -> None:
+        """Apply one intent; what stands in its way becomes a finding."""
+        match intent:
+            case PutWorkspace(workspace):
+                self._state(workspace, f"{place}.workspace")
+            case PutService(service):
+                self._state(service, f"{place}.service")
+            case PutRoute(route):
+                self._state(route, f"{place}.route")
+            case GrantKey():
+                self._grant(intent, f"{place}.key")
+            case RemoveWorkspace(name) | RemoveService(name) | RemoveRoute(name):
+                self._remove(_REMOVED_KIND[type(intent)], name, f"{place}.name")
+            case WithdrawKey(key_id):
+                self._remove(Kind.KEY, key_id, f"{place}.key_id")
+            case AddTarget():
+                self._add_target(intent, place)
+            case RemoveTarget():
+                self._remove_target(intent, place)
+            case DrainTarget():
+                self._drain_target(intent, place)
+            case SetRate():
+                self._set_rate(intent, place)
+
+    def _find_problem(self, place: str, problem: str) -> None:
+        self.findings.append(Finding(place, problem))
+
+    def _state(self, item: Item, place: str) -> None:
+        ref = ref_of(item)
+        if ref in self._stated:
+            label = Kind(ref.kind).label
+            problem = f"{label} {ref.name!r} is already stated by {self._stated[ref]}"
+            self._find_problem(place, problem)
+            return
+        self._stated[ref] = place
+        self._put(item, place)
+
+    def _put(self, item: Item, place: str) -> None:
+        ref = ref_of(item)
+        self.items(Kind(ref.kind))[ref.name] = item
+        self._places[ref] = place
+
+    def _grant(self, intent: GrantKey, place: str) -> None:
+        held = self.find(Kind.KEY, intent.key.key_id)
+        if held is not None and held != intent.key:
+            # A key id that changes its meaning would make the logs ambiguous.
+            problem = f"key {intent.key.key_id!r} exists; withdraw it first"
+            self._find_problem(f"{place}.key_id", problem)
+            return
+        self._state(intent.key, place)
+
+    def _remove(self, kind: Kind, name: str, place: str) -> None:
+        if self.items(kind).pop(name, None) is None:
+            self._find_problem(place, f"there is no {kind.label} {name!r}")
+            return
+        ref = ItemRef(kind.value, name)
+        self._stated.setdefault(ref, place)
+        self._places[ref] = place
+
+    def _service(self, name: str, place: str) -> Service | None:
+        service = self.find(Kind.SERVICE, name)
+        if service is None:
+            self._find_problem(f"{place}.service", f"there is no service {name!r}")
+        return service
+
+    def _target(self, service: Service, target_id: str, place: str) -> Target | None:
+        for target in service.targets:
+            if target.target_id == target_id:
+                return target
+        problem = f"service {service.name!r} has no target {target_id!r}"
+        self._find_problem(f"{place}.target_id", problem)
+        return None
+
+    def _add_target(self, intent: AddTarget, place: str) -> None:
+        service = self._service(intent.service, place)
+        if service is None:
+            return
+        targets = (*service.targets, intent.target)
+        self._put(msgspec.structs.replace(service, targets=targets), f"{place}.target")
+
+    def _remove_target(self, intent: RemoveTarget, place: str) -> None:
+        service = self._service(intent.service, place)
+        if service is None:
+            return
+        target = self._target(service, intent.target_id, place)
+        if target is None:
+            return
+        targets = tuple(kept for kept in service.targets if kept is not target)
+        self._put(msgspec.structs.replace(service, targets=targets), place)
+
+    def _drain_target(self, intent: DrainTarget, place: str) -> None:
+        service = self._service(intent.service, place)
+        if service is None:
+            return
+        target = self._target(service, intent.target_id, place)
+        if target is None:
+            return
+        drained = msgspec.structs.replace(target, draining=intent.draining)
+        targets = tuple(drained if kept is target else kept for kept in service.targets)
+        self._put(msgspec.structs.replace(service, targets=targets), place)
+
+    def _set_rate(self, intent: SetRate, place: str) -> None:
+        item = self.find(_LIMITED_KIND[intent.of], intent.name)
+        if item is None:
+            problem = f"there is no {intent.of} {intent.name!r}"
+            self._find_problem(f"{place}.name", problem)
+            return
+        changed = msgspec.structs.replace(item, rate=intent.rate, burst=intent.burst)
+        self._put(changed, place)
--- /dev/null
+++ b/lacewingpond/config/keys.py
@@ -0,0 +1,16 @@
+"""Making keys for callers; the configuration holds only their digests."""
+
+import hashlib
+import secrets
+
+KEY_BYTES = 24
+
+
+def new_key() -> str:
+    """Return a new random key, to be shown to its holder once."""
+    return secrets.token_urlsafe(KEY_BYTES)
+
+
+def digest_of(key: str) -> str:
+    """Return the lower-case hex SHA-256 of `key`."""
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/lacewingpond/config/kinds.py
@@ -0,0 +1,72 @@
+"""The kinds of items that make up a configuration."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from lacewingpond.config.model import Config, Key, Route, Service, Workspace
+
+Item = Workspace | Key | Service | Route
+
+
+class Kind(Enum):
+    """Kind of an item; the value is the field of `Config` that holds it."""
+
+    WORKSPACE = "workspaces"
+    KEY = "keys"
+    SERVICE = "services"
+    ROUTE = "routes"
+
+    @property
+    def label(self) -> str:
+        """The kind in the singular, for messages."""
+        return self.value[:-1]
+
+    @property
+    def item_type(self) -> type[Item]:
+        """Class of the items."""
+        return _TYPES[self]
+
+
+_TYPES: dict[Kind, type[Item]] = {
+    Kind.WORKSPACE: Workspace,
+    Kind.KEY: Key,
+    Kind.SERVICE: Service,
+    Kind.ROUTE: Route,
+}
+_KINDS = {item_type: kind for kind, item_type in _TYPES.items()}
+
+
+class ItemRef(Struct, frozen=True, array_like=True, order=True):
+    """Names one item.
+
+    Parameters
+    ----------
+    kind : str
+        Value of a `Kind`.
+    name : str
+        Unique within the kind.
+    """
+
+    kind: str
+    name: str
+
+
+def kind_of(item: Item) -> Kind:
+    """Return the kind of `item`."""
+    return _KINDS[type(item)]
+
+
+def name_of(item: Item) -> str:
+    """Return the unique name of `item` within its kind."""
+    return item.key_id if isinstance(item, Key) else item.name
+
+
+def ref_of(item: Item) -> ItemRef:
+    """Return the reference to `item`."""
+    return ItemRef(kind_of(item).value, name_of(item))
+
+
+def items_of(cfg: Config, kind: Kind) -> tuple[Item, ...]:
+    """Return all items of `kind`."""
+    return getattr(cfg, kind.value)
--- /dev/null
+++ b/lacewingpond/config/repository.py
@@ -0,0 +1,185 @@
+"""The configuration as the platform's store holds it."""
+
+import zlib
+
+import msgspec
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewingpond.config.chunks import COMPRESSION_LEVEL, Chunk, ChunkRef
+from lacewingpond.config.head import Head
+from lacewingpond.config.plan import Plan
+from lacewingpond.config.state import ConfigState
+from lacewingpond.store.base import Store, StoreError, StoreFailure
+
+HEAD_KEY = "config/head"
+CHUNK_PREFIX = "config/chunk/"
+PLAN_PREFIX = "config/plan/"
+PLAN_TTL_S = 86_400.0
+WRITE_ATTEMPTS = 4
+MAX_PLAN_BYTES = 32_000_000
+"""Longest plan, unpacked."""
+
+
+class StoredHead(Struct, frozen=True):
+    """A head and the store revision that wrote it; 0 when there is none yet."""
+
+    head: Head
+    store_revision: int
+
+
+class StoredChunk(Struct, frozen=True):
+    """A chunk in the store and the store revision that wrote it."""
+
+    key: str
+    store_revision: int
+
+
+class ConfigRepository:
+    """Reads and writes heads, chunks and pending plans.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    """
+
+    __slots__ = ("store",)
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+
+    def read_head(self) -> Result[StoredHead, StoreError]:
+        """Read the head; an empty store holds revision 0."""
+        read = self.store.get(HEAD_KEY)
+        if read.is_err():
+            return read
+        entry = read.ok_value
+        if entry is None:
+            return Ok(StoredHead(Head(), 0))
+        return parse_head(entry.value, entry.revision)
+
+    def read_chunks(
+        self, refs: tuple[ChunkRef, ...]
+    ) -> Result[dict[bytes, Chunk], str]:
+        """Read chunks by their digests."""
+        chunks: dict[bytes, Chunk] = {}
+        for ref in refs:
+            read = self.store.get(chunk_key(ref.digest))
+            if read.is_err():
+                return Err(describe(read.err_value))
+            if read.ok_value is None:
+                return Err(f"chunk {ref.digest.hex()} is not in the store")
+            chunks[ref.digest] = Chunk(ref.digest, read.ok_value.value)
+        return Ok(chunks)
+
+    def load(self, known: ConfigState, head: Head) -> Result[ConfigState, str]:
+        """Return the state that `head` names, reading only what `known` lacks."""
+        if known.root == head.root():
+            return Ok(known)
+        return known.load(head, self.read_chunks)
+
+    def find_chunks(
+        self, refs: tuple[ChunkRef, ...]
+    ) -> Result[tuple[StoredChunk, ...], StoreError]:
+        """Return where chunks are in the store now; missing ones are left out."""
+        found = []
+        for ref in refs:
+            read = self.store.get(chunk_key(ref.digest))
+            if read.is_err():
+                return read
+            if read.ok_value is not None:
+                found.append(StoredChunk(read.ok_value.key, read.ok_value.revision))
+        return Ok(tuple(found))
+
+    def write_chunk(self, chunk: Chunk) -> Result[StoredChunk, StoreError]:
+        """Write a chunk, also when it exists.
+
+        Writing an existing chunk again raises its store revision, so that a
+        deletion decided before fails.
+        """
+        key = chunk_key(chunk.digest)
+        error = StoreError(StoreFailure.CONFLICT, key)
+        for _ in range(WRITE_ATTEMPTS):
+            read = self.store.get(key)
+            if read.is_err():
+                return read
+            expected = read.ok_value.revision if read.ok_value else 0
+            written = self.store.put_if(key, chunk.packed, expected)
+            if written.is_ok():
+                return Ok(StoredChunk(key, written.ok_value))
+            error = written.err_value
+            if error.failure not in (StoreFailure.CONFLICT, StoreFailure.UNKNOWN):
+                break
+        return Err(error)
+
+    def write_chunks(
+        self, state: ConfigState, refs: tuple[ChunkRef, ...]
+    ) -> Result[None, StoreError]:
+        """Write chunks of `state`; the head comes after them.
+
+        A writer that loses the race for the head must leave its chunks: another
+        one may have begun to rely on them.
+        """
+        for ref in refs:
+            written = self.write_chunk(state.chunk(ref))
+            if written.is_err():
+                return written
+        return Ok(None)
+
+    def delete_chunks(self, stored: tuple[StoredChunk, ...]) -> None:
+        """Remove chunks unless they were written again; failures only leave them."""
+        for chunk in stored:
+            self.store.delete_if(chunk.key, chunk.store_revision)
+
+    def write_head(self, head: Head, expected: int) -> Result[int, StoreError]:
+        """Put `head` in force if the store still holds the expected one."""
+        return self.store.put_if(HEAD_KEY, head.to_bytes(), expected)
+
+    def save_plan(self, plan: Plan) -> Result[None, StoreError]:
+        """Keep a plan for `PLAN_TTL_S`, so that any VM can confirm it."""
+        key = PLAN_PREFIX + plan.plan_id
+        lease = self.store.grant_lease(PLAN_TTL_S)
+        if lease.is_err():
+            return lease
+        value = zlib.compress(msgspec.msgpack.encode(plan), COMPRESSION_LEVEL)
+        saved = self.store.put_if(key, value, 0, lease.ok_value)
+        if saved.is_ok():
+            return Ok(None)
+        # The id is derived from the content, so what is there is this plan.
+        read = self.store.get(key)
+        if read.is_ok() and read.ok_value is not None:
+            return Ok(None)
+        return saved
+
+    def read_plan(self, plan_id: str) -> Result[Plan | None, StoreError]:
+        """Read a pending plan; None when it is unknown or has lapsed."""
+        read = self.store.get(PLAN_PREFIX + plan_id)
+        if read.is_err():
+            return read
+        if read.ok_value is None:
+            return Ok(None)
+        try:
+            inflater = zlib.decompressobj()
+            content = inflater.decompress(read.ok_value.value, MAX_PLAN_BYTES)
+            return Ok(msgspec.msgpack.decode(content, type=Plan))
+        except (zlib.error, msgspec.DecodeError) as exc:
+            return Err(StoreError(StoreFailure.UNAVAILABLE, f"plan {plan_id}: {exc}"))
+
+
+def parse_head(value: bytes, store_revision: int) -> Result[StoredHead, StoreError]:
+    """Read a head as the store or a watch returned it."""
+    head = Head.from_bytes(value)
+    if head.is_err():
+        return Err(StoreError(StoreFailure.UNAVAILABLE, head.err_value))
+    return Ok(StoredHead(head.ok_value, store_revision))
+
+
+def chunk_key(digest: bytes) -> str:
+    """Return the store's key of a chunk."""
+    return CHUNK_PREFIX + digest.hex()
+
+
+def describe(error: StoreError) -> str:
+    """Return a failure of the store in words."""
+    return f"store {error.failure.value}: {error.detail}"
--- /dev/null
+++ b/lacewingpond/config/state.py
@@ -0,0 +1,235 @@
+"""One revision of the configuration together with its chunks."""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from lacewingpond.config import chunks
+from lacewingpond.config.changes import Changes
+from lacewingpond.config.chunks import Chunk, ChunkRef
+from lacewingpond.config.head import HISTORY_LENGTH, Confirmed, Head
+from lacewingpond.config.kinds import Item, ItemRef, Kind, items_of, name_of
+from lacewingpond.config.model import Config
+
+Buckets = dict[int, tuple[Item, ...]]
+ReadChunks = Callable[[tuple[ChunkRef, ...]], Result[dict[bytes, Chunk], str]]
+
+
+class ConfigState:
+    """A revision: its head, and its items by kind and bucket. Never changed.
+
+    Attributes
+    ----------
+    head : Head
+        Names the chunks.
+    cfg : Config
+        The same items as the rest of the daemon sees them.
+    root : bytes
+        Digest of the whole revision.
+    """
+
+    __slots__ = ("head", "cfg", "root", "_buckets")
+
+    def __init__(self, head: Head, buckets: dict[Kind, Buckets], cfg: Config) -> None:
+        self.head = head
+        self.cfg = cfg
+        self.root = head.root()
+        self._buckets = buckets
+
+    @classmethod
+    def empty(cls) -> "ConfigState":
+        """Return revision 0, which has no items."""
+        return cls(Head(), {kind: {} for kind in Kind}, Config())
+
+    @classmethod
+    def from_config(
+        cls, cfg: Config, history: tuple[Confirmed, ...] = ()
+    ) -> "ConfigState":
+        """Return the state that holds `cfg`."""
+        buckets: dict[Kind, Buckets] = {}
+        counts: dict[str, int] = {}
+        refs: list[ChunkRef] = []
+        for kind in Kind:
+            items = items_of(cfg, kind)
+            counts[kind.value] = chunks.buckets_for(kind, len(items), 1)
+            buckets[kind] = chunks.split(kind, items, counts[kind.value])
+            refs += [_ref(kind, *filled) for filled in buckets[kind].items()]
+        head = Head(cfg.revision, counts, tuple(sorted(refs)), history)
+        return cls(head, buckets, _config(cfg.revision, buckets))
+
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration."""
+        return self.head.revision
+
+    def find(self, kind: Kind, name: str) -> Item | None:
+        """Return one item, or None."""
+        bucket = chunks.bucket_of(name, self.head.buckets.get(kind.value, 1))
+        for item in self._buckets[kind].get(bucket, ()):
+            if name_of(item) == name:
+                return item
+        return None
+
+    def changed(self, changes: Changes, plan_id: str) -> "ConfigState":
+        """Return the next revision, with `changes` made by a plan."""
+        revision = self.revision + 1
+        history = (*self.head.history, Confirmed(revision, plan_id))[-HISTORY_LENGTH:]
+        refs = {(ref.kind, ref.bucket): ref for ref in self.head.chunks}
+        counts = dict(self.head.buckets)
+        buckets = dict(self._buckets)
+        fields: dict[str, tuple[Item, ...]] = {}
+        for kind in Kind:
+            if not _touches(changes, kind):
+                continue
+            touched = self._rewrite(kind, changes, counts, buckets)
+            _update_refs(refs, kind, buckets[kind], touched)
+            fields[kind.value] = _joined(buckets[kind])
+        head = Head(
+            revision=revision,
+            buckets=counts,
+            chunks=tuple(refs[key] for key in sorted(refs)),
+            history=history,
+        )
+        return ConfigState(head, buckets, _replaced(self.cfg, revision, fields))
+
+    def chunk(self, ref: ChunkRef) -> Chunk | None:
+        """Return a chunk of this revision, packed; None when it has no such."""
+        kind = Kind(ref.kind)
+        items = self._buckets[kind].get(ref.bucket)
+        if items is None:
+            return None
+        chunk = chunks.pack(items)
+        return chunk if chunk.digest == ref.digest else None
+
+    def missing(self, other: Head) -> tuple[ChunkRef, ...]:
+        """Return the chunks of `other` that this state does not hold."""
+        held = set(self.head.chunks)
+        return tuple(ref for ref in other.chunks if ref not in held)
+
+    def load(self, head: Head, read_chunks: ReadChunks) -> Result["ConfigState", str]:
+        """Return the state that `head` names, reading only chunks not held here."""
+        missing = self.missing(head)
+        read = read_chunks(missing)
+        if read.is_err():
+            return read
+        fresh: dict[ChunkRef, tuple[Item, ...]] = {}
+        for ref in missing:
+            items = self._unpacked(ref, read.ok_value)
+            if items.is_err():
+                return items
+            fresh[ref] = items.ok_value
+        buckets: dict[Kind, Buckets] = {kind: {} for kind in Kind}
+        for ref in head.chunks:
+            kind = Kind(ref.kind)
+            held = fresh[ref] if ref in fresh else self._buckets[kind][ref.bucket]
+            buckets[kind][ref.bucket] = held
+        return Ok(ConfigState(head, buckets, _config(head.revision, buckets)))
+
+    def changes_to(self, later: "ConfigState") -> Changes:
+        """Return what differs in `later`, looking only at chunks that differ."""
+        put: list[Item] = []
+        removed: list[ItemRef] = []
+        for kind in Kind:
+            old, new = self._differing(later, kind)
+            put += [item for name, item in new.items() if old.get(name) != item]
+            removed += [ItemRef(kind.value, name) for name in old if name not in new]
+        return Changes.from_items(tuple(put), tuple(removed))
+
+    def _differing(
+        self, later: "ConfigState", kind: Kind
+    ) -> tuple[dict[str, Item], dict[str, Item]]:
+        before = {ref for ref in self.head.chunks if ref.kind == kind.value}
+        after = {ref for ref in later.head.chunks if ref.kind == kind.value}
+        return (
+            self._named(kind, before - after),
+            later._named(kind, after - before),
+        )
+
+    def _named(self, kind: Kind, refs: set[ChunkRef]) -> dict[str, Item]:
+        buckets = self._buckets[kind]
+        return {name_of(item): item for ref in refs for item in buckets[ref.bucket]}
+
+    def _unpacked(
+        self, ref: ChunkRef, read: dict[bytes, Chunk]
+    ) -> Result[tuple[Item, ...], str]:
+        chunk = read.get(ref.digest)
+        if chunk is None:
+            return Err(f"chunk {ref.digest.hex()} is missing")
+        return chunks.unpack(Chunk(ref.digest, chunk.packed), Kind(ref.kind))
+
+    def _rewrite(
+        self,
+        kind: Kind,
+        changes: Changes,
+        counts: dict[str, int],
+        buckets: dict[Kind, Buckets],
+    ) -> set[int]:
+        """Change the buckets of `kind`; return the numbers of those rewritten."""
+        count = counts.get(kind.value, 1)
+        removed = {ref.name for ref in changes.removed if ref.kind == kind.value}
+        put = {name_of(item): item for item in items_of(changes, kind)}
+        touched = {chunks.bucket_of(name, count) for name in removed | put.keys()}
+        filled = dict(self._buckets[kind])
+        for bucket in touched:
+            members = _members(filled.get(bucket, ()), bucket, count, put, removed)
+            filled[bucket] = members
+        filled = {bucket: members for bucket, members in filled.items() if members}
+        total = sum(len(members) for members in filled.values())
+        counts[kind.value] = chunks.buckets_for(kind, total, count)
+        if counts[kind.value] != count:
+            filled = chunks.split(kind, _joined(filled), counts[kind.value])
+            touched = set(filled) | set(self._buckets[kind])
+        buckets[kind] = dict(sorted(filled.items()))
+        return touched
+
+
+def _touches(changes: Changes, kind: Kind) -> bool:
+    if items_of(changes, kind):
+        return True
+    return any(ref.kind == kind.value for ref in changes.removed)
+
+
+def _members(
+    members: tuple[Item, ...],
+    bucket: int,
+    count: int,
+    put: dict[str, Item],
+    removed: set[str],
+) -> tuple[Item, ...]:
+    by_name = {name_of(item): item for item in members}
+    for name in removed:
+        by_name.pop(name, None)
+    for name, item in put.items():
+        if chunks.bucket_of(name, count) == bucket:
+            by_name[name] = item
+    return tuple(by_name[name] for name in sorted(by_name))
+
+
+def _update_refs(
+    refs: dict[tuple[str, int], ChunkRef],
+    kind: Kind,
+    filled: Buckets,
+    touched: set[int],
+) -> None:
+    for bucket in touched:
+        refs.pop((kind.value, bucket), None)
+        if bucket in filled:
+            refs[(kind.value, bucket)] = _ref(kind, bucket, filled[bucket])
+
+
+def _ref(kind: Kind, bucket: int, items: tuple[Item, ...]) -> ChunkRef:
+    return ChunkRef(kind.value, bucket, chunks.digest_of(chunks.encode(items)))
+
+
+def _joined(filled: Buckets) -> tuple[Item, ...]:
+    return tuple(item for members in filled.values() for item in members)
+
+
+def _config(revision: int, buckets: dict[Kind, Buckets]) -> Config:
+    fields = {kind.value: _joined(filled) for kind, filled in buckets.items()}
+    return Config(revision=revision, **fields)
+
+
+def _replaced(cfg: Config, revision: int, fields: dict[str, tuple]) -> Config:
+    kept = {kind.value: items_of(cfg, kind) for kind in Kind}
+    return Config(revision=revision, **{**kept, **fields})
