Add the membership: list, probes at constant cost and spread of changes

Each VM probes two neighbours of a ring, directly and then through others; one that nobody reaches is suspected and may contradict it. Two VMs of each failure domain read the platform's list; the others compare a digest with one of them, and changes are pushed once by each VM to a few contacts. Records merge in any order.

--- /dev/null
+++ b/lacewingpond/membership/listing.py
@@ -0,0 +1,118 @@
+"""Reads the platform's list and tells what it changes in the table."""
+
+import random
+
+from result import Ok, Result
+
+from lacewingpond.membership.options import MembershipOptions
+from lacewingpond.membership.record import MemberRecord, MemberStatus
+from lacewingpond.membership.table import MemberTable
+from lacewingpond.store.base import StoreError, VmList, VmRecord
+from lacewingpond.util.clock import Clock
+
+
+class Listing:
+    """The platform's list as this VM knows it, read here or by others.
+
+    Parameters
+    ----------
+    options : MembershipOptions
+        Lag of the list and pauses between reads.
+    vm_list : VmList
+        The platform's list.
+    table : MemberTable
+        Takes in what was read.
+    clock, rng : Clock, random.Random
+        Time, and spread of the reads.
+    """
+
+    __slots__ = (
+        "reads",
+        "_options",
+        "_vm_list",
+        "_table",
+        "_clock",
+        "_rng",
+        "_known_at",
+        "_last_ids",
+        "_missing_since",
+        "_fallback_s",
+        "_fallback_at",
+    )
+
+    def __init__(
+        self,
+        options: MembershipOptions,
+        vm_list: VmList,
+        table: MemberTable,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.reads = 0
+        self._options = options
+        self._vm_list = vm_list
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._known_at = float("-inf")
+        self._last_ids: frozenset[str] = frozenset()
+        self._missing_since: dict[str, float] = {}
+        self._fallback_s = options.list_interval_s
+        self._fallback_at = float("-inf")
+
+    def age_s(self) -> float:
+        """Return the age of the newest list that was taken in whole, in seconds."""
+        return self._clock.now() - self._known_at
+
+    def relayed(self, age_s: float) -> None:
+        """Note that a whole list of that age was taken in from another VM."""
+        self._known_at = max(self._known_at, self._clock.now() - age_s)
+
+    def fallback_due(self) -> bool:
+        """Return whether a VM that is no reader should read the list now."""
+        now = self._clock.now()
+        stale = now - self._known_at > self._options.list_max_age_s
+        if not stale:
+            self._fallback_s = self._options.list_interval_s
+            return False
+        if now < self._fallback_at:
+            return False
+        self._fallback_at = now + self._fallback_s * self._rng.uniform(0.5, 1.5)
+        self._fallback_s = min(2 * self._fallback_s, self._options.fallback_max_s)
+        return True
+
+    def read(self) -> Result[list[MemberRecord], StoreError]:
+        """Read the list and take it in; return the records that changed."""
+        started = self._clock.now()
+        self.reads += 1
+        result = self._vm_list.read()
+        if not isinstance(result, Ok):
+            return result
+        changed = [record for vm in result.ok_value if (record := self._listed(vm))]
+        ids = frozenset(vm.vm_id for vm in result.ok_value)
+        changed += self._missing(ids, started)
+        self._last_ids = ids
+        self._known_at = max(self._known_at, started)
+        return Ok(changed)
+
+    def _listed(self, vm: VmRecord) -> MemberRecord | None:
+        self._missing_since.pop(vm.vm_id, None)
+        record = MemberRecord.from_listed(vm)
+        old = self._table.get(vm.vm_id)
+        if old is not None:
+            back = int(old.status is MemberStatus.GONE)
+            record = old.with_status(record.status, raise_version=back)
+        return record if self._table.merge(record, self._clock.now()) else None
+
+    def _missing(self, ids: frozenset[str], now: float) -> list[MemberRecord]:
+        gone = []
+        for record in list(self._table.records()):
+            if record.vm_id in ids or record.status is MemberStatus.GONE:
+                continue
+            since = self._missing_since.setdefault(record.vm_id, now)
+            # A VM that joined just now may be missing because the list lags.
+            dropped = record.vm_id in self._last_ids
+            if dropped or now - since >= self._options.list_lag_s:
+                self._missing_since.pop(record.vm_id)
+                gone.append(record.with_status(MemberStatus.GONE))
+        return [record for record in gone if self._table.merge(record, now)]
--- /dev/null
+++ b/lacewingpond/membership/membership.py
@@ -0,0 +1,297 @@
+"""The soft view of the fleet: the platform's list, probes and news."""
+
+import random
+from collections.abc import Callable
+
+import gevent
+from result import Ok
+
+from lacewingpond.membership.groups import Groups
+from lacewingpond.membership.listing import Listing
+from lacewingpond.membership.messages import (
+    MemberNews,
+    MemberProbe,
+    MemberProbeAck,
+    MemberPull,
+)
+from lacewingpond.membership.news import News
+from lacewingpond.membership.options import MembershipOptions
+from lacewingpond.membership.prober import Prober
+from lacewingpond.membership.record import MemberRecord, MemberStatus
+from lacewingpond.membership.table import MemberTable
+from lacewingpond.peers.base import PeerChannel
+from lacewingpond.store.base import VmList, VmRecord
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.telemetry.metrics import Metrics
+from lacewingpond.util.clock import Clock
+
+
+class Membership:
+    """What this VM believes of the others; it may be wrong at any time.
+
+    Also the peer channel's address book.
+    """
+
+    __slots__ = (
+        "_options",
+        "_vm",
+        "_channel",
+        "_clock",
+        "_rng",
+        "_log",
+        "_metrics",
+        "_table",
+        "_groups",
+        "_listing",
+        "_prober",
+        "_news",
+        "_leaving",
+        "_refuted_leaving",
+        "_greenlets",
+    )
+
+    def __init__(
+        self,
+        options: MembershipOptions,
+        vm: VmRecord,
+        vm_list: VmList,
+        channel: PeerChannel,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self._options = options
+        self._vm = vm
+        self._channel = channel
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        self._table = MemberTable(options.max_vms)
+        self._groups = Groups(
+            self._table,
+            vm.vm_id,
+            vm.region,
+            vm.failure_domain,
+            options.readers_per_domain,
+        )
+        self._listing = Listing(options, vm_list, self._table, clock, rng)
+        self._prober = Prober(options, self._table, self._groups, channel, clock, rng)
+        self._news = News(options, self._groups, channel, clock, rng)
+        self._leaving = False
+        self._refuted_leaving = False
+        self._greenlets: list[gevent.Greenlet] = []
+        channel.register(MemberProbe, self._on_probe)
+        channel.register(MemberNews, self._on_news)
+        channel.register(MemberPull, self._on_pull)
+
+    @classmethod
+    def from_options(
+        cls,
+        options: MembershipOptions,
+        vm: VmRecord,
+        vm_list: VmList,
+        channel: PeerChannel,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> "Membership":
+        """Create a membership that is not yet started.
+
+        Parameters
+        ----------
+        options : MembershipOptions
+            Intervals and numbers.
+        vm : VmRecord
+            This VM.
+        vm_list : VmList
+            The platform's list.
+        channel : PeerChannel
+            Carries probes and news.
+        clock, rng : Clock, random.Random
+            Time and chance.
+        log, metrics : DecisionLog, Metrics
+            Take changes of the fleet and counters.
+        """
+        return cls(options, vm, vm_list, channel, clock, rng, log, metrics)
+
+    def start(self) -> None:
+        """Begin to read, probe and compare at jittered intervals."""
+        options = self._options
+        loops = (
+            (self.refresh_list, options.list_interval_s),
+            (self.probe, options.probe_interval_s),
+            (self.pull, options.pull_interval_s),
+        )
+        self._greenlets = [gevent.spawn(self._repeat, *loop) for loop in loops]
+
+    def stop(self) -> None:
+        """End the work in the background."""
+        gevent.killall(self._greenlets)
+
+    def live(self) -> tuple[VmRecord, ...]:
+        """Return the other VMs that are listed, not leaving and seem to answer."""
+        return tuple(record.to_vm() for record in self._groups.live())
+
+    def live_ids(self) -> list[str]:
+        """Return the ids of the other live VMs of this region."""
+        return self._groups.local()
+
+    def is_reachable(self, vm_id: str) -> bool:
+        """Return whether this VM believes that it can reach `vm_id`."""
+        record = self._table.get(vm_id)
+        gone = record is None or record.status is MemberStatus.GONE
+        return not gone and self._prober.is_reachable(vm_id)
+
+    def note_call(self, vm_id: str, answered: bool) -> None:
+        """Take in how a call of another part to `vm_id` went."""
+        self._prober.note(vm_id, answered)
+
+    def address(self, vm_id: str) -> str | None:
+        """Return ``host:port`` of `vm_id`, or None when it is not known."""
+        record = self._table.get(vm_id)
+        return None if record is None else record.address
+
+    def hears_any_peer(self) -> bool:
+        """Return whether any other VM was heard lately."""
+        silent_s = self._clock.now() - self._prober.last_heard
+        return silent_s <= self._options.hear_timeout_s
+
+    def is_reader(self) -> bool:
+        """Return whether this VM is one of its domain's readers of the list."""
+        return self._vm.vm_id in self._groups.readers()
+
+    def is_listed(self, vm_id: str) -> bool:
+        """Return whether the platform's list, as known here, holds `vm_id`."""
+        record = self._table.get(vm_id)
+        return record is not None and record.status is not MemberStatus.GONE
+
+    def is_dropped(self) -> bool:
+        """Return whether this VM was listed once and is missing from the list now."""
+        record = self._table.get(self._vm.vm_id)
+        return record is not None and record.status is MemberStatus.GONE
+
+    def list_age_s(self) -> float:
+        """Return the age of this VM's knowledge of the list, in seconds."""
+        return self._listing.age_s()
+
+    @property
+    def list_reads(self) -> int:
+        """Reads of the platform's list since the start."""
+        return self._listing.reads
+
+    def announce_leaving(self) -> None:
+        """Tell the other VMs that this one takes no new work."""
+        self._leaving = True
+        record = self._table.get(self._vm.vm_id) or MemberRecord.from_listed(self._vm)
+        self._change([record.with_status(MemberStatus.LEAVING)], "announced")
+
+    def refresh_list(self) -> None:
+        """Read the platform's list if this VM is a reader or knows too little."""
+        if not self.is_reader() and not self._listing.fallback_due():
+            return
+        result = self._listing.read()
+        if not isinstance(result, Ok):
+            self._metrics.incr("membership.list_read_failed")
+            return
+        self._told(result.ok_value, "listed", None)
+        self._table.forget_gone(self._clock.now() - self._options.tombstone_s)
+        self._metrics.gauge("membership.known", len(self._table))
+
+    def probe(self) -> None:
+        """Run one round of probes."""
+        suspects = []
+        for vm_id in self._prober.round():
+            record = self._table.get(vm_id)
+            if record is not None and record.status is MemberStatus.LIVE:
+                suspects.append(record.with_status(MemberStatus.SUSPECT))
+        self._change(suspects, "no answer, direct or through others")
+
+    def pull(self) -> None:
+        """Take in what a reader of the list knows and this VM doesn't."""
+        readers = [vm_id for vm_id in self._groups.readers() if vm_id != self._vm.vm_id]
+        candidates = readers or self._news.contacts()
+        if not candidates:
+            return
+        vm_id = self._rng.choice(candidates)
+        request = MemberPull(self._table.digest())
+        result = self._channel.call(vm_id, request, 2 * self._options.probe_timeout_s)
+        answered = isinstance(result, Ok) and isinstance(result.ok_value, MemberNews)
+        self._prober.note(vm_id, answered)
+        if not answered:
+            return
+        self._merge(result.ok_value.records, "pulled")
+        if result.ok_value.list_age_s is not None:
+            self._listing.relayed(result.ok_value.list_age_s)
+
+    def _repeat(self, step: Callable[[], None], interval_s: float) -> None:
+        while True:
+            step()
+            jitter = self._options.jitter
+            self._clock.sleep(interval_s * self._rng.uniform(1 - jitter, 1 + jitter))
+
+    def _on_probe(self, sender: str, message: MemberProbe) -> MemberProbeAck:
+        self._prober.note(sender, True)
+        mine = self._table.get(self._vm.vm_id)
+        if mine is not None and message.status is MemberStatus.SUSPECT:
+            believed = _believed(mine, message.status, message.version)
+            self._merge((believed,), "probed")
+        return MemberProbeAck()
+
+    def _on_news(self, sender: str, message: MemberNews) -> None:
+        self._prober.note(sender, True)
+        changed = self._merge(message.records, "told")
+        self._news.push(changed, sender)
+
+    def _on_pull(self, sender: str, message: MemberPull) -> MemberNews:
+        self._prober.note(sender, True)
+        age_s = self._listing.age_s()
+        known_age_s = age_s if age_s != float("inf") else None
+        return MemberNews(self._table.differing(message.digest), known_age_s)
+
+    def _merge(self, records: tuple[MemberRecord, ...], why: str) -> list[MemberRecord]:
+        now = self._clock.now()
+        changed = [record for record in records if self._table.merge(record, now)]
+        for record in changed:
+            self._log_change(record, why)
+        self._refute()
+        return changed
+
+    def _change(self, records: list[MemberRecord], why: str) -> None:
+        now = self._clock.now()
+        changed = [record for record in records if self._table.merge(record, now)]
+        self._told(changed, why, None)
+
+    def _told(
+        self, changed: list[MemberRecord], why: str, heard_from: str | None
+    ) -> None:
+        for record in changed:
+            self._log_change(record, why)
+        self._news.push(changed, heard_from)
+        self._refute()
+
+    def _refute(self) -> None:
+        """Contradict a wrong suspicion, or what an earlier process announced."""
+        mine = self._table.get(self._vm.vm_id)
+        if mine is None:
+            return
+        suspected = mine.status is MemberStatus.SUSPECT
+        stale = mine.status is MemberStatus.LEAVING and not self._leaving
+        if not suspected and (not stale or self._refuted_leaving):
+            return
+        # Once only: the platform itself may list this VM as leaving.
+        self._refuted_leaving = self._refuted_leaving or stale
+        status = MemberStatus.LEAVING if self._leaving else MemberStatus.LIVE
+        self._change([mine.with_status(status, raise_version=1)], "refuted")
+
+    def _log_change(self, record: MemberRecord, why: str) -> None:
+        status = record.status.name.lower()
+        self._log.decision("member", record.vm_id, why, status=status)
+
+
+def _believed(mine: MemberRecord, status: MemberStatus, version: int) -> MemberRecord:
+    """Return what a probe says that its sender believes of this VM."""
+    raised = version - mine.version
+    return mine.with_status(status, raise_version=raised)
--- /dev/null
+++ b/lacewingpond/membership/news.py
@@ -0,0 +1,91 @@
+"""Spreads changes of the membership: pushed once by each VM, repaired by pulls."""
+
+import random
+
+from lacewingpond.membership.groups import Groups
+from lacewingpond.membership.messages import MemberNews
+from lacewingpond.membership.options import MembershipOptions
+from lacewingpond.membership.record import MemberRecord
+from lacewingpond.peers.base import PeerChannel
+from lacewingpond.util.clock import Clock
+
+RECORDS_PER_MESSAGE = 64
+
+
+class News:
+    """Pushes records to a few contacts, which change slowly.
+
+    Parameters
+    ----------
+    options : MembershipOptions
+        Numbers of contacts.
+    groups : Groups
+        Where contacts are drawn from.
+    channel : PeerChannel
+        Carries the news.
+    clock, rng : Clock, random.Random
+        Time and chance of the rotation.
+    """
+
+    __slots__ = (
+        "_options",
+        "_groups",
+        "_channel",
+        "_clock",
+        "_rng",
+        "_contacts",
+        "_rotate_at",
+    )
+
+    def __init__(
+        self,
+        options: MembershipOptions,
+        groups: Groups,
+        channel: PeerChannel,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._options = options
+        self._groups = groups
+        self._channel = channel
+        self._clock = clock
+        self._rng = rng
+        self._contacts: list[str] = []
+        self._rotate_at = 0.0
+
+    def push(self, records: list[MemberRecord], heard_from: str | None = None) -> None:
+        """Send `records` to a few contacts other than the one they came from."""
+        if not records:
+            return
+        contacts = [vm_id for vm_id in self.contacts() if vm_id != heard_from]
+        count = min(self._options.fanout, len(contacts))
+        receivers = self._rng.sample(contacts, count)
+        for start in range(0, len(records), RECORDS_PER_MESSAGE):
+            part = tuple(records[start : start + RECORDS_PER_MESSAGE])
+            for vm_id in receivers:
+                self._channel.send(vm_id, MemberNews(part))
+
+    def contacts(self) -> list[str]:
+        """Return the current contacts, a quarter of them in other regions."""
+        local, remote = self._groups.local(), self._groups.remote()
+        known = {*local, *remote}
+        kept = [vm_id for vm_id in self._contacts if vm_id in known]
+        if kept and self._clock.now() >= self._rotate_at:
+            self._rotate_at = self._clock.now() + self._options.contact_rotation_s
+            kept.pop(0)
+        if len(kept) < min(self._options.contacts, len(known)):
+            kept = self._filled(kept, local, remote)
+        self._contacts = kept
+        return kept
+
+    def _filled(
+        self, kept: list[str], local: list[str], remote: list[str]
+    ) -> list[str]:
+        remote_wanted = min(self._options.contacts // 4, len(remote))
+        local_wanted = min(self._options.contacts - remote_wanted, len(local))
+        for group, wanted in ((local, local_wanted), (remote, remote_wanted)):
+            members = set(group)
+            missing = wanted - sum(vm_id in members for vm_id in kept)
+            free = [vm_id for vm_id in group if vm_id not in kept]
+            kept = kept + self._rng.sample(free, min(max(missing, 0), len(free)))
+        return kept
--- /dev/null
+++ b/lacewingpond/membership/table.py
@@ -0,0 +1,104 @@
+"""All VMs that this VM knows, with hashes that show where two tables differ."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from lacewingpond.membership.record import MemberRecord, MemberStatus
+
+BUCKETS = 64
+HASH_BYTES = 4
+HASH_MASK = (1 << 8 * HASH_BYTES) - 1
+
+
+class MemberTable:
+    """Records by VM id.
+
+    Parameters
+    ----------
+    max_vms : int
+        Most records that are kept; further VMs are ignored.
+    """
+
+    __slots__ = ("changes", "_records", "_buckets", "_hashes", "_gone_at", "_max_vms")
+
+    def __init__(self, max_vms: int) -> None:
+        self.changes = 0
+        self._records: dict[str, MemberRecord] = {}
+        self._buckets: list[set[str]] = [set() for _ in range(BUCKETS)]
+        self._hashes = [0] * BUCKETS
+        self._gone_at: dict[str, float] = {}
+        self._max_vms = max_vms
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, vm_id: str) -> MemberRecord | None:
+        """Return the record of `vm_id`, or None."""
+        return self._records.get(vm_id)
+
+    def records(self) -> Iterable[MemberRecord]:
+        """Return all records, those of VMs that are gone included."""
+        return self._records.values()
+
+    def merge(self, record: MemberRecord, now: float) -> bool:
+        """Take in `record` if it is newer; return whether it was."""
+        old = self._records.get(record.vm_id)
+        if not record.replaces(old):
+            return False
+        if old is None and len(self._records) >= self._max_vms:
+            return False
+        self._toggle(old)
+        self._records[record.vm_id] = record
+        self._buckets[_bucket(record.vm_id)].add(record.vm_id)
+        self._toggle(record)
+        self._note_gone(record, now)
+        self.changes += 1
+        return True
+
+    def forget_gone(self, before: float) -> None:
+        """Drop the VMs that went before a time."""
+        for vm_id, gone_at in list(self._gone_at.items()):
+            if gone_at >= before:
+                break
+            del self._gone_at[vm_id]
+            del self._records[vm_id]
+            self._buckets[_bucket(vm_id)].discard(vm_id)
+
+    def digest(self) -> bytes:
+        """Return one hash for each bucket; VMs that are gone don't count."""
+        return b"".join(value.to_bytes(HASH_BYTES, "big") for value in self._hashes)
+
+    def differing(self, digest: bytes) -> tuple[MemberRecord, ...]:
+        """Return the records of all buckets whose hash differs from `digest`."""
+        mine = self.digest()
+        if digest == mine:
+            return ()
+        return tuple(
+            self._records[vm_id]
+            for index, bucket in enumerate(self._buckets)
+            if _at(mine, index) != _at(digest, index)
+            for vm_id in bucket
+        )
+
+    def _toggle(self, record: MemberRecord | None) -> None:
+        if record is not None and record.status is not MemberStatus.GONE:
+            self._hashes[_bucket(record.vm_id)] ^= _hash(record)
+
+    def _note_gone(self, record: MemberRecord, now: float) -> None:
+        self._gone_at.pop(record.vm_id, None)
+        if record.status is MemberStatus.GONE:
+            self._gone_at[record.vm_id] = now
+
+
+def _at(digest: bytes, index: int) -> bytes:
+    return digest[index * HASH_BYTES : (index + 1) * HASH_BYTES]
+
+
+def _bucket(vm_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(vm_id.encode()) % BUCKETS
+
+
+def _hash(record: MemberRecord) -> int:
+    text = f"{record.vm_id}\x00{record.status:d}\x00{record.version}"
+    return xxhash.xxh3_64_intdigest(text.encode()) & HASH_MASK
