Add the way of a request from its route to its answer

A request that a target may have run is sent again only if it is idempotent, within a retry limit; one that provably did not run is sent again whatever its method. Each refusal carries whether the request ran. Tested with real targets on loopback.

--- /dev/null
+++ b/lacewingpond/proxy/job.py
@@ -0,0 +1,183 @@
+"""A request on its way to a target, with what its route says about it."""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from lacewingpond.config.model import Service
+from lacewingpond.http.headers import Headers
+from lacewingpond.http.request import Request
+from lacewingpond.routing.hop_by_hop import headers_to_target
+from lacewingpond.routing.match import RouteMatch
+from lacewingpond.targets.request import TargetRequest
+
+
+class JobBody(Protocol):
+    """A body that can be sent at least once."""
+
+    @property
+    def content_length(self) -> int | None:
+        """Length in bytes; None for a body of unknown length."""
+        ...
+
+    @property
+    def can_send(self) -> bool:
+        """Whether the whole body can still be sent."""
+        ...
+
+    def open(self) -> Iterable[bytes] | None:
+        """Return the body for one attempt; None for none."""
+        ...
+
+
+class KeptBody:
+    """A body that is held whole, so that it can be sent again."""
+
+    __slots__ = ("data",)
+
+    can_send = True
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    @property
+    def content_length(self) -> int | None:
+        """Length in bytes."""
+        return len(self.data)
+
+    def open(self) -> Iterable[bytes] | None:
+        """Return the body for one attempt; None for none."""
+        return (self.data,) if self.data else None
+
+
+class StreamedBody:
+    """A body that passes through once, as it comes."""
+
+    __slots__ = ("_req",)
+
+    def __init__(self, req: Request) -> None:
+        self._req = req
+
+    @property
+    def content_length(self) -> int | None:
+        """Declared length in bytes, if any."""
+        return self._req.body.content_length
+
+    @property
+    def can_send(self) -> bool:
+        """Whether nothing of it has been read yet."""
+        return self._req.body.bytes_read == 0
+
+    def open(self) -> Iterable[bytes] | None:
+        """Return the body for one attempt."""
+        return self._req.body
+
+
+class Job:
+    """One request for a service.
+
+    Parameters
+    ----------
+    match : RouteMatch
+        Its route and service.
+    workspace : str
+        Whose request it is; empty on an open route.
+    method, path : str
+        As the caller sent them.
+    headers : Headers
+        What the target may see.
+    body : JobBody
+        What is sent with it.
+    deadline : float
+        When the head of the answer must have come, in monotonic seconds.
+    is_disconnected : callable or None
+        Tells whether the caller has gone.
+    """
+
+    __slots__ = (
+        "match",
+        "workspace",
+        "method",
+        "path",
+        "headers",
+        "body",
+        "deadline",
+        "is_disconnected",
+    )
+
+    def __init__(
+        self,
+        match: RouteMatch,
+        workspace: str,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: JobBody,
+        deadline: float,
+        is_disconnected: Callable[[], bool] | None = None,
+    ) -> None:
+        self.match = match
+        self.workspace = workspace
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.deadline = deadline
+        self.is_disconnected = is_disconnected
+
+    @classmethod
+    def from_request(
+        cls,
+        req: Request,
+        match: RouteMatch,
+        workspace: str,
+        deadline: float,
+        replay_bytes: int,
+    ) -> "Job":
+        """Prepare a caller's request; a short body is read and kept.
+
+        Raises
+        ------
+        RequestBodyError
+            When a short body is cut, malformed or too slow.
+        """
+        return cls(
+            match=match,
+            workspace=workspace,
+            method=req.method,
+            path=req.path,
+            headers=headers_to_target(req.headers),
+            body=_body_of(req, replay_bytes),
+            deadline=deadline,
+            is_disconnected=req.is_disconnected,
+        )
+
+    @property
+    def service(self) -> Service:
+        """The service that it goes to."""
+        return self.match.service
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may be sent again after a target may have run it."""
+        return self.match.route.is_idempotent(self.method)
+
+    def attempt(self) -> TargetRequest:
+        """Return the request for one attempt."""
+        return TargetRequest(
+            method=self.method,
+            path=self.path,
+            headers=self.headers,
+            body=self.body.open(),
+            content_length=self.body.content_length,
+            idempotent=self.idempotent,
+            is_disconnected=self.is_disconnected,
+        )
+
+
+def _body_of(req: Request, replay_bytes: int) -> JobBody:
+    if req.body.is_empty:
+        return KeptBody(b"")
+    length = req.body.content_length
+    if length is None or length > replay_bytes:
+        return StreamedBody(req)
+    return KeptBody(b"".join(req.body))
--- /dev/null
+++ b/lacewingpond/proxy/pipeline.py
@@ -0,0 +1,243 @@
+"""Decides what becomes of each request, from its route to its answer."""
+
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from lacewingpond.config.model import Config
+from lacewingpond.http.errors import RequestBodyError
+from lacewingpond.http.headers import Headers
+from lacewingpond.http.request import Request
+from lacewingpond.http.response import Response
+from lacewingpond.limits.admission import Admission, RefusalReason
+from lacewingpond.proxy.dispatcher import Dispatcher
+from lacewingpond.proxy.job import Job
+from lacewingpond.proxy.options import ProxyOptions
+from lacewingpond.proxy.refused import Refused
+from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER
+from lacewingpond.routing.keys import KeyTable, presented_key
+from lacewingpond.routing.match import RouteFailure, RouteMatch, RouteMiss
+from lacewingpond.routing.routes import RouteTable
+from lacewingpond.targets.response import TargetResponse
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.telemetry.metrics import Metrics
+from lacewingpond.util.clock import Clock
+
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+MISS_STATUS = {
+    RouteFailure.NO_ROUTE: 404,
+    RouteFailure.METHOD_NOT_ALLOWED: 405,
+    RouteFailure.BAD_PATH: 400,
+}
+
+
+class Limiter(Protocol):
+    """Admits requests within the fleet-wide rates."""
+
+    def bucket_ids(
+        self, workspace: str, route: str, service: str = ""
+    ) -> tuple[str, ...]:
+        """Return the limits that a request must pass."""
+        ...
+
+    def admit(self, bucket_ids: tuple[str, ...]) -> Admission:
+        """Take a token of each limit, or none."""
+        ...
+
+
+class Availability(Protocol):
+    """Whether this VM may take requests."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests here."""
+        ...
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this VM hears neither the store nor any other VM."""
+        ...
+
+
+class Pipeline:
+    """Takes requests from the callers' server and returns their answers.
+
+    Parameters
+    ----------
+    options : ProxyOptions
+        Bounds of one request.
+    limiter : Limiter
+        Fleet-wide rates.
+    dispatcher : Dispatcher
+        Sends requests to targets.
+    availability : Availability
+        Whether this VM may take requests.
+    clock : Clock
+        Measures deadlines.
+    log, metrics : DecisionLog, Metrics
+        Where decisions and counts go.
+    """
+
+    __slots__ = (
+        "_options",
+        "_limiter",
+        "_dispatcher",
+        "_availability",
+        "_clock",
+        "_log",
+        "_metrics",
+        "_routes",
+        "_keys",
+        "_workspaces",
+    )
+
+    def __init__(
+        self,
+        options: ProxyOptions,
+        limiter: Limiter,
+        dispatcher: Dispatcher,
+        availability: Availability,
+        clock: Clock,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self._options = options
+        self._limiter = limiter
+        self._dispatcher = dispatcher
+        self._availability = availability
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self.configure(Config())
+
+    def configure(self, cfg: Config) -> None:
+        """Take over a revision of the configuration."""
+        self._routes = RouteTable.from_config(cfg)
+        self._keys = KeyTable.from_config(cfg)
+        self._workspaces = frozenset(w.name for w in cfg.workspaces)
+
+    def handle(self, req: Request) -> Response:
+        """Answer one request."""
+        if req.path.partition("?")[0] == self._options.balancer_check_path:
+            return self._balancer_check()
+        matched = self._routes.match(req.host, req.path, req.method)
+        if matched.is_err():
+            return self._miss(req, matched.err_value)
+        match = matched.ok_value
+        outcome = self._serve(req, match)
+        if outcome.is_err():
+            return self._refuse(match, outcome.err_value)
+        return outcome.ok_value
+
+    def _serve(self, req: Request, match: RouteMatch) -> Result[Response, Refused]:
+        identified = self._identify(req, match)
+        if identified.is_err():
+            return identified
+        workspace = identified.ok_value
+        deadline = self._deadline(req, match)
+        if deadline.is_err():
+            return deadline
+        refused = self._check_form(req, match) or self._check_rate(match, workspace)
+        if refused is not None:
+            return Err(refused)
+        job = self._job(req, match, workspace, deadline.ok_value)
+        if job.is_err():
+            return job
+        self._log.decision(
+            "route", match.route.name, "longest prefix", workspace=workspace
+        )
+        return self._dispatcher.dispatch(job.ok_value).map(_to_response)
+
+    def _identify(self, req: Request, match: RouteMatch) -> Result[str, Refused]:
+        route = match.route
+        if route.open:
+            return Ok("")
+        if self._availability.is_isolated:
+            detail = "This VM can't check keys now."
+            return Err(Refused.not_run(503, "isolated", detail, self._retry_s))
+        presented = presented_key(req.headers)
+        if presented is None:
+            return Err(Refused.not_run(401, "no-key", "The route needs one key."))
+        key = self._keys.find(presented)
+        if key is None or key.workspace not in self._workspaces:
+            return Err(Refused.not_run(401, "bad-key", "The key is not known."))
+        if route.workspaces and key.workspace not in route.workspaces:
+            detail = "The key's workspace may not use this route."
+            return Err(Refused.not_run(403, "wrong-workspace", detail))
+        return Ok(key.workspace)
+
+    def _deadline(self, req: Request, match: RouteMatch) -> Result[float, Refused]:
+        text = req.headers.get(DEADLINE_HEADER)
+        if text is None:
+            return Ok(req.received_at + match.route.timeout_s)
+        if not (text.isascii() and text.isdigit() and len(text) <= 12):
+            detail = f"{DEADLINE_HEADER} must be whole milliseconds."
+            return Err(Refused.not_run(400, "bad-deadline", detail))
+        left_s = min(int(text) / 1000.0, self._options.max_deadline_s)
+        return Ok(req.received_at + left_s)
+
+    def _check_form(self, req: Request, match: RouteMatch) -> Refused | None:
+        route = match.route
+        if not route.require_idempotency_key or route.is_idempotent(req.method):
+            return None
+        if req.headers.get(IDEMPOTENCY_KEY_HEADER):
+            return None
+        detail = f"The route needs the header {IDEMPOTENCY_KEY_HEADER}."
+        return Refused.not_run(400, "idempotency-key-missing", detail)
+
+    def _check_rate(self, match: RouteMatch, workspace: str) -> Refused | None:
+        wanted = self._limiter.bucket_ids(
+            workspace, match.route.name, match.service.name
+        )
+        admission = self._limiter.admit(wanted)
+        if admission.admitted:
+            return None
+        over_rate = admission.reason is RefusalReason.OVER_RATE
+        return Refused.not_run(
+            429 if over_rate else 503,
+            admission.reason.value,
+            f"The limit {admission.bucket_id} admits no request now.",
+            admission.retry_after_s,
+        )
+
+    def _job(
+        self, req: Request, match: RouteMatch, workspace: str, deadline: float
+    ) -> Result[Job, Refused]:
+        try:
+            job = Job.from_request(
+                req, match, workspace, deadline, self._options.replay_bytes
+            )
+        except RequestBodyError as exc:
+            return Err(Refused.not_run(400, "bad-body", str(exc)))
+        return Ok(job)
+
+    def _balancer_check(self) -> Response:
+        ready = self._availability.is_ready
+        headers = Headers((("Content-Type", "text/plain"),))
+        if ready:
+            return Response(200, headers, b"ready\n")
+        return Response(503, headers, b"not ready\n")
+
+    def _miss(self, req: Request, miss: RouteMiss) -> Response:
+        self._log.decision("refuse", "no route", miss.failure.value, method=req.method)
+        self._metrics.incr(f"refused.{miss.failure.value}")
+        status = MISS_STATUS[miss.failure]
+        response = Refused.not_run(status, miss.failure.value, miss.detail).response()
+        if miss.allowed:
+            response.headers.set("Allow", ", ".join(miss.allowed))
+        return response
+
+    def _refuse(self, match: RouteMatch, refused: Refused) -> Response:
+        self._log.decision(
+            "refuse", match.route.name, refused.reason, run=refused.run.value
+        )
+        self._metrics.incr(f"refused.{refused.reason}")
+        return refused.response()
+
+    @property
+    def _retry_s(self) -> float:
+        return self._options.unavailable_retry_s
+
+
+def _to_response(answer: TargetResponse) -> Response:
+    return Response(answer.status, answer.headers, answer, answer.reason)
--- /dev/null
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -0,0 +1,244 @@
+"""Tests of the way of a request, with real targets on loopback."""
+
+import hashlib
+import random
+
+import msgspec
+import pytest
+import urllib3
+
+from lacewingpond.config.model import Config, Key, Route, Service, Target, Workspace
+from lacewingpond.health.options import HealthOptions
+from lacewingpond.health.reporter import HealthReporter
+from lacewingpond.http.options import HttpOptions
+from lacewingpond.http.server import CallerServer
+from lacewingpond.limits.limiter import FleetLimiter
+from lacewingpond.limits.options import LimitOptions
+from lacewingpond.peers.memory import MemoryNetwork
+from lacewingpond.placement.options import PlacementOptions
+from lacewingpond.placement.placer import Placer
+from lacewingpond.proxy.dispatcher import Dispatcher
+from lacewingpond.proxy.options import ProxyOptions
+from lacewingpond.proxy.pipeline import Pipeline
+from lacewingpond.queues.fair_queue import FairQueue
+from lacewingpond.queues.options import QueueOptions
+from lacewingpond.shards.fixed import FixedShards
+from lacewingpond.standin.options import TargetOptions
+from lacewingpond.standin.target import StandinTarget
+from lacewingpond.targets.client import TargetClient
+from lacewingpond.targets.options import TargetOptions as ClientOptions
+from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import RuntimeClock
+
+KEY = "publisher-key"
+RUN = "Lacewingpond-Run"
+
+
+class Budget:
+    """Allows every retry."""
+
+    def record_request(self):
+        pass
+
+    def try_retry(self):
+        return True
+
+
+class Switch:
+    """An availability that tests set."""
+
+    is_ready = True
+    is_isolated = False
+
+
+class Bench:
+    """One VM's request path before stand-in targets."""
+
+    def __init__(self):
+        self.clock = RuntimeClock()
+        self.log = RecordingDecisionLog()
+        self.switch = Switch()
+        self.targets = []
+        self.pipeline = self._pipeline()
+        self.server = CallerServer.from_options(
+            HttpOptions(), self.pipeline.handle, self.log, self.clock
+        )
+        self.server.start()
+        self.http = urllib3.PoolManager(retries=False)
+
+    def _pipeline(self):
+        rng, metrics = random.Random(1), CountingMetrics()
+        told = (self.log, metrics)
+        channel = MemoryNetwork(self.clock, rng).channel("vm-1")
+        shards = FixedShards(8, ("vm-1",), "vm-1")
+        common = ("vm-1", self.clock, rng, channel, shards, *told)
+        self.limiter = FleetLimiter.from_options(LimitOptions(), *common)
+        self.health = HealthReporter.from_options(HealthOptions(), *common)
+        for shard in range(shards.shard_count):
+            self.limiter.adopt(shards.owned(shard), None)
+            self.health.adopt(shards.owned(shard), None)
+        self.placer = Placer.from_options(
+            PlacementOptions(), "vm-1", "a", self.clock, rng, self.health, *told
+        )
+        self.queue = FairQueue.from_options(QueueOptions(), self.clock, *told)
+        client = TargetClient.from_options(ClientOptions(), self.clock, rng, self.log)
+        dispatcher = Dispatcher(
+            ProxyOptions(),
+            self.queue,
+            self.placer,
+            client,
+            self.health,
+            Budget(),
+            self.clock,
+            self.log,
+        )
+        options = ProxyOptions()
+        parts = (self.limiter, dispatcher, self.switch, self.clock, *told)
+        return Pipeline(options, *parts)
+
+    def start(self, *targets, rate=1000.0, **route):
+        for options in targets:
+            options = TargetOptions(**{"work_s": 0.0, **options})
+            self.targets.append(StandinTarget.from_options(options, self.clock))
+            self.targets[-1].start()
+        listed = tuple(Target(f"t{i}", t.address) for i, t in enumerate(self.targets))
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        cfg = Config(
+            1,
+            (Workspace("sita", rate, rate),),
+            (Key("k1", "sita", digest),),
+            (Service("ledger", listed, not_run_marker="X-Not-Run: 1"),),
+            (
+                Route("pay", "ledger", "/pay", **route),
+                Route("open", "ledger", "/open", open=True),
+            ),
+        )
+        parts = (self.limiter, self.health, self.placer, self.queue, self.pipeline)
+        for part in parts:
+            part.configure(cfg)
+
+    def ask(self, method="GET", path="/pay", key=KEY, body=None, **headers):
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        url = f"http://127.0.0.1:{self.server.port}{path}"
+        return self.http.request(method, url, headers=headers, body=body, timeout=5)
+
+    def runs(self):
+        return sum(target.stats.run for target in self.targets)
+
+    def stop(self):
+        self.server.stop()
+        for target in self.targets:
+            target.stop()
+
+
+@pytest.fixture
+def bench():
+    bench = Bench()
+    yield bench
+    bench.stop()
+
+
+def reason(answer):
+    return msgspec.json.decode(answer.data)["reason"]
+
+
+def test_request_is_answered_and_its_key_stays_here(bench):
+    bench.start({})
+    answer = bench.ask("POST", body=b"commission 7")
+    assert (answer.status, answer.data) == (200, b"commission 7")
+    assert bench.targets[0].stats.keys_seen == 0
+    assert not any(KEY in str(line) for line in bench.log.lines)
+
+
+@pytest.mark.parametrize(
+    ("asked", "status", "why"),
+    [
+        ({"path": "/none"}, 404, "no-route"),
+        ({"key": ""}, 401, "no-key"),
+        ({"key": "other"}, 401, "bad-key"),
+        ({"Lacewingpond-Deadline-Ms": "soon"}, 400, "bad-deadline"),
+    ],
+)
+def test_refusals_before_a_target_say_not_run(bench, asked, status, why):
+    bench.start({})
+    answer = bench.ask(**asked)
+    assert (answer.status, reason(answer)) == (status, why)
+    assert answer.headers[RUN] == "not-run"
+    assert bench.runs() == 0
+
+
+def test_workspace_that_may_not_use_the_route_is_refused(bench):
+    bench.start({}, workspaces=("other",))
+    assert reason(bench.ask()) == "wrong-workspace"
+
+
+def test_route_can_demand_an_idempotency_key(bench):
+    bench.start({}, require_idempotency_key=True)
+    assert bench.ask("POST").status == 400
+    assert bench.ask("GET").status == 200
+
+
+def test_isolated_vm_refuses_keyed_routes_only(bench):
+    bench.start({})
+    bench.switch.is_isolated = True
+    assert reason(bench.ask()) == "isolated"
+    assert bench.ask(path="/open", key="").status == 200
+
+
+def test_rate_is_refused_with_a_time_to_come_back(bench):
+    bench.start({}, rate=2.0)
+    answers = [bench.ask() for _ in range(6)]
+    refused = [answer for answer in answers if answer.status == 429]
+    assert refused
+    assert all(int(answer.headers["Retry-After"]) >= 0 for answer in refused)
+    assert bench.runs() == len(answers) - len(refused)
+
+
+def test_failed_idempotent_request_is_served_by_another_target(bench):
+    bench.start({"gray_share": 1.0}, {})
+    assert {bench.ask().status for _ in range(20)} == {200}
+
+
+def test_non_idempotent_request_is_sent_once(bench):
+    bench.start({"gray_share": 1.0}, {"gray_share": 1.0})
+    assert bench.ask("POST").status == 500
+    assert bench.runs() == 1
+
+
+def test_broken_non_idempotent_request_is_unknown(bench):
+    bench.start({}, {})
+    answer = bench.ask("POST", **{"X-Crash": "1"})
+    assert (answer.status, answer.headers[RUN]) == (502, "unknown")
+    assert bench.runs() == 1
+
+
+def test_shed_request_goes_to_another_target(bench):
+    bench.start({"draining": True}, {})
+    assert {bench.ask("POST").status for _ in range(10)} == {200}
+    bench.targets[1].configure(TargetOptions(draining=True))
+    answer = bench.ask("POST")
+    assert (answer.status, answer.headers[RUN]) == (503, "not-run")
+
+
+def test_dead_target_is_avoided_and_all_dead_is_not_run(bench):
+    bench.start({}, {})
+    bench.targets[0].stop()
+    assert {bench.ask("POST").status for _ in range(10)} == {200}
+    bench.targets[1].stop()
+    answer = bench.ask("POST")
+    assert (answer.status >= 500, answer.headers[RUN]) == (True, "not-run")
+
+
+def test_hanging_target_ends_at_the_deadline(bench):
+    bench.start({"gray_share": 1.0, "gray_way": "hang", "gray_delay_s": 5.0})
+    answer = bench.ask("POST", **{"Lacewingpond-Deadline-Ms": "100"})
+    assert (answer.status, answer.headers[RUN]) == (504, "unknown")
+
+
+def test_balancer_check_follows_availability(bench):
+    path = "/-/lacewingpond/ready"
+    assert bench.ask(path=path, key="").status == 200
+    bench.switch.is_ready = False
+    assert bench.ask(path=path, key="").status == 503
