Test the path of one request on loopback

Two faults came out of it: the head of an answer that was cut at a line end was taken for a whole one, and an answer that came before the body was read waited for the deadline. Both now have a test.

--- a/lacewingpond/targets/client.py
+++ b/lacewingpond/targets/client.py
@@ -1,5 +1,6 @@
 """Sends requests to targets over bounded pools of connections."""
 
+import errno
 import random
 from collections.abc import Callable
 
@@ -195,6 +196,9 @@
         return exc.reason
     if isinstance(exc, RequestBodyError):
         return SendReason.CALLER_BODY
+    if isinstance(exc, TimeoutError) and exc.errno == errno.ETIMEDOUT:
+        # The kernel's keep-alive probes were lost.
+        return SendReason.SILENT_CONNECTION
     if isinstance(exc, TimeoutError):
         return SendReason.DEADLINE
     if isinstance(exc, OSError):
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -62,7 +62,7 @@
         self.condemned = False
         self.reusable = True
         self.sent_at = 0.0
-        self._wire = TargetWire(host, port, self._wait)
+        self._wire = TargetWire(host, port, self._wait, self._check_stalled)
         self._options = options
         self._clock = clock
         self._deadline = 0.0
@@ -133,7 +133,7 @@
 
     def _send(self, req: TargetRequest) -> None:
         try:
-            self._wire.timeout = max(self._deadline - self._clock.now(), 0.001)
+            self._wire.timeout = self._options.caller_check_s
             self._wire.request(
                 req.method,
                 req.path,
@@ -148,6 +148,13 @@
             if not self._answered_early():
                 raise
 
+    def _check_stalled(self) -> None:
+        if self._answered_early():
+            raise BrokenPipeError("the target answered before it read the body")
+        if self._clock.now() >= self._deadline:
+            raise ExchangeError(SendReason.DEADLINE, "the body was not taken in time")
+        self._check_caller()
+
     def _answered_early(self) -> bool:
         """Whether the target broke the request off with an answer."""
         sock = self._wire.sock
--- a/lacewingpond/targets/stream.py
+++ b/lacewingpond/targets/stream.py
@@ -17,6 +17,11 @@
         Connection to the target.
     wait : callable
         Called before each read.
+
+    Attributes
+    ----------
+    ended : bool
+        True once the target's end of the stream was read.
     """
 
     def __init__(self, sock: socket.socket, wait: Wait) -> None:
@@ -24,6 +29,7 @@
         self._raw = sock.makefile("rb", 0)
         self._wait = wait
         self._stopped = False
+        self.ended = False
 
     def stop(self) -> None:
         """Let further reads find the end of the stream."""
@@ -38,7 +44,9 @@
         if self._stopped:
             return 0
         self._wait(self._raw.fileno())
-        return self._raw.readinto(buffer)
+        size = self._raw.readinto(buffer)
+        self.ended = size == 0
+        return size
 
     def close(self) -> None:
         """Let go of the socket."""
--- a/lacewingpond/targets/wire.py
+++ b/lacewingpond/targets/wire.py
@@ -29,7 +29,16 @@
 
     def begin(self) -> None:
         """Read the status line and the headers."""
-        super().begin()
+        stream = self.fp.raw
+        try:
+            super().begin()
+        except http.client.HTTPException as exc:
+            if stream.ended:
+                raise ConnectionResetError("the head was cut short") from exc
+            raise
+        if stream.ended:
+            # The library takes the end of the stream for the end of the head.
+            raise ConnectionResetError("the head was cut short")
         if self.msg.defects:
             raise ExchangeError(SendReason.PROTOCOL, "malformed headers")
         lengths = self.msg.get_all("Content-Length", [])
@@ -108,13 +117,23 @@
         Address of the target.
     wait : callable
         Waits for bytes of an answer; see `AnswerStream`.
+    check_stalled : callable
+        Called when the target takes no bytes for the connection's timeout; raises
+        what ends the sending.
     """
 
-    def __init__(self, host: str, port: int, wait: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        wait: Callable[[int], None],
+        check_stalled: Callable[[], None],
+    ) -> None:
         super().__init__(host, port)
         self.bytes_sent = 0
         self.answer: FinalAnswer | None = None
         self._wait_for_answer = wait
+        self._check_stalled = check_stalled
 
     def connect(self) -> None:
         """Open the connection."""
@@ -141,6 +160,10 @@
             raise ConnectionError("the connection is closed")
         view = memoryview(data)
         while view:
-            taken = self.sock.send(view)
+            try:
+                taken = self.sock.send(view)
+            except TimeoutError:
+                self._check_stalled()
+                continue
             self.bytes_sent += taken
             view = view[taken:]
--- /dev/null
+++ b/tests/targets/test_target_client.py
@@ -0,0 +1,399 @@
+"""Tests of what is known of a request, and of the connections that carry it."""
+
+import socket
+
+import gevent
+import pytest
+from gevent.event import Event
+from path_helper import (
+    caller_server,
+    plain_request,
+    raw_target,
+    read_head,
+    send,
+    target_client,
+    target_of,
+)
+
+from lacewingpond.config.model import Config, Service, Target
+from lacewingpond.http.errors import BodyFailure, RequestBodyError
+from lacewingpond.http.headers import Headers
+from lacewingpond.http.response import Response
+from lacewingpond.targets.errors import AnswerCutError, SendFailure, SendReason
+from lacewingpond.targets.response import AnswerEnd
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def answering(*answers, after=lambda sock: None):
+    """Serve one answer for each request of a connection."""
+
+    def serve(sock):
+        for answer in answers:
+            if not read_head(sock):
+                return
+            sock.sendall(answer)
+        after(sock)
+
+    return serve
+
+
+def body_of(result):
+    return b"".join(result.ok())
+
+
+def test_refused_connection_is_not_sent():
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        target = Target("t", f"127.0.0.1:{unused.getsockname()[1]}")
+        error = send(target_client(), target).err()
+    assert (error.failure, error.reason) == (SendFailure.NOT_SENT, SendReason.CONNECT)
+
+
+def test_connect_timeout_is_not_sent():
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        target = Target("t", f"127.0.0.1:{full.getsockname()[1]}")
+        queued = []
+        for _ in range(4):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+            queued.append(sock)
+        error = send(target_client(connect_timeout_s=0.05), target).err()
+        for sock in queued:
+            sock.close()
+    assert (error.failure, error.reason) == (SendFailure.NOT_SENT, SendReason.CONNECT)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1", "127.0.0.1:x", ""])
+def test_bad_address_is_not_sent(address):
+    assert send(target_client(), Target("t", address)).err().failure is (
+        SendFailure.NOT_SENT
+    )
+
+
+def test_passed_deadline_is_not_sent():
+    error = send(target_client(), Target("t", "127.0.0.1:9"), timeout_s=-1.0).err()
+    assert (error.failure, error.reason) == (SendFailure.NOT_SENT, SendReason.DEADLINE)
+
+
+def test_header_that_cannot_be_sent_is_not_sent():
+    with raw_target(answering(OK)) as target:
+        req = plain_request()
+        req.headers.add("X", "@@@SKIP_HEADER@@@")
+        assert send(target_client(), target, req).err().failure is SendFailure.NOT_SENT
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"",
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX: 1\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+    ],
+)
+def test_connection_closed_after_the_request_is_unknown(sent):
+    with raw_target(answering(sent)) as target:
+        error = send(target_client(), target).err()
+    assert (error.failure, error.reason) == (SendFailure.UNKNOWN, SendReason.BROKEN)
+
+
+def test_no_answer_by_the_deadline_is_unknown():
+    with raw_target(answering(b"", after=lambda sock: gevent.sleep(9))) as target:
+        error = send(target_client(), target, timeout_s=0.05).err()
+    assert (error.failure, error.reason) == (SendFailure.UNKNOWN, SendReason.DEADLINE)
+
+
+def test_cut_caller_body_is_unknown_and_closes_the_connection():
+    def cut_body():
+        yield b"begun"
+        raise RequestBodyError(BodyFailure.DISCONNECTED, "cut")
+
+    with raw_target(answering(OK)) as target:
+        client = target_client()
+        error = send(client, target, plain_request("POST", body=cut_body())).err()
+        assert client.connections(target) == 0
+    assert (error.failure, error.reason) == (
+        SendFailure.UNKNOWN,
+        SendReason.CALLER_BODY,
+    )
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20 + OK,
+        b"garbage\r\n\r\n",
+    ],
+)
+def test_answer_with_doubtful_framing_is_unknown(answer):
+    with raw_target(answering(answer)) as target:
+        client = target_client()
+        error = send(client, target).err()
+        assert client.connections(target) == 0
+    assert (error.failure, error.reason) == (SendFailure.UNKNOWN, SendReason.PROTOCOL)
+
+
+def test_interim_answers_are_skipped():
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+    interim += b"HTTP/1.1 100 Continue\r\n\r\n"
+    with raw_target(answering(interim + OK)) as target:
+        result = send(target_client(), target)
+        assert result.ok().status == 200
+        assert body_of(result) == b"ok"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n",
+    ],
+)
+def test_answer_cut_short_is_an_error_and_closes_the_connection(answer):
+    with raw_target(answering(answer)) as target:
+        client = target_client()
+        result = send(client, target)
+        with pytest.raises(AnswerCutError):
+            body_of(result)
+        assert result.ok().end is AnswerEnd.CUT
+        assert client.connections(target) == 0
+
+
+def test_deadline_goes_to_the_target():
+    def handler(req):
+        return Response(200, body=req.headers.get("Lacewingpond-Deadline-Ms").encode())
+
+    with caller_server(handler) as server:
+        assert 0 < int(body_of(send(target_client(), target_of(server)))) <= 5000
+
+
+def test_connection_is_reused_after_a_whole_answer_only():
+    opened = []
+
+    def serve(sock):
+        opened.append(sock)
+        answering(OK, OK, OK)(sock)
+
+    with raw_target(serve) as target:
+        client = target_client()
+        assert body_of(send(client, target)) == b"ok"
+        assert body_of(send(client, target)) == b"ok"
+        assert len(opened) == 1
+        send(client, target).ok().close()
+        assert body_of(send(client, target)) == b"ok"
+        assert len(opened) == 2
+
+
+@pytest.mark.parametrize(
+    ("method", "answer"),
+    [
+        ("GET", OK + b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"),
+        ("HEAD", OK),
+        ("GET", b"HTTP/1.1 204 No Content\r\n\r\nstray"),
+        ("GET", b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"),
+    ],
+)
+def test_connection_with_bytes_behind_the_answer_is_closed(method, answer):
+    with raw_target(answering(answer, OK)) as target:
+        client = target_client()
+        body_of(send(client, target, plain_request(method, idempotent=True)))
+        assert client.connections(target) == 0
+
+
+def test_connection_that_the_target_closed_is_replaced_before_use():
+    with raw_target(answering(OK)) as target:
+        client = target_client()
+        for _ in range(3):
+            assert body_of(send(client, target, plain_request("POST"))) == b"ok"
+
+
+def test_non_idempotent_request_takes_a_connection_used_just_before():
+    opened = []
+
+    def serve(sock):
+        opened.append(sock)
+        answering(OK, OK, OK)(sock)
+
+    with raw_target(serve) as target:
+        client = target_client(fresh_s=0.0)
+        body_of(send(client, target))
+        gevent.sleep(0.001)
+        body_of(send(client, target, plain_request(idempotent=True)))
+        assert len(opened) == 1
+        gevent.sleep(0.001)
+        body_of(send(client, target, plain_request("POST")))
+        assert len(opened) == 2
+
+
+def test_connections_to_a_target_stay_within_the_share_of_this_vm():
+    most, now = [0], [0]
+
+    def handler(req):
+        now[0] += 1
+        most[0] = max(most[0], now[0])
+        gevent.sleep(0.02)
+        now[0] -= 1
+        return Response(200, body=b"ok")
+
+    with caller_server(handler) as server:
+        target = target_of(server)
+        client = target_client()
+        service = Service("s", targets=(target,), connections_per_target=12)
+        client.apply(Config(services=(service,)), vm_count=4)
+        jobs = [gevent.spawn(send, client, target) for _ in range(10)]
+        results = [job.get() for job in jobs]
+        refused = [result.err() for result in results if result.is_err()]
+        assert client.connections(target) == 3
+        assert len(refused) == 7
+        assert {error.reason for error in refused} == {SendReason.BUDGET}
+        assert {error.failure for error in refused} == {SendFailure.NOT_SENT}
+        assert [body_of(result) for result in results if result.is_ok()] == [b"ok"] * 3
+        assert most == [3]
+
+
+def test_idempotent_request_is_cancelled_when_its_caller_goes():
+    closed = Event()
+
+    def after(sock):
+        assert sock.recv(100) == b""
+        closed.set()
+
+    with raw_target(answering(b"", after=after)) as target:
+        req = plain_request(idempotent=True, is_disconnected=lambda: True)
+        error = send(target_client(caller_check_s=0.01), target, req).err()
+        assert error.reason is SendReason.CALLER_GONE
+        assert closed.wait(5.0)
+
+
+def test_non_idempotent_request_finishes_although_its_caller_went():
+    finished = Event()
+
+    def serve(sock):
+        read_head(sock)
+        gevent.sleep(0.05)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
+        sock.sendall(b"x" * 100_000)
+        assert sock.recv(100) == b""
+        finished.set()
+
+    with raw_target(serve) as target:
+        client = target_client(caller_check_s=0.01)
+        req = plain_request("POST", is_disconnected=lambda: True)
+        answer = send(client, target, req).ok()
+        ends = []
+        answer.on_end = ends.append
+        answer.close()
+        assert finished.wait(5.0)
+        assert ends == [AnswerEnd.COMPLETE]
+        assert client.connections(target) == 0
+
+
+def silent_after_first(sockets):
+    """Answer once on each connection that was opened while `sockets` was short."""
+
+    def serve(sock):
+        sockets.append(sock)
+        if len(sockets) <= 2:
+            answering(OK, after=lambda s: gevent.sleep(9))(sock)
+        else:
+            answering(OK, OK, OK)(sock)
+
+    return serve
+
+
+def test_silent_connections_are_told_from_a_sick_target():
+    with raw_target(silent_after_first([])) as target:
+        client = target_client()
+        told = []
+        client.on_silent = lambda target_id, count: told.append((target_id, count))
+        first, second = (send(client, target) for _ in range(2))
+        assert body_of(first) + body_of(second) == b"okok"
+        gevent.sleep(0.001)
+        req = plain_request(idempotent=True)
+        error = send(client, target, req, timeout_s=0.05).err()
+        assert (error.reason, error.reused) == (SendReason.DEADLINE, True)
+        assert client.connections(target) == 0
+        assert body_of(send(client, target, req)) == b"ok"
+        assert told == [("t", 1)]
+
+
+def test_timeout_beside_answers_on_a_newer_connection_blames_the_connection():
+    with raw_target(silent_after_first([None])) as target:
+        client = target_client()
+        assert body_of(send(client, target)) == b"ok"
+        gevent.sleep(0.001)
+        req = plain_request(idempotent=True)
+        late = gevent.spawn(send, client, target, req, 0.2)
+        gevent.sleep(0.01)
+        assert body_of(send(client, target)) == b"ok"
+        error = late.get().err()
+        assert error.reason is SendReason.SILENT_CONNECTION
+        assert error.failure is SendFailure.UNKNOWN
+
+
+def test_sick_target_is_not_taken_for_silent_connections():
+    def serve(sock):
+        answering(b"", after=lambda s: gevent.sleep(9))(sock)
+
+    with raw_target(serve) as target:
+        client = target_client()
+        for _ in range(3):
+            error = send(client, target, timeout_s=0.02).err()
+            assert error.reason is SendReason.DEADLINE
+
+
+def test_early_answer_to_a_body_that_is_not_read_reaches_the_caller():
+    def serve(sock):
+        read_head(sock)
+        sock.sendall(b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+        gevent.sleep(9)
+
+    with raw_target(serve) as target:
+        client = target_client(caller_check_s=0.02)
+        body = iter([b"x" * 65536] * 400)
+        result = send(client, target, plain_request("POST", body=body))
+        assert result.ok().status == 413
+        assert body_of(result) == b"no"
+        assert client.connections(target) == 0
+
+
+def test_target_that_takes_no_body_runs_into_the_deadline():
+    with raw_target(lambda sock: gevent.sleep(9)) as target:
+        client = target_client(caller_check_s=0.02)
+        body = iter([b"x" * 65536] * 400)
+        req = plain_request("POST", body=body)
+        error = send(client, target, req, timeout_s=0.05).err()
+    assert (error.failure, error.reason) == (SendFailure.UNKNOWN, SendReason.DEADLINE)
+
+
+def test_header_order_and_repeats_survive():
+    seen = []
+
+    def handler(req):
+        seen.extend(value for name, value in req.headers if name == "X-A")
+        pairs = (("Set-Cookie", "a=1"), ("Set-Cookie", "b=2"))
+        return Response(200, Headers(pairs), b"ok")
+
+    with caller_server(handler) as server:
+        req = plain_request()
+        for value in ("1", "2", "\xe9"):
+            req.headers.add("X-A", value)
+        answer = send(target_client(), target_of(server), req).ok()
+        assert answer.headers.get_all("Set-Cookie") == ["a=1", "b=2"]
+        assert seen == ["1", "2", "\xe9"]
+        answer.close()
