Let a target say that it drains

A complete answer that says so is recorded as DRAINING: the VM sends no new work at once, and the judge tells all others at its next period.

--- a/lacewingpond/health/judge.py
+++ b/lacewingpond/health/judge.py
@@ -144,12 +144,15 @@
         """Take over a former judge's ejections, while this judge is new."""
         if self._clock.now() - self._started > ADOPT_S:
             return
+        now = self._clock.now()
         for row in rows:
             target = self._targets.get(row.target)
             if target is None or target.phase is not Phase.HEALTHY:
                 continue
-            if row.state == VerdictState.EJECTED and self._floor_allows(row.target):
-                target.eject(self._clock.now())
+            if row.state == VerdictState.DRAINING:
+                target.drain(now)
+            elif row.state == VerdictState.EJECTED and self._floor_allows(row.target):
+                target.eject(now)
 
     def evaluate(self) -> bool:
         """Judge the outcomes since the last call; True when a verdict changed."""
@@ -159,7 +162,7 @@
         min_vms = self._agreeing_vms(now)
         for (vm_id, key), tally in pending.items():
             self._weigh(now, vm_id, key, tally)
-        changed = False
+        changed = self._drain(now, pending)
         for key, target in self._targets.items():
             changed |= self._decide(now, key, target, min_vms)
         self._forget(now)
@@ -170,9 +173,9 @@
         now = self._clock.now()
         rows = []
         for key, target in self._targets.items():
-            if target.phase is Phase.HEALTHY:
-                continue
             verdict = target.verdict(now)
+            if verdict.state is VerdictState.HEALTHY:
+                continue
             age_s = int(now - verdict.since)
             rows.append(
                 VerdictRow(key, verdict.state, round(verdict.weight * 255), age_s)
@@ -231,6 +234,14 @@
         if now >= target.cold_until:
             self._slowness.add(now, key, total.slower_than(self._slow_bucket), ok)
 
+    def _drain(self, now: float, pending: dict[tuple[str, int], Tally]) -> bool:
+        changed = False
+        for (_, key), tally in pending.items():
+            target = self._targets.get(key)
+            if target is not None and tally.of(Outcome.DRAINING):
+                changed |= target.drain(now)
+        return changed
+
     def _weigh(self, now: float, vm_id: str, key: int, tally: Tally) -> None:
         target = self._targets.get(key)
         if target is None or target.phase is Phase.EJECTED:
@@ -302,7 +313,7 @@
         usable = sum(
             slots
             for other, slots in self._slots.items()
-            if other != key and self._targets[other].phase is not Phase.EJECTED
+            if other != key and self._is_usable(self._targets[other])
         )
         total = sum(target.slots for target in self._service.targets)
         if usable < self._service.floor * total:
@@ -310,6 +321,11 @@
         out = 1 + sum(t.phase is Phase.EJECTED for t in self._targets.values())
         return out <= max(1.0, self._max_ejected_share * len(self._targets))
 
+    def _is_usable(self, target: TargetHealth) -> bool:
+        if target.phase is Phase.EJECTED:
+            return False
+        return not target.is_draining(self._clock.now())
+
     def _agreeing_vms(self, now: float) -> int:
         if self._min_vms is not None:
             return self._min_vms
--- a/lacewingpond/health/options.py
+++ b/lacewingpond/health/options.py
@@ -43,6 +43,8 @@
         Silence of the judge, in seconds, after which a VM judges alone.
     connect_backoff_s : float
         Time in which a VM avoids a target that refused a connection, in seconds.
+    drain_s : float
+        Time without new work after a target said that it drains, in seconds.
     """
 
     period_s: float = 1.0
@@ -64,6 +66,7 @@
     restart_s: float = 8.0
     lapse_s: float = 5.0
     connect_backoff_s: float = 1.0
+    drain_s: float = 300.0
 
     @classmethod
     def for_certainty(cls) -> "HealthOptions":
--- a/lacewingpond/health/outcome.py
+++ b/lacewingpond/health/outcome.py
@@ -15,3 +15,5 @@
     CANCELLED = 6
     POISON = 7
     """A failure of a request that is suspected of crashing targets."""
+    DRAINING = 8
+    """A complete answer in which the target says that it takes no new work."""
--- a/lacewingpond/health/reporter.py
+++ b/lacewingpond/health/reporter.py
@@ -149,6 +149,8 @@
         if held is None:
             return HEALTHY
         now = self._clock.now()
+        if held.drained_within(now, target_id, self._options.drain_s):
+            return Verdict(VerdictState.DRAINING, 0.0)
         found = self._judged(held, now, target_id)
         backoff_s = self._options.connect_backoff_s
         if found.weight > 0.0 and held.refused_within(now, target_id, backoff_s):
--- a/lacewingpond/health/service_health.py
+++ b/lacewingpond/health/service_health.py
@@ -7,6 +7,8 @@
 from lacewingpond.health.tally import Tally
 from lacewingpond.health.verdict import Verdict, VerdictState
 
+OUT_OF_WORK = frozenset({VerdictState.EJECTED, VerdictState.DRAINING})
+
 
 class ServiceHealth:
     """Outcomes not yet sent, and the verdicts last heard.
@@ -29,6 +31,7 @@
         "_rows",
         "_verdicts",
         "_refused_at",
+        "_drained_at",
     )
 
     def __init__(self, service: Service, alone: ServiceJudge, now: float) -> None:
@@ -41,6 +44,7 @@
         self._rows: tuple[VerdictRow, ...] = ()
         self._verdicts: dict[int, Verdict] = {}
         self._refused_at: dict[str, float] = {}
+        self._drained_at: dict[str, float] = {}
 
     def configure(self, service: Service) -> None:
         """Take over the service's targets."""
@@ -49,8 +53,9 @@
         known = {target.target_id for target in service.targets}
         for gone in [name for name in self._tallies if name not in known]:
             del self._tallies[gone]
-        for gone in [name for name in self._refused_at if name not in known]:
-            del self._refused_at[gone]
+        for held in (self._refused_at, self._drained_at):
+            for gone in [name for name in held if name not in known]:
+                del held[gone]
 
     def record(
         self, now: float, target_id: str, outcome: Outcome, latency_s: float
@@ -60,6 +65,8 @@
         self._tallies.setdefault(target_id, Tally()).add(outcome, latency_s)
         if outcome is Outcome.REFUSED_CONNECTION:
             self._refused_at[target_id] = now
+        elif outcome is Outcome.DRAINING:
+            self._drained_at[target_id] = now
         elif outcome is Outcome.OK:
             self._refused_at.pop(target_id, None)
 
@@ -85,8 +92,8 @@
         }
 
     def held(self) -> tuple[VerdictRow, ...]:
-        """Return the ejections last heard."""
-        return tuple(row for row in self._rows if row.state == VerdictState.EJECTED)
+        """Return the verdicts last heard that keep targets out of work."""
+        return tuple(row for row in self._rows if row.state in OUT_OF_WORK)
 
     def heard(self, target_id: str) -> Verdict | None:
         """Return the judge's verdict, or None when it finds the target healthy."""
@@ -96,3 +103,8 @@
         """Return whether the target refused a connection of late."""
         refused_at = self._refused_at.get(target_id)
         return refused_at is not None and now - refused_at < seconds
+
+    def drained_within(self, now: float, target_id: str, seconds: float) -> bool:
+        """Return whether the target told this VM of late that it drains."""
+        drained_at = self._drained_at.get(target_id)
+        return drained_at is not None and now - drained_at < seconds
--- a/lacewingpond/health/target_health.py
+++ b/lacewingpond/health/target_health.py
@@ -39,6 +39,7 @@
         "since",
         "cold_until",
         "trial",
+        "draining_until",
         "_options",
         "_strikes",
         "_hold_s",
@@ -53,6 +54,7 @@
         self.since = now
         self.cold_until = now + options.cold_start_s
         self.trial = 0.0
+        self.draining_until = now
         self._options = options
         self._strikes = 0
         self._hold_s = 0.0
@@ -62,6 +64,16 @@
         """Return the stronger evidence, of failures or of slow answers."""
         return max(self.errors.strength(min_vms), self.slowness.strength(min_vms))
 
+    def is_draining(self, now: float) -> bool:
+        """Return whether the target has said that it takes no new work."""
+        return now < self.draining_until
+
+    def drain(self, now: float) -> bool:
+        """Give the target no new work, and return whether that is news."""
+        is_news = not self.is_draining(now)
+        self.draining_until = now + self._options.drain_s
+        return is_news
+
     def note_refusals(self, now: float, refused: int, answered: int) -> None:
         """Follow a spell of refused connections, once a period.
 
@@ -139,6 +151,9 @@
 
     def verdict(self, now: float) -> Verdict:
         """Return what placement may do with the target."""
+        if self.is_draining(now):
+            began = self.draining_until - self._options.drain_s
+            return Verdict(VerdictState.DRAINING, 0.0, began)
         state = VerdictState.SLOW_START
         if self.phase is Phase.HEALTHY:
             state = VerdictState.HEALTHY
--- a/lacewingpond/health/verdict.py
+++ b/lacewingpond/health/verdict.py
@@ -11,6 +11,8 @@
     HEALTHY = 0
     EJECTED = 1
     SLOW_START = 2
+    DRAINING = 3
+    """Gets no new work, whatever the floor."""
 
 
 class Verdict(Struct, frozen=True):
--- a/lacewingpond/placement/floor.py
+++ b/lacewingpond/placement/floor.py
@@ -32,8 +32,12 @@
     least_slots : float
         Slots that stay in use.
     """
-    pairs = list(zip(targets, verdicts, strict=True))
-    remaining = sum(target.slots for target in targets)
+    pairs = [
+        (target, verdict)
+        for target, verdict in zip(targets, verdicts, strict=True)
+        if verdict.state is not VerdictState.DRAINING
+    ]
+    remaining = sum(target.slots for target, _ in pairs)
     out = set()
     ejected = [(t, v) for t, v in pairs if v.state is VerdictState.EJECTED]
     for target, _ in sorted(ejected, key=lambda p: (p[1].since, p[0].target_id)):
--- a/tests/health/test_health_reporter.py
+++ b/tests/health/test_health_reporter.py
@@ -224,3 +224,11 @@
         fleet.vms[1].adopt(OneOwner("vm1", "vm1").owner(number), state)
     fleet.run(2, healthy)
     assert fleet.states("t4") == {VerdictState.EJECTED}
+
+
+def test_target_that_drains_gets_no_work_from_any_vm(fleet):
+    fleet.run(2, healthy)
+    fleet.vms[6].record("ledger", "t3", Outcome.DRAINING, 0.001)
+    assert fleet.vms[6].verdict("ledger", "t3").state is VerdictState.DRAINING
+    fleet.run(2, healthy)
+    assert fleet.states("t3") == {VerdictState.DRAINING}
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -67,6 +67,12 @@
     assert len(bench.chosen()) == 2
 
 
+def test_a_draining_verdict_holds_below_the_floor(clock):
+    bench = Bench(clock, Service("s", targets(2), floor=1.0))
+    bench.verdicts.by_target = {"t0": Verdict(VerdictState.DRAINING, 0.0)}
+    assert set(bench.chosen()) == {"t1"}
+
+
 def test_all_ejected_and_no_floor_leaves_one(clock):
     bench = Bench(clock, Service("s", targets(2), floor=0.0))
     bench.verdicts.by_target = {"t0": EJECTED, "t1": EJECTED}
