--- a/lacewingpond/health/options.py
+++ b/lacewingpond/health/options.py
@@ -51,7 +51,7 @@
     threshold: float = 24.0
     min_vms: int = 3
     vm_evidence_min: float = 6.0
-    alone_threshold: float = 30.0
+    alone_threshold: float = 18.0
     alone_max_share: float = 0.2
     min_error_rate: float = 0.02
     min_slow_rate: float = 0.05
@@ -71,9 +71,9 @@
     @classmethod
     def for_certainty(cls) -> "HealthOptions":
         """Return options that weigh false ejections and wrongful refusals most."""
-        return cls(threshold=30.0, min_error_rate=0.03, alone_threshold=40.0)
+        return cls(threshold=30.0, min_error_rate=0.03, alone_threshold=24.0)
 
     @classmethod
     def for_speed(cls) -> "HealthOptions":
         """Return options that weigh detection time most."""
-        return cls(period_s=0.5, threshold=21.0, lapse_s=3.0)
+        return cls(period_s=0.5, threshold=21.0, alone_threshold=15.0, lapse_s=3.0)
--- a/lacewingpond/placement/placer.py
+++ b/lacewingpond/placement/placer.py
@@ -112,6 +112,11 @@
         known = self._services.get(service)
         return known.connection_share(self._fleet_size) if known else 0
 
+    def in_use(self, service: str) -> tuple[Candidate, ...]:
+        """Return the targets that may get work of this VM, and their weights."""
+        known = self._services.get(service)
+        return self._usable(service, known) if known else ()
+
     def pick(
         self, service: str, exclude: frozenset[str] = frozenset()
     ) -> Result[Placement, PlacementError]:
--- /dev/null
+++ b/lacewingpond/replay/health.py
@@ -0,0 +1,211 @@
+"""Replays faults of targets and links through the judgement of targets."""
+
+import heapq
+import itertools
+import random
+
+from lacewingpond.config.model import Config, Service, Target
+from lacewingpond.health.options import HealthOptions
+from lacewingpond.health.verdict import VerdictState
+from lacewingpond.placement.placement import Placement
+from lacewingpond.replay.base import Measures, Variant
+from lacewingpond.replay.health_fleet import HealthFleet
+from lacewingpond.replay.health_naive import BAD, ConsecutiveErrors
+from lacewingpond.replay.health_traces import health_traces
+from lacewingpond.replay.health_world import HealthWorld, Result
+from lacewingpond.replay.trace import Trace, TraceEvent
+from lacewingpond.util.clock import PausedClock
+
+SERVICE = "gallery"
+FLOOR = 0.5
+SLOTS = 6
+STEP_S = 0.1
+DRAIN_S = 3.0
+DETECTED_SHARE = 0.9
+AFTERMATH_S = 3.0
+"""Time after a fault in which an ejection still is right, in seconds."""
+PROFILES = {
+    "default": HealthOptions(),
+    "certainty": HealthOptions.for_certainty(),
+    "speed": HealthOptions.for_speed(),
+}
+
+
+class HealthPlayer:
+    """Player of the scenario ``health``."""
+
+    scenario = "health"
+
+    def play(self, trace: Trace, variant: Variant) -> Measures:
+        """Replay `trace` and return what came of it."""
+        return _Run(trace, variant).play()
+
+    def generate(self, seed: int) -> tuple[tuple[str, Trace], ...]:
+        """Return the scenario's traces by file name."""
+        return health_traces(seed)
+
+
+class _Run:
+    """One replay of one trace by one variant."""
+
+    def __init__(self, trace: Trace, variant: Variant) -> None:
+        params = trace.header.params
+        self.trace = trace
+        self.naive = variant is Variant.NAIVE
+        self.seconds = float(params["seconds"])
+        self.rate = float(params["rate"])
+        self.rng = random.Random(trace.header.seed)
+        self.clock = PausedClock()
+        self.start = self.clock.now()
+        self.targets = [f"t{number}" for number in range(int(params["targets"]))]
+        self.cfg = Config(services=(self._service(),))
+        self.options = PROFILES[str(params.get("profile", "default"))]
+        vms = int(params["vms"])
+        seed = trace.header.seed
+        self.fleet = HealthFleet(vms, self.cfg, self.options, self.clock, seed)
+        self.local = {
+            vm: ConsecutiveErrors(self.targets, self.rng) for vm in self.fleet.vm_ids
+        }
+        index = {vm: number for number, vm in enumerate(self.fleet.vm_ids)}
+        self.world = HealthWorld(float(params["noise"]), index, self.rng)
+        self.pending: list[tuple[float, int, str, str, Result, Placement | None]] = []
+        self.order = itertools.count()
+        self.faulty_until: dict[str, float] = {}
+        self.drained: dict[str, float] = {}
+        self.fault: TraceEvent | None = None
+        self.detected_at: float | None = None
+        self.out: set[tuple[str, str]] = set()
+        self.poisoned = 0
+        self.requests = 0
+        self.failed = 0
+        self.false_ejections = 0
+        self.ejections = 0
+        self.floor_breaches = 0
+        self.work_after_drain = 0
+
+    def play(self) -> Measures:
+        events = list(self.trace.events)
+        for step in range(int(self.seconds / STEP_S)):
+            at = step * STEP_S
+            while events and events[0].at <= at:
+                self._begin(events.pop(0))
+            self._end_cuts(at)
+            self.world.prune(at)
+            self._settle()
+            if not self.naive:
+                self.fleet.tick(self.clock.now())
+            self._send(at)
+            self._check(at)
+            self.clock.advance(STEP_S)
+        return self._measures()
+
+    def _service(self) -> Service:
+        targets = tuple(
+            Target(name, f"{name}:80", slots=SLOTS) for name in self.targets
+        )
+        return Service(SERVICE, targets, floor=FLOOR)
+
+    def _begin(self, event: TraceEvent) -> None:
+        if event.kind == "cut":
+            self.fleet.wire.cut.add(event.subject)
+            return
+        if event.kind == "errors":
+            self.fault = self.fault or event
+            end = event.at + float(event.fields["seconds"]) + AFTERMATH_S
+            self.faulty_until[event.subject] = end
+        if event.kind == "drain":
+            self.drained[event.subject] = event.at
+        self.world.begin(event)
+
+    def _end_cuts(self, at: float) -> None:
+        for event in self.trace.events:
+            if event.kind == "cut" and at >= event.at + float(event.fields["seconds"]):
+                self.fleet.wire.cut.discard(event.subject)
+
+    def _send(self, at: float) -> None:
+        for _ in range(round(self.rate * STEP_S)):
+            vm_id = self.rng.choice(self.fleet.vm_ids)
+            placement = None
+            if self.naive:
+                target_id = self.local[vm_id].pick(self.clock.now())
+            else:
+                placement = self.fleet.placers[vm_id].pick(SERVICE).unwrap()
+                target_id = placement.target.target_id
+            if at > self.drained.get(target_id, self.seconds) + DRAIN_S:
+                self.work_after_drain += 1
+            result = self.world.request(at, vm_id, target_id)
+            entry = (vm_id, target_id, result, placement)
+            ends = self.clock.now() + result.latency_s
+            heapq.heappush(self.pending, (ends, next(self.order), *entry))
+
+    def _settle(self) -> None:
+        now = self.clock.now()
+        while self.pending and self.pending[0][0] <= now:
+            _, _, vm_id, target_id, result, placement = heapq.heappop(self.pending)
+            self.requests += 1
+            self.failed += result.outcome in BAD
+            self.local[vm_id].record(now, target_id, result.outcome)
+            if placement is None:
+                continue
+            placement.done(None)
+            self.poisoned += result.poison
+            suspect = result.poison and self.poisoned > 2
+            self.fleet.reporters[vm_id].record(
+                SERVICE, target_id, result.outcome, result.latency_s, suspect
+            )
+
+    def _check(self, at: float) -> None:
+        for vm_id in self.fleet.vm_ids:
+            for target_id in self.targets:
+                self._check_ejection(at, vm_id, target_id)
+            if self._slots_in_use(vm_id) < FLOOR * SLOTS * len(self.targets):
+                self.floor_breaches += 1
+        if self.fault is not None and self.detected_at is None:
+            self._check_detection(at, self.fault.subject)
+
+    def _check_ejection(self, at: float, vm_id: str, target_id: str) -> None:
+        pair = (vm_id, target_id)
+        if not self._is_ejected(vm_id, target_id):
+            self.out.discard(pair)
+            return
+        if pair in self.out:
+            return
+        self.out.add(pair)
+        self.ejections += 1
+        if at > self.faulty_until.get(target_id, -1.0):
+            self.false_ejections += 1
+
+    def _check_detection(self, at: float, target_id: str) -> None:
+        seeing = [
+            vm for vm in self.fleet.vm_ids if self.world.is_seen_by(target_id, vm)
+        ]
+        knowing = sum(self._is_ejected(vm, target_id) for vm in seeing)
+        if seeing and knowing >= DETECTED_SHARE * len(seeing):
+            self.detected_at = at
+
+    def _is_ejected(self, vm_id: str, target_id: str) -> bool:
+        if self.naive:
+            return self.local[vm_id].is_ejected(self.clock.now(), target_id)
+        verdict = self.fleet.reporters[vm_id].verdict(SERVICE, target_id)
+        return verdict.state is VerdictState.EJECTED
+
+    def _slots_in_use(self, vm_id: str) -> int:
+        if not self.naive:
+            in_use = self.fleet.placers[vm_id].in_use(SERVICE)
+            return sum(candidate.target.slots for candidate in in_use)
+        ejected = [self._is_ejected(vm_id, target) for target in self.targets]
+        return SLOTS * ejected.count(False)
+
+    def _measures(self) -> Measures:
+        measures = {
+            "false_ejections": float(self.false_ejections),
+            "ejections": float(self.ejections),
+            "floor_breaches": float(self.floor_breaches),
+            "failed_share": self.failed / max(self.requests, 1),
+        }
+        if self.drained:
+            measures["work_after_drain"] = float(self.work_after_drain)
+        if self.fault is not None:
+            found = self.seconds if self.detected_at is None else self.detected_at
+            measures["detection_s"] = round(found - self.fault.at, 1)
+        return measures
--- /dev/null
+++ b/lacewingpond/replay/health_fleet.py
@@ -0,0 +1,161 @@
+"""VMs, their messages and their shard owner in a replay of health decisions."""
+
+import heapq
+import itertools
+import random
+
+from lacewingpond.config.model import Config
+from lacewingpond.health.options import HealthOptions
+from lacewingpond.health.reporter import HealthReporter
+from lacewingpond.peers.base import Handler, Message
+from lacewingpond.placement.options import PlacementOptions
+from lacewingpond.placement.placer import Placer
+from lacewingpond.shards.base import Ownership
+from lacewingpond.telemetry.decisions import NullDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import PausedClock
+
+MESSAGE_DELAY_S = 0.002
+JUDGE = "vm-00"
+
+
+class FakeWire:
+    """Delivers messages after a short delay, unless one end is cut off."""
+
+    __slots__ = ("_clock", "_waiting", "_order", "_handlers", "cut")
+
+    def __init__(self, clock: PausedClock) -> None:
+        self._clock = clock
+        self._waiting: list[tuple[float, int, str, str, Message]] = []
+        self._order = itertools.count()
+        self._handlers: dict[tuple[str, type[Message]], Handler] = {}
+        self.cut: set[str] = set()
+
+    def register(self, vm_id: str, kind: type[Message], handler: Handler) -> None:
+        """Let `handler` of `vm_id` take messages of `kind`."""
+        self._handlers[vm_id, kind] = handler
+
+    def send(self, sender: str, vm_id: str, message: Message) -> bool:
+        """Queue a message."""
+        at = self._clock.now() + MESSAGE_DELAY_S
+        entry = (at, next(self._order), sender, vm_id, message)
+        heapq.heappush(self._waiting, entry)
+        return True
+
+    def deliver(self) -> None:
+        """Hand over all messages that are due."""
+        while self._waiting and self._waiting[0][0] <= self._clock.now():
+            _, _, sender, vm_id, message = heapq.heappop(self._waiting)
+            if sender in self.cut or vm_id in self.cut:
+                continue
+            self._handlers[vm_id, type(message)](sender, message)
+
+
+class FakeChannel:
+    """One VM's end of the wire."""
+
+    __slots__ = ("_wire", "_vm_id")
+
+    def __init__(self, wire: FakeWire, vm_id: str) -> None:
+        self._wire = wire
+        self._vm_id = vm_id
+
+    def register(self, kind: type[Message], handler: Handler) -> None:
+        """Let `handler` take all arriving messages of class `kind`."""
+        self._wire.register(self._vm_id, kind, handler)
+
+    def send(self, vm_id: str, message: Message) -> bool:
+        """Queue `message` without waiting."""
+        return self._wire.send(self._vm_id, vm_id, message)
+
+
+class FakeShards:
+    """A table in which one VM owns all shards."""
+
+    __slots__ = ("_vm_id", "shard_count")
+
+    def __init__(self, vm_id: str) -> None:
+        self._vm_id = vm_id
+        self.shard_count = 1
+
+    def owner(self, shard: int) -> Ownership:
+        """Return the only owner."""
+        return Ownership(shard, JUDGE, "1", 1, True, 0.0)
+
+    def owned(self, shard: int) -> Ownership | None:
+        """Return the ownership on the owner's VM."""
+        return self.owner(shard) if self._vm_id == JUDGE else None
+
+
+class HealthFleet:
+    """Reporters and placers of all VMs, ticked by the player.
+
+    Parameters
+    ----------
+    vm_count : int
+        Number of VMs.
+    cfg : Config
+        The services and targets.
+    options : HealthOptions
+        The profile under test.
+    clock : PausedClock
+        Time source.
+    seed : int
+        Seed of the VMs' random choices.
+    """
+
+    __slots__ = ("wire", "reporters", "placers", "vm_ids", "_period_s", "_due")
+
+    def __init__(
+        self,
+        vm_count: int,
+        cfg: Config,
+        options: HealthOptions,
+        clock: PausedClock,
+        seed: int,
+    ) -> None:
+        self.wire = FakeWire(clock)
+        self.vm_ids = [f"vm-{number:02d}" for number in range(vm_count)]
+        self._period_s = options.period_s
+        rng = random.Random(seed)
+        self._due = {vm: clock.now() + rng.random() for vm in self.vm_ids}
+        self.reporters: dict[str, HealthReporter] = {}
+        self.placers: dict[str, Placer] = {}
+        for vm_id in self.vm_ids:
+            self._add(vm_id, cfg, options, clock, rng)
+
+    def tick(self, now: float) -> None:
+        """Deliver messages and run the periods that are due."""
+        self.wire.deliver()
+        for vm_id, due in self._due.items():
+            if due <= now:
+                self.reporters[vm_id].tick()
+                self._due[vm_id] = due + self._period_s
+
+    def configure(self, cfg: Config) -> None:
+        """Give all VMs a revision."""
+        for vm_id in self.vm_ids:
+            self.reporters[vm_id].configure(cfg)
+            self.placers[vm_id].configure(cfg)
+
+    def _add(
+        self,
+        vm_id: str,
+        cfg: Config,
+        options: HealthOptions,
+        clock: PausedClock,
+        rng: random.Random,
+    ) -> None:
+        log, metrics = NullDecisionLog(), CountingMetrics()
+        channel = FakeChannel(self.wire, vm_id)
+        shards = FakeShards(vm_id)
+        reporter = HealthReporter.from_options(
+            options, vm_id, clock, rng, channel, shards, log, metrics
+        )
+        placer = Placer.from_options(
+            PlacementOptions(), vm_id, "", clock, rng, reporter, log, metrics
+        )
+        self.reporters[vm_id] = reporter
+        self.placers[vm_id] = placer
+        reporter.configure(cfg)
+        placer.configure(cfg)
--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -1,5 +1,8 @@
 """All players by scenario."""
 
 from lacewingpond.replay.base import Player
+from lacewingpond.replay.health import HealthPlayer
 
-PLAYERS: dict[str, Player] = {}
+PLAYERS: dict[str, Player] = {
+    HealthPlayer.scenario: HealthPlayer(),
+}
