Add confirmations and the spread of revisions

A confirmation is one compare-and-swap on the head. A lost answer is settled by reading the head back and repeating the same swap, which is safe while the store still holds the expected head; what stays unsettled is told as unknown. Tests fail the store at every call of a confirmation, once and lastingly, and compare what was said with what is in force.

Revisions reach a VM by its own watch (all VMs when there are few, three for each failure domain else), by pushes along a few neighbours, and by pulls that repair what was lost.

--- /dev/null
+++ b/lacewingpond/config/peer_server.py
@@ -0,0 +1,62 @@
+"""Answers other VMs' reads of the configuration in force here."""
+
+from lacewingpond.config.chunks import Chunk
+from lacewingpond.config.contacts import Contacts
+from lacewingpond.config.holder import ConfigHolder
+from lacewingpond.config.isolation import IsolationRule
+from lacewingpond.config.messages import (
+    MAX_CHUNKS_BYTES,
+    ConfigChunkPull,
+    ConfigChunks,
+    ConfigHead,
+    ConfigHeadPull,
+    ConfigStatus,
+    ConfigStatusQuery,
+)
+from lacewingpond.peers.base import Message, PeerChannel
+
+
+class ConfigPeerServer:
+    """Serves heads, chunks and the status of this VM."""
+
+    __slots__ = ("_holder", "_contacts", "_isolation")
+
+    def __init__(
+        self, holder: ConfigHolder, contacts: Contacts, isolation: IsolationRule
+    ) -> None:
+        self._holder = holder
+        self._contacts = contacts
+        self._isolation = isolation
+
+    def register(self, channel: PeerChannel) -> None:
+        """Take the messages of this part from `channel`."""
+        channel.register(ConfigHeadPull, self._on_head)
+        channel.register(ConfigChunkPull, self._on_chunks)
+        channel.register(ConfigStatusQuery, self._on_status)
+
+    def status(self) -> ConfigStatus:
+        """Return what this VM says of itself."""
+        return ConfigStatus(
+            self._holder.revision,
+            self._contacts.store_age_s(),
+            self._isolation.is_isolated(),
+        )
+
+    def _on_head(self, sender: str, message: Message) -> Message:
+        return ConfigHead(self._holder.state.head.to_bytes())
+
+    def _on_chunks(self, sender: str, message: ConfigChunkPull) -> Message:
+        chunks: list[Chunk] = []
+        size = 0
+        for ref in message.refs:
+            chunk = self._holder.state.chunk(ref)
+            if chunk is None:
+                continue
+            size += len(chunk.packed)
+            if chunks and size > MAX_CHUNKS_BYTES:
+                break
+            chunks.append(chunk)
+        return ConfigChunks(tuple(chunks))
+
+    def _on_status(self, sender: str, message: Message) -> Message:
+        return self.status()
--- /dev/null
+++ b/lacewingpond/config/spread.py
@@ -0,0 +1,271 @@
+"""Spreads revisions over the fleet: store watches, pushes and repairing pulls."""
+
+import random
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+from result import Result
+
+from lacewingpond.config.contacts import Contacts
+from lacewingpond.config.holder import ConfigHolder
+from lacewingpond.config.isolation import IsolationRule
+from lacewingpond.config.messages import (
+    ConfigNews,
+    ConfigPull,
+    ConfigPush,
+    WireStep,
+    wire_steps,
+)
+from lacewingpond.config.neighbours import Neighbours
+from lacewingpond.config.options import ConfigOptions
+from lacewingpond.config.peer_server import ConfigPeerServer
+from lacewingpond.config.peer_source import PeerSource
+from lacewingpond.config.repository import ConfigRepository, StoredHead
+from lacewingpond.config.store_watch import StoreWatch
+from lacewingpond.membership.base import MembershipView
+from lacewingpond.peers.base import Message, PeerChannel
+from lacewingpond.store.base import StoreError, VmRecord
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.telemetry.metrics import Metrics
+from lacewingpond.util.clock import Clock
+from lacewingpond.util.waiting import wait_for
+
+JITTER = 0.2
+"""Share by which the period of pulls varies to both sides."""
+
+RECENT_PERIODS = 4.0
+"""A VM heard within so many pull periods gets pushes too."""
+
+
+class ConfigSpread:
+    """Keeps the configuration of this VM up to date.
+
+    Parameters
+    ----------
+    vm : VmRecord
+        This VM.
+    holder : ConfigHolder
+        Takes new revisions.
+    repository : ConfigRepository
+        The store's side.
+    channel : PeerChannel
+        Reaches the other VMs.
+    membership : MembershipView
+        The VMs that seem to answer.
+    listed : callable
+        Returns how many other VMs the platform's list held when last read.
+    options : ConfigOptions
+        Periods and bounds.
+    clock, rng, log, metrics
+        Time, jitter, decisions and counters.
+
+    Attributes
+    ----------
+    contacts : Contacts
+        When the store and other VMs were heard.
+    isolation : IsolationRule
+        Whether this VM is cut off.
+    """
+
+    __slots__ = ("contacts", "isolation", "_holder", "_channel", "_membership")
+    __slots__ += ("_options", "_clock", "_rng", "_log", "_metrics", "_neighbours")
+    __slots__ += ("_server", "_watch", "_turn", "_behind", "_wake", "_greenlets")
+
+    def __init__(
+        self,
+        vm: VmRecord,
+        holder: ConfigHolder,
+        repository: ConfigRepository,
+        channel: PeerChannel,
+        membership: MembershipView,
+        listed: Callable[[], int],
+        options: ConfigOptions,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.contacts = Contacts(clock)
+        self.isolation = IsolationRule(self.contacts, membership, listed, options, log)
+        self._holder = holder
+        self._channel = channel
+        self._membership = membership
+        self._options = options
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        self._neighbours = Neighbours(vm, options)
+        self._server = ConfigPeerServer(holder, self.contacts, self.isolation)
+        self._watch = StoreWatch(
+            repository,
+            holder,
+            self.contacts,
+            self.announce,
+            options,
+            clock,
+            rng,
+            log,
+            metrics,
+        )
+        self._turn = 0
+        self._behind: str | None = None
+        self._wake = Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        self._server.register(channel)
+        channel.register(ConfigPush, self._on_push)
+        channel.register(ConfigPull, self._on_pull)
+
+    def start(self) -> None:
+        """Run the watch and the pulls, each in a greenlet."""
+        self._greenlets = [
+            gevent.spawn(self._run_watch),
+            gevent.spawn(self._run_pulls),
+        ]
+
+    def stop(self) -> None:
+        """End both greenlets."""
+        gevent.killall(self._greenlets)
+        self._greenlets = []
+
+    def is_isolated(self) -> bool:
+        """Return whether routes that need a key must be refused here."""
+        return self.isolation.is_isolated()
+
+    def fleet_revision(self) -> int:
+        """Return the highest revision that this VM has heard of."""
+        return max(self._holder.revision, self.contacts.fleet_revision)
+
+    def catch_up(self) -> Result[StoredHead, StoreError]:
+        """Read the head from the store now and take it."""
+        return self._watch.catch_up()
+
+    def announce(self, but: str | None = None) -> None:
+        """Push the last revision to the neighbours and to those heard recently."""
+        revision = self._holder.revision
+        self._metrics.gauge("config.revision", revision)
+        message = ConfigPush(
+            revision,
+            wire_steps(self._holder.steps_after(revision - 1)),
+            self.contacts.store_age_s(),
+        )
+        recent = self.contacts.heard_within(
+            RECENT_PERIODS * self._options.pull_period_s
+        )
+        near = len(self._neighbours.chosen)
+        for vm_id in dict.fromkeys((*self._neighbours.chosen, *recent[:near])):
+            if vm_id != but:
+                self._channel.send(vm_id, message)
+
+    def watch_once(self) -> None:
+        """Wait once for the store, or a while for a reason to watch it."""
+        self._neighbours.update(self._membership.live())
+        if self._neighbours.watches or self._is_lonely():
+            self._watch.step()
+        else:
+            self._clock.sleep(self._options.role_check_s)
+
+    def pull_once(self) -> None:
+        """Ask one VM for news, first of all one that is known to have some."""
+        self._neighbours.update(self._membership.live())
+        vm_id = self._next_vm()
+        if vm_id is None:
+            return
+        pull = ConfigPull(self._holder.revision, self.contacts.store_age_s())
+        answer = self._channel.call(vm_id, pull, self._options.pull_timeout_s)
+        if answer.is_err() or not isinstance(answer.ok_value, ConfigNews):
+            self._metrics.incr("config.pull_failures")
+            return
+        news = answer.ok_value
+        self.contacts.heard_peer(vm_id, news.revision, news.store_age_s)
+        if news.revision > self._holder.revision:
+            self._take_news(vm_id, news)
+
+    def _run_watch(self) -> None:
+        while True:
+            self.watch_once()
+
+    def _run_pulls(self) -> None:
+        while True:
+            self.pull_once()
+            period_s = self._options.pull_period_s
+            varied_s = period_s * (1.0 + JITTER * (2.0 * self._rng.random() - 1.0))
+            if wait_for(self._wake, self._clock, varied_s):
+                self._wake.clear()
+
+    def _is_lonely(self) -> bool:
+        return self.contacts.peer_age_s() >= self._options.lonely_after_s
+
+    def _next_vm(self) -> str | None:
+        if self._behind is not None:
+            vm_id, self._behind = self._behind, None
+            return vm_id
+        chosen = self._neighbours.chosen
+        if not chosen:
+            return None
+        self._turn += 1
+        return chosen[self._turn % len(chosen)]
+
+    def _take_news(self, vm_id: str, news: ConfigNews) -> None:
+        before = self._holder.revision
+        if not self._apply(news.steps):
+            self._load_from(vm_id)
+        if self._holder.revision > before:
+            self._log.decision(
+                "config-apply", str(self._holder.revision), "pulled", source=vm_id
+            )
+            self.announce(but=vm_id)
+
+    def _apply(self, steps: tuple[WireStep, ...]) -> bool:
+        """Apply steps in order; False when they do not lead to a newer revision."""
+        applied = False
+        for step in steps:
+            state = self._holder.state
+            if step.revision != state.revision + 1:
+                continue
+            later = state.changed(step.changes, step.plan_id)
+            if later.root != step.root:
+                self._metrics.incr("config.root_mismatches")
+                return False
+            applied = self._holder.replace(later) or applied
+        return applied
+
+    def _load_from(self, vm_id: str) -> None:
+        source = PeerSource(self._channel, vm_id, self._options.pull_timeout_s)
+        head = source.read_head()
+        if head.is_err() or head.ok_value.revision <= self._holder.revision:
+            return
+        loaded = self._holder.state.load(head.ok_value, source.read_chunks)
+        if loaded.is_ok():
+            self._holder.replace(loaded.ok_value)
+        else:
+            self._log.decision(
+                "config-load", vm_id, "not loaded from a VM", detail=loaded.err_value
+            )
+
+    def _on_push(self, sender: str, message: ConfigPush) -> None:
+        self.contacts.heard_peer(sender, message.revision, message.store_age_s)
+        if message.revision <= self._holder.revision:
+            return
+        if self._apply(message.steps):
+            self._log.decision(
+                "config-apply", str(self._holder.revision), "pushed", source=sender
+            )
+            self.announce(but=sender)
+        if message.revision > self._holder.revision:
+            self._pull_soon(sender)
+
+    def _on_pull(self, sender: str, message: ConfigPull) -> Message:
+        self.contacts.heard_peer(sender, message.revision, message.store_age_s)
+        if message.revision > self._holder.revision:
+            self._pull_soon(sender)
+        return ConfigNews(
+            self._holder.revision,
+            wire_steps(self._holder.steps_after(message.revision)),
+            self.contacts.store_age_s(),
+        )
+
+    def _pull_soon(self, vm_id: str) -> None:
+        self._behind = vm_id
+        self._wake.set()
--- /dev/null
+++ b/tests/config/test_config_confirm.py
@@ -0,0 +1,197 @@
+"""Tests of confirmations: lost answers, races and a store that is away."""
+
+import gevent
+import pytest
+from config_helpers import first_intents
+from result import Err
+
+from lacewingpond.config.confirmation import Refusal
+from lacewingpond.config.confirmer import Confirmer
+from lacewingpond.config.holder import ConfigHolder
+from lacewingpond.config.intents import PutWorkspace, SetRate, WithdrawKey
+from lacewingpond.config.model import Workspace
+from lacewingpond.config.plan import plan
+from lacewingpond.config.repository import HEAD_KEY, ConfigRepository
+from lacewingpond.standin.faulty import FaultyStore
+from lacewingpond.store.base import StoreError, StoreFailure
+from lacewingpond.store.memory import MemoryStore
+from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.util.clock import RuntimeClock
+
+
+class FailsAt(FaultyStore):
+    """Fails from the n-th call on, or loses the n-th call's answer."""
+
+    __slots__ = ("left", "failure", "lasting", "calls")
+
+    def arm(self, calls, failure, lasting):
+        self.left, self.failure, self.lasting, self.calls = calls, failure, lasting, 0
+
+    def _read(self, kind, call):
+        return self._play(super()._read, kind, call, StoreFailure.UNAVAILABLE)
+
+    def _write(self, kind, call):
+        return self._play(super()._write, kind, call, self.failure)
+
+    def _play(self, forward, kind, call, failure):
+        self.calls += 1
+        self.left -= 1
+        if self.left > 0 or (self.left < 0 and not self.lasting):
+            return forward(kind, call)
+        if failure is StoreFailure.UNKNOWN:
+            forward(kind, call)
+        return Err(StoreError(failure, "armed"))
+
+
+@pytest.fixture
+def memory():
+    return MemoryStore(RuntimeClock())
+
+
+class Vm:
+    """The operator's side of one VM."""
+
+    def __init__(self, memory):
+        self.store = FailsAt(memory, RuntimeClock())
+        self.store.arm(10**9, StoreFailure.UNAVAILABLE, False)
+        self.repository = ConfigRepository(self.store)
+        self.holder = ConfigHolder()
+        self.log = RecordingDecisionLog()
+        self.confirmer = Confirmer(
+            self.repository, self.holder, RuntimeClock(), self.log, lambda: 0
+        )
+
+    def plan(self, *intents):
+        made = plan(self.holder.current, intents).unwrap()
+        assert self.repository.save_plan(made).is_ok()
+        return made.plan_id
+
+    def confirm(self, plan_id):
+        return self.confirmer.confirm(plan_id)
+
+    def head(self):
+        return self.repository.read_head().unwrap().head
+
+
+def test_confirm_is_idempotent_and_works_on_any_vm(memory):
+    one, other = Vm(memory), Vm(memory)
+    plan_id = one.plan(*first_intents())
+    assert other.confirm(plan_id).unwrap().revision == 1
+    again = one.confirm(plan_id).unwrap()
+    assert (again.revision, again.repeated) == (1, True)
+    assert other.holder.revision == 1
+    assert [line[0] for line in one.log.lines] == ["config-confirm"]
+
+
+def test_racing_operators_are_told_what_changed(memory):
+    one, other = Vm(memory), Vm(memory)
+    one.confirm(one.plan(*first_intents()))
+    other.holder.replace(one.holder.state)
+    first = one.plan(WithdrawKey("k1"))
+    second = other.plan(SetRate("workspace", "shop", 5.0, 5.0))
+    assert one.confirm(first).is_ok()
+    error = other.confirm(second).unwrap_err()
+    assert error.refusal is Refusal.CONFLICT
+    assert [str(line) for line in error.changed] == ["remove key k1"]
+    assert other.head().revision == 2
+
+
+def test_simultaneous_confirmations_put_one_plan_in_force(memory):
+    first = Vm(memory)
+    first.confirm(first.plan(*first_intents()))
+    vms = [Vm(memory) for _ in range(8)]
+    plan_ids = []
+    for number, vm in enumerate(vms):
+        vm.store.faults.delay_s = 0.001 * (1 + number % 3)
+        vm.holder.replace(first.holder.state)
+        plan_ids.append(vm.plan(PutWorkspace(Workspace(f"w{number}", 1.0, 1.0))))
+    racing = [
+        gevent.spawn(vm.confirm, plan_id)
+        for vm, plan_id in zip(vms, plan_ids, strict=True)
+    ]
+    outcomes = [greenlet.get(timeout=10) for greenlet in racing]
+    assert sum(outcome.is_ok() for outcome in outcomes) == 1
+    refused = {outcome.err().refusal for outcome in outcomes if outcome.is_err()}
+    assert refused == {Refusal.CONFLICT}
+    assert first.head().revision == 2
+    fresh = Vm(memory)
+    state = fresh.repository.load(fresh.holder.state, fresh.head()).unwrap()
+    assert len(state.cfg.workspaces) == 2
+
+
+def test_unknown_and_lapsed_plans_are_not_accepted(memory):
+    assert Vm(memory).confirm("feed").unwrap_err().refusal is Refusal.NO_PLAN
+
+
+def outcome_with(failure, lasting, call):
+    """Confirm with a failure at one call; return what was said and what is true."""
+    memory = MemoryStore(RuntimeClock())
+    vm = Vm(memory)
+    vm.confirm(vm.plan(*first_intents()))
+    plan_id = vm.plan(SetRate("workspace", "shop", 5.0, 5.0))
+    vm.store.arm(call, failure, lasting)
+    outcome = vm.confirm(plan_id)
+    calls = vm.store.calls
+    fresh = Vm(memory)
+    in_force = fresh.head().confirmed(plan_id) is not None
+    loaded = fresh.repository.load(fresh.holder.state, fresh.head())
+    assert loaded.is_ok(), "the head names chunks that are missing"
+    return outcome, in_force, calls
+
+
+@pytest.mark.parametrize("lasting", [False, True])
+@pytest.mark.parametrize("failure", [StoreFailure.UNAVAILABLE, StoreFailure.UNKNOWN])
+def test_store_away_at_each_step_is_told_truthfully(failure, lasting):
+    _, _, calls = outcome_with(failure, False, 10**9)
+    assert calls > 6
+    said = set()
+    for call in range(1, calls + 1):
+        outcome, in_force, _ = outcome_with(failure, lasting, call)
+        if outcome.is_ok():
+            assert in_force, call
+            said.add("accepted")
+        else:
+            refusal = outcome.err_value.refusal
+            said.add(refusal.value)
+            assert refusal in (Refusal.NOT_ACCEPTED, Refusal.UNKNOWN), call
+            assert refusal is Refusal.UNKNOWN or not in_force, call
+    assert "not-accepted" in said
+    assert ("unknown" in said) == (failure is StoreFailure.UNKNOWN and lasting)
+
+
+def test_lost_answer_of_the_swap_is_read_back(memory):
+    vm = Vm(memory)
+    plan_id = vm.plan(*first_intents())
+    forward = vm.store.put_if
+
+    class LosesHead(ConfigRepository):
+        def write_head(self, head, expected):
+            forward(HEAD_KEY, head.to_bytes(), expected)
+            return Err(StoreError(StoreFailure.UNKNOWN, "lost"))
+
+    vm.confirmer._repository = LosesHead(vm.store)
+    assert vm.confirm(plan_id).unwrap().revision == 1
+    assert vm.holder.revision == 1
+
+
+def test_confirm_is_refused_on_a_store_older_than_the_fleet(memory):
+    vm = Vm(memory)
+    vm.confirm(vm.plan(*first_intents()))
+    image = memory.image()
+    vm.confirm(vm.plan(WithdrawKey("k1")))
+    memory.restore(image)
+    plan_id = vm.plan(SetRate("workspace", "shop", 5.0, 5.0))
+    error = vm.confirm(plan_id).unwrap_err()
+    assert error.refusal is Refusal.NOT_ACCEPTED
+    assert "older than revision 2" in error.detail
+
+
+def test_old_chunks_are_removed_and_a_reverted_one_stays(memory):
+    vm = Vm(memory)
+    vm.confirm(vm.plan(*first_intents()))
+    for rate in (5.0, 10.0, 5.0, 10.0):
+        vm.confirm(vm.plan(SetRate("workspace", "shop", rate, 20.0)))
+    held = memory.scan("config/chunk/").unwrap()
+    assert len(held) == len(vm.head().chunks)
+    fresh = Vm(memory)
+    assert fresh.repository.load(fresh.holder.state, vm.head()).is_ok()
