--- /dev/null
+++ b/lacewingpond/config/service.py
@@ -0,0 +1,140 @@
+"""The operators' side of the configuration on one VM."""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewingpond.config.confirmation import Confirmation, ConfirmError
+from lacewingpond.config.confirmer import Confirmer
+from lacewingpond.config.holder import ConfigHolder
+from lacewingpond.config.intents import Intent
+from lacewingpond.config.model import Config
+from lacewingpond.config.plan import Plan, plan
+from lacewingpond.config.repository import ConfigRepository, describe
+from lacewingpond.config.spread import ConfigSpread
+from lacewingpond.store.base import StoreError
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+from lacewingpond.util.findings import Finding
+
+
+class PlanError(Struct, frozen=True):
+    """Intents without a plan.
+
+    Parameters
+    ----------
+    findings : tuple of Finding
+        What is wrong with them; empty when the store was away.
+    detail : str
+        Why no plan could be kept.
+    """
+
+    findings: tuple[Finding, ...] = ()
+    detail: str = ""
+
+
+class KnownPlan(Struct, frozen=True):
+    """A plan and what became of it.
+
+    Parameters
+    ----------
+    plan : Plan or None
+        The plan; None when it has lapsed after its confirmation.
+    revision : int or None
+        Revision that it made; None while it is pending.
+    """
+
+    plan: Plan | None
+    revision: int | None
+
+
+class ConfigService:
+    """Plans, confirms and shows the configuration.
+
+    Parameters
+    ----------
+    holder : ConfigHolder
+        The revision in force here.
+    repository : ConfigRepository
+        Keeps pending plans.
+    confirmer : Confirmer
+        Puts plans in force.
+    catch_up : callable
+        Reads the head from the store and takes it.
+    announce : callable
+        Tells other VMs of a revision that came into force here.
+    """
+
+    __slots__ = ("_holder", "_repository", "_confirmer", "_catch_up", "_announce")
+
+    def __init__(
+        self,
+        holder: ConfigHolder,
+        repository: ConfigRepository,
+        confirmer: Confirmer,
+        catch_up: Callable[[], Result[object, StoreError]],
+        announce: Callable[[], None],
+    ) -> None:
+        self._holder = holder
+        self._repository = repository
+        self._confirmer = confirmer
+        self._catch_up = catch_up
+        self._announce = announce
+
+    @classmethod
+    def from_spread(
+        cls,
+        holder: ConfigHolder,
+        repository: ConfigRepository,
+        spread: ConfigSpread,
+        clock: Clock,
+        log: DecisionLog,
+    ) -> "ConfigService":
+        """Return the service of a VM that takes part in the spread."""
+        confirmer = Confirmer(repository, holder, clock, log, spread.fleet_revision)
+        return cls(holder, repository, confirmer, spread.catch_up, spread.announce)
+
+    @property
+    def current(self) -> Config:
+        """The configuration in force here."""
+        return self._holder.current
+
+    def plan(self, intents: tuple[Intent, ...]) -> Result[Plan, PlanError]:
+        """Check intents against the newest revision and keep the plan.
+
+        The plan is kept in the store and not carried by the confirmation, so that
+        an id is enough to confirm it on any VM.
+        """
+        newest = self._catch_up()
+        if newest.is_err():
+            return Err(PlanError(detail=describe(newest.err_value)))
+        made = plan(self._holder.current, intents)
+        if made.is_err():
+            return Err(PlanError(findings=made.err_value))
+        saved = self._repository.save_plan(made.ok_value)
+        if saved.is_err():
+            return Err(PlanError(detail=describe(saved.err_value)))
+        return made
+
+    def confirm(self, plan_id: str) -> Result[Confirmation, ConfirmError]:
+        """Put a plan in force once, however often it is confirmed."""
+        before = self._holder.revision
+        outcome = self._confirmer.confirm(plan_id)
+        if self._holder.revision > before:
+            self._announce()
+        return outcome
+
+    def find_plan(self, plan_id: str) -> Result[KnownPlan | None, StoreError]:
+        """Return a plan and what became of it; None when it is not known."""
+        head = self._repository.read_head()
+        if head.is_err():
+            return head
+        confirmed = head.ok_value.head.confirmed(plan_id)
+        found = self._repository.read_plan(plan_id)
+        if found.is_err():
+            return found
+        if found.ok_value is None and confirmed is None:
+            return Ok(None)
+        revision = confirmed.revision if confirmed else None
+        return Ok(KnownPlan(found.ok_value, revision))
--- /dev/null
+++ b/lacewingpond/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The API through which operators plan, confirm and look."""
--- /dev/null
+++ b/lacewingpond/operator/status.py
@@ -0,0 +1,89 @@
+"""Asks the VMs of the fleet for their revisions."""
+
+from gevent.pool import Pool
+
+from lacewingpond.config.holder import ConfigHolder
+from lacewingpond.config.messages import ConfigStatus, ConfigStatusQuery
+from lacewingpond.config.options import ConfigOptions
+from lacewingpond.config.spread import ConfigSpread
+from lacewingpond.membership.base import MembershipView
+from lacewingpond.operator.documents import StatusView, VmStatus
+from lacewingpond.peers.base import PeerChannel
+from lacewingpond.store.base import VmRecord
+
+CONCURRENT_QUERIES = 32
+
+
+class FleetStatus:
+    """Collects the revision of each VM, on demand only.
+
+    Parameters
+    ----------
+    vm : VmRecord
+        This VM.
+    holder : ConfigHolder
+        Revision in force here.
+    spread : ConfigSpread
+        What this VM has heard.
+    channel : PeerChannel
+        Reaches the other VMs.
+    membership : MembershipView
+        The VMs that seem to answer.
+    options : ConfigOptions
+        Holds the longest wait for one answer.
+    """
+
+    __slots__ = ("_vm", "_holder", "_spread", "_channel", "_membership", "_options")
+
+    def __init__(
+        self,
+        vm: VmRecord,
+        holder: ConfigHolder,
+        spread: ConfigSpread,
+        channel: PeerChannel,
+        membership: MembershipView,
+        options: ConfigOptions,
+    ) -> None:
+        self._vm = vm
+        self._holder = holder
+        self._spread = spread
+        self._channel = channel
+        self._membership = membership
+        self._options = options
+
+    def read(self) -> StatusView:
+        """Ask all live VMs, a few at a time."""
+        pool = Pool(CONCURRENT_QUERIES)
+        others = pool.map(self._ask, self._membership.live())
+        vms = sorted([self._own(), *others], key=lambda status: status.vm_id)
+        return StatusView(
+            vm_id=self._vm.vm_id,
+            revision=self._holder.revision,
+            fleet_revision=self._spread.fleet_revision(),
+            vms=tuple(vms),
+        )
+
+    def _own(self) -> VmStatus:
+        return VmStatus(
+            self._vm.vm_id,
+            self._vm.failure_domain,
+            self._holder.revision,
+            round(self._spread.contacts.store_age_s(), 1),
+            self._spread.is_isolated(),
+        )
+
+    def _ask(self, vm: VmRecord) -> VmStatus:
+        timeout_s = self._options.status_timeout_s
+        answer = self._channel.call(vm.vm_id, ConfigStatusQuery(), timeout_s)
+        if answer.is_err():
+            return VmStatus(vm.vm_id, vm.failure_domain, detail=answer.err_value.detail)
+        status = answer.ok_value
+        if not isinstance(status, ConfigStatus):
+            return VmStatus(vm.vm_id, vm.failure_domain, detail="another answer")
+        return VmStatus(
+            vm.vm_id,
+            vm.failure_domain,
+            status.revision,
+            round(status.store_age_s, 1),
+            status.isolated,
+        )
