--- /dev/null
+++ b/lacewingpond/shards/table.py
@@ -0,0 +1,104 @@
+"""The shard table: one value in the store."""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+from msgspec import Struct
+
+from lacewingpond.shards.move import Move
+from lacewingpond.shards.process import ProcessId
+from lacewingpond.shards.row import ShardRow
+
+
+class TableImage(Struct, frozen=True, array_like=True):
+    """The table as the store holds it."""
+
+    version: int
+    rows: tuple[ShardRow, ...]
+
+
+class ShardTable:
+    """Owners of all shards at one version; never changed once made.
+
+    Parameters
+    ----------
+    version : int
+        Rises with each write.
+    rows : mapping of int to ShardRow
+        Rows of the shards that have an owner.
+    """
+
+    __slots__ = ("version", "rows")
+
+    def __init__(
+        self, version: int = 0, rows: Mapping[int, ShardRow] | None = None
+    ) -> None:
+        self.version = version
+        self.rows: Mapping[int, ShardRow] = rows or {}
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "ShardTable":
+        """Decode a stored table.
+
+        Raises
+        ------
+        msgspec.DecodeError
+            When `data` is not a table.
+        """
+        image = msgspec.msgpack.decode(data, type=TableImage)
+        return cls(image.version, {row.shard: row for row in image.rows})
+
+    def to_bytes(self) -> bytes:
+        """Return the table as the store holds it."""
+        rows = tuple(self.rows[shard] for shard in sorted(self.rows))
+        return msgspec.msgpack.encode(TableImage(self.version, rows))
+
+    def epoch(self, shard: int) -> int:
+        """Return the epoch of `shard`; 0 when it never had an owner."""
+        row = self.rows.get(shard)
+        return 0 if row is None else row.epoch
+
+    def of(self, owner: ProcessId) -> list[ShardRow]:
+        """Return the rows of one process."""
+        return [row for row in self.rows.values() if row.owner == owner]
+
+    def free(self, shard_count: int) -> list[int]:
+        """Return the shards that never had an owner."""
+        return [shard for shard in range(shard_count) if shard not in self.rows]
+
+    def fitting(self, moves: Iterable[Move]) -> list[Move]:
+        """Return the moves whose expected row is the present one."""
+        return [m for m in moves if self.epoch(m.shard) == m.expected_epoch]
+
+    def has(self, move: Move) -> bool:
+        """Return whether `move` has been written."""
+        row = self.rows.get(move.shard)
+        return (
+            row is not None
+            and row.owner == move.taker
+            and row.epoch == move.expected_epoch + 1
+        )
+
+    def moved(self, moves: Iterable[Move], wall: float) -> "ShardTable":
+        """Return the next version, with `moves` carried out at time `wall`."""
+        version = self.version + 1
+        rows = dict(self.rows)
+        for move in moves:
+            rows[move.shard] = ShardRow(
+                shard=move.shard,
+                vm_id=move.taker.vm_id,
+                incarnation=move.taker.incarnation,
+                epoch=move.expected_epoch + 1,
+                clean=move.clean,
+                since=wall,
+                version=version,
+            )
+        return ShardTable(version, rows)
+
+    def changed_after(self, version: int) -> tuple[ShardRow, ...]:
+        """Return the rows that were written after `version`."""
+        return tuple(row for row in self.rows.values() if row.version > version)
+
+    def merged(self, version: int, rows: Iterable[ShardRow]) -> "ShardTable":
+        """Return the table at a later version that changed `rows`."""
+        return ShardTable(version, {**self.rows, **{row.shard: row for row in rows}})
