Check quiet streams more rarely and serve what was queued before a stop

A quiet stream looked for its caller five times a second for as long as it was held; the checks now grow rarer to one in 5 s. A drain that began right after accepting could end before the new connections' greenlets had begun.

--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+import gevent
 from gevent.pywsgi import WSGIServer
 
 from lacewingpond.http.connection import CallerConnection
@@ -110,6 +111,8 @@
             Requests that were cut at the end of the grace.
         """
         self.draining = True
+        # Lets the greenlets of connections just accepted begin.
+        gevent.sleep(0)
         now = self.clock.now()
         deadline = now + grace_s
         idle_until = now + min(self.options.drain_idle_s, grace_s)
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -173,12 +173,17 @@
             now = self._clock.now()
             if now >= end:
                 raise ExchangeError(SendReason.DEADLINE, "no bytes in time")
-            step = min(end - now, self._options.caller_check_s)
-            if _readable(fileno, step):
+            step = self._check_interval(now - started)
+            if _readable(fileno, min(end - now, step)):
                 return
             self._check_caller()
             self._check_silence(self._clock.now() - started)
 
+    def _check_interval(self, waited_s: float) -> float:
+        # Checks grow rarer, because thousands of quiet streams may be held.
+        rarer = min(waited_s, self._options.caller_check_max_s)
+        return max(self._options.caller_check_s, rarer)
+
     def _check_caller(self) -> None:
         if self._is_disconnected is not None and self._is_disconnected():
             raise ExchangeError(SendReason.CALLER_GONE)
--- a/lacewingpond/targets/options.py
+++ b/lacewingpond/targets/options.py
@@ -19,8 +19,9 @@
         take a non-idempotent request.
     body_idle_s : float
         Longest wait for the next bytes of an answer's body.
-    caller_check_s : float
-        How often a waiting request looks whether its caller has gone.
+    caller_check_s, caller_check_max_s : float
+        How often a waiting request looks whether its caller has gone: at first, and
+        at least, as the wait grows long.
     silent_after_s : float
         How long an idempotent request waits on a connection that newer ones have
         shown to be silent.
@@ -41,8 +42,9 @@
     age_jitter: float = 0.1
     max_idle_s: float = 30.0
     fresh_s: float = 1.0
-    body_idle_s: float = 600.0
+    body_idle_s: float = 3_600.0
     caller_check_s: float = 0.2
+    caller_check_max_s: float = 5.0
     silent_after_s: float = 1.0
     silent_window_s: float = 5.0
     abandoned_body_s: float = 30.0
--- a/tests/http/test_caller_server.py
+++ b/tests/http/test_caller_server.py
@@ -167,6 +167,16 @@
         assert drain.get() == 0
 
 
+def test_requests_queued_before_the_stop_are_answered():
+    with caller_server(path_echo, drain_idle_s=0.0) as server:
+        queued = [connect(server.port) for _ in range(20)]
+        for sock in queued:
+            sock.sendall(GET)
+        server.stop_accepting()
+        assert server.drain(5.0) == 0
+        assert [read_all(sock)[-2:] for sock in queued] == [b"/a"] * 20
+
+
 def test_caller_that_left_is_noticed():
     noticed = Event()
 
