--- /dev/null
+++ b/lacewingpond/daemon/traffic.py
@@ -0,0 +1,136 @@
+"""The part of the daemon that serves callers."""
+
+import gevent
+
+from lacewingpond.config.changes import Changes
+from lacewingpond.config.model import Config
+from lacewingpond.daemon.availability import DaemonAvailability
+from lacewingpond.daemon.fleet import FleetParts
+from lacewingpond.daemon.surroundings import Surroundings
+from lacewingpond.health.reporter import HealthReporter
+from lacewingpond.http.server import CallerServer
+from lacewingpond.limits.limiter import FleetLimiter
+from lacewingpond.placement.placer import Placer
+from lacewingpond.proxy.dispatcher import Dispatcher
+from lacewingpond.proxy.pipeline import Pipeline
+from lacewingpond.queues.fair_queue import FairQueue
+from lacewingpond.retries.budget import RetryBudget
+from lacewingpond.settings.model import Settings
+from lacewingpond.targets.client import TargetClient
+
+SWEEP_S = 5.0
+FLEET_SIZE_S = 2.0
+
+
+class TrafficParts:
+    """Everything that a request passes on this VM.
+
+    Attributes
+    ----------
+    server : CallerServer
+        Accepts callers.
+    pipeline : Pipeline
+        Decides what becomes of each request.
+    """
+
+    __slots__ = (
+        "server",
+        "pipeline",
+        "limiter",
+        "health",
+        "placer",
+        "queue",
+        "client",
+        "retries",
+        "_fleet",
+        "_clock",
+        "_greenlets",
+        "_cfg",
+    )
+
+    def __init__(
+        self,
+        cfg: Settings,
+        around: Surroundings,
+        fleet: FleetParts,
+        availability: DaemonAvailability,
+    ) -> None:
+        self._fleet = fleet
+        self._clock = around.clock
+        self._cfg = Config()
+        self._greenlets: list[gevent.Greenlet] = []
+        clock, rng, log, metrics = (
+            around.clock,
+            around.rng,
+            around.log,
+            around.metrics,
+        )
+        shared = (cfg.vm.id, clock, rng, fleet.channel, fleet.shards, log, metrics)
+        self.limiter = FleetLimiter.from_options(cfg.limits, *shared)
+        self.health = HealthReporter.from_options(cfg.health, *shared)
+        self.placer = Placer.from_options(
+            cfg.placement,
+            cfg.vm.id,
+            cfg.vm.failure_domain,
+            clock,
+            rng,
+            self.health,
+            log,
+            metrics,
+        )
+        self.queue = FairQueue.from_options(cfg.queues, clock, log, metrics)
+        self.client = TargetClient.from_options(cfg.targets, clock, rng, log)
+        self.retries = RetryBudget.from_options(cfg.retries, clock)
+        dispatcher = Dispatcher(
+            cfg.proxy,
+            self.queue,
+            self.placer,
+            self.client,
+            self.health,
+            self.retries,
+            clock,
+            log,
+        )
+        self.pipeline = Pipeline(
+            cfg.proxy, self.limiter, dispatcher, availability, clock, log, metrics
+        )
+        self.server = CallerServer.from_options(
+            cfg.http, self.pipeline.handle, log, clock
+        )
+        fleet.shards.add_part(self.limiter)
+        fleet.shards.add_part(self.health)
+        fleet.holder.on_change(self._on_change)
+
+    def start(self) -> None:
+        """Listen to callers."""
+        self.health.start()
+        self._greenlets = [
+            gevent.spawn(self._repeat, SWEEP_S, self.client.sweep),
+            gevent.spawn(self._repeat, FLEET_SIZE_S, self._share_budgets),
+        ]
+        self.server.start()
+
+    def stop(self) -> None:
+        """Close what is left open."""
+        gevent.killall(self._greenlets)
+        self.server.stop()
+        self.health.stop()
+        self.client.close()
+
+    def _on_change(self, cfg: Config, changes: Changes) -> None:
+        self._cfg = cfg
+        for part in (self.limiter, self.health, self.placer, self.queue):
+            part.configure(cfg)
+        self._share_budgets()
+        # The routes come last, when everything behind them is ready.
+        self.pipeline.configure(cfg)
+
+    def _share_budgets(self) -> None:
+        vm_count = len(self._fleet.membership.live()) + 1
+        self.placer.set_fleet_size(vm_count)
+        self.client.apply(self._cfg, vm_count)
+
+    def _repeat(self, period_s: float, step) -> None:
+        while True:
+            self._clock.sleep(period_s)
+            step()
--- /dev/null
+++ b/lacewingpond/demo/fleet.py
@@ -0,0 +1,143 @@
+"""A stand-in platform, stand-in targets and daemons as greenlets of one process."""
+
+import os
+import random
+
+from lacewingpond.config.intents import Intent
+from lacewingpond.daemon.daemon import Daemon
+from lacewingpond.daemon.surroundings import Surroundings
+from lacewingpond.http.options import HttpOptions
+from lacewingpond.membership.options import MembershipOptions
+from lacewingpond.peers.options import PeerOptions
+from lacewingpond.settings.model import (
+    OperatorSettings,
+    SecretSettings,
+    Settings,
+    StopSettings,
+    VmSettings,
+)
+from lacewingpond.shards.options import ShardOptions
+from lacewingpond.standin.options import PlatformOptions, TargetOptions
+from lacewingpond.standin.platform import StandinPlatform
+from lacewingpond.standin.target import StandinTarget
+from lacewingpond.store.base import VmRecord
+from lacewingpond.store.options import StoreOptions
+from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import Clock
+
+SECRET_BYTES = 32
+DOMAINS = ("bagmati-a", "bagmati-b", "bagmati-c")
+QUICK_MEMBERSHIP = MembershipOptions(
+    list_interval_s=0.3, probe_interval_s=0.3, pull_interval_s=0.5
+)
+QUICK_SHARDS = ShardOptions(
+    shard_count=32, settle_s=0.5, step_s=0.2, refresh_s=0.5, pull_s=0.5
+)
+QUICK_STOP = StopSettings(balancer_notice_s=0.6, grace_s=10.0)
+
+
+class LocalFleet:
+    """Daemons and what is around them, all on loopback.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time of all parts.
+    seed : int
+        Seed of their random choices.
+    """
+
+    __slots__ = ("platform", "targets", "daemons", "logs", "_clock", "_rng", "_secret")
+
+    def __init__(self, clock: Clock, seed: int) -> None:
+        self._clock = clock
+        self._rng = random.Random(seed)
+        self._secret = os.urandom(SECRET_BYTES)
+        self.platform = StandinPlatform.from_options(PlatformOptions(), clock)
+        self.targets: dict[str, StandinTarget] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self.logs: dict[str, RecordingDecisionLog] = {}
+        self.platform.start()
+
+    def add_target(self, name: str, **options: object) -> StandinTarget:
+        """Start a target with the given faults."""
+        target = StandinTarget.from_options(
+            TargetOptions(name=name, **options), self._clock
+        )
+        target.start()
+        self.targets[name] = target
+        return target
+
+    def add_daemon(self, vm_id: str) -> Daemon:
+        """Build and start a daemon and let the platform list its VM."""
+        domain = DOMAINS[len(self.daemons) % len(DOMAINS)]
+        self.logs[vm_id] = RecordingDecisionLog()
+        around = Surroundings(
+            clock=self._clock,
+            rng=random.Random(self._rng.random()),
+            log=self.logs[vm_id],
+            metrics=CountingMetrics(),
+            fleet_secret=self._secret,
+            operator_token=self._secret.hex().encode(),
+        )
+        daemon = Daemon.from_settings(self._settings(vm_id, domain), around)
+        self.daemons[vm_id] = daemon
+        self.list_vms()
+        daemon.start()
+        return daemon
+
+    def list_vms(self) -> None:
+        """Let the platform list the VMs of all daemons."""
+        self.platform.vms.set(
+            tuple(
+                VmRecord(vm_id, daemon.peer_address, daemon.failure_domain)
+                for vm_id, daemon in self.daemons.items()
+            )
+        )
+
+    def wait_until(self, condition, timeout_s: float) -> float | None:
+        """Return the seconds until `condition` holds; None when it never did."""
+        started = self._clock.now()
+        while self._clock.now() - started <= timeout_s:
+            if condition():
+                return self._clock.now() - started
+            self._clock.sleep(0.02)
+        return None
+
+    def owns_all_shards(self) -> bool:
+        """Return whether each shard has exactly one owner."""
+        owned = [
+            shard
+            for daemon in self.daemons.values()
+            for shard in daemon.fleet.shards.owned_shards()
+        ]
+        return sorted(owned) == list(range(QUICK_SHARDS.shard_count))
+
+    def change(self, vm_id: str, *intents: Intent) -> int:
+        """Plan and confirm `intents` on one VM; return the new revision."""
+        service = self.daemons[vm_id].fleet.service
+        planned = service.plan(intents).unwrap()
+        return service.confirm(planned.plan_id).unwrap().revision
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for daemon in self.daemons.values():
+            daemon.close()
+        for target in self.targets.values():
+            target.stop()
+        self.platform.stop()
+
+    def _settings(self, vm_id: str, domain: str) -> Settings:
+        return Settings(
+            vm=VmSettings(vm_id, domain),
+            store=StoreOptions(address=self.platform.address),
+            fleet_secret=SecretSettings(),
+            operator_token=SecretSettings(),
+            http=HttpOptions(port=0),
+            membership=QUICK_MEMBERSHIP,
+            operators=OperatorSettings(port=0),
+            peers=PeerOptions(port=0),
+            shards=QUICK_SHARDS,
+            stop=QUICK_STOP,
+        )
--- a/lacewingpond/load/plan.py
+++ b/lacewingpond/load/plan.py
@@ -82,6 +82,8 @@
         ``host:port`` of stand-in targets whose counts are compared at the end.
     workspaces : tuple of WorkspaceLoad
         Who sends what.
+    balancer_check_path : str
+        Path by which daemons say whether they take requests; not asked when empty.
     duration_s : float
         Length of the run.
     max_requests : int
@@ -97,6 +99,7 @@
     daemons: tuple[str, ...]
     workspaces: tuple[WorkspaceLoad, ...]
     targets: tuple[str, ...] = ()
+    balancer_check_path: str = ""
     duration_s: float = 10.0
     max_requests: int = 100_000
     timeout_s: float = 10.0
--- a/lacewingpond/load/runner.py
+++ b/lacewingpond/load/runner.py
@@ -5,6 +5,7 @@
 import gevent
 from gevent.pool import Pool
 
+from lacewingpond.load.balancer import Balancer
 from lacewingpond.load.caller import REASON_LIMITED, Answer, Caller, Outcome
 from lacewingpond.load.plan import LoadPlan
 from lacewingpond.load.schedule import Arrival, schedule
@@ -31,7 +32,15 @@
         Takes one line of text each second.
     """
 
-    __slots__ = ("_plan", "_clock", "_progress", "_caller", "_tallies", "_answers")
+    __slots__ = (
+        "_plan",
+        "_clock",
+        "_progress",
+        "_caller",
+        "_balancer",
+        "_tallies",
+        "_answers",
+    )
 
     def __init__(
         self, plan: LoadPlan, clock: Clock, progress: Callable[[str], None]
@@ -40,6 +49,7 @@
         self._clock = clock
         self._progress = progress
         self._caller = Caller(plan.timeout_s, plan.seed)
+        self._balancer = Balancer(plan.daemons, plan.balancer_check_path, clock)
         self._tallies = {w.name: WorkspaceTally(w.name) for w in plan.workspaces}
         self._answers: list[tuple[Arrival, tuple[Answer, ...]]] = []
 
@@ -48,32 +58,29 @@
         arrivals = schedule(self._plan)
         started = self._clock.now()
         ticker = gevent.spawn(self._report_progress, started)
+        self._balancer.start()
         pool = Pool(MAX_CONCURRENT)
         for arrival in arrivals:
             self._clock.sleep(max(0.0, started + arrival.at - self._clock.now()))
             pool.spawn(self._one, arrival, started)
         pool.join()
         ticker.kill()
+        self._balancer.stop()
         return self._report(started)
 
     def _one(self, arrival: Arrival, started: float) -> None:
         tally = self._tallies[arrival.workspace.name]
         tally.sent += 1
-        answers = []
+        daemon = self._balancer.route(arrival.daemon)
         if arrival.abandons:
-            self._caller.send(arrival, arrival.daemon, ABANDON_AFTER_S)
-        answers.append(self._caller.send(arrival, arrival.daemon))
-        if arrival.repeats:
-            other = self._other_daemon(arrival)
-            answers.append(self._caller.send(arrival, other))
+            self._caller.send(arrival, daemon, ABANDON_AFTER_S)
+        answers = [self._caller.send(arrival, daemon)]
         tally.record_latency(self._clock.now() - started - arrival.at)
+        if arrival.repeats:
+            answers.append(self._caller.send(arrival, self._balancer.other(daemon)))
         _count(tally, answers[0])
         self._answers.append((arrival, tuple(answers)))
 
-    def _other_daemon(self, arrival: Arrival) -> str:
-        daemons = self._plan.daemons
-        return daemons[(daemons.index(arrival.daemon) + 1) % len(daemons)]
-
     def _report_progress(self, started: float) -> None:
         while True:
             self._clock.sleep(PROGRESS_PERIOD_S)
--- a/lacewingpond/membership/membership.py
+++ b/lacewingpond/membership/membership.py
@@ -168,6 +168,11 @@
         record = self._table.get(vm_id)
         return record is not None and record.status is not MemberStatus.GONE
 
+    def listed_count(self) -> int:
+        """Return how many other VMs the platform's list holds, as known here."""
+        mine = self.is_listed(self._vm.vm_id)
+        return self._table.listed - int(mine)
+
     def is_dropped(self) -> bool:
         """Return whether this VM was listed once and is missing from the list now."""
         record = self._table.get(self._vm.vm_id)
--- a/lacewingpond/membership/table.py
+++ b/lacewingpond/membership/table.py
@@ -33,6 +33,11 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    @property
+    def listed(self) -> int:
+        """Number of records of VMs that are not gone."""
+        return len(self._records) - len(self._gone_at)
+
     def get(self, vm_id: str) -> MemberRecord | None:
         """Return the record of `vm_id`, or None."""
         return self._records.get(vm_id)
--- /dev/null
+++ b/lacewingpond/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on how much retries add to the load."""
--- a/lacewingpond/settings/load.py
+++ b/lacewingpond/settings/load.py
@@ -6,12 +6,18 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+import msgspec
 from result import Err, Ok, Result
 
+from lacewingpond.health.options import HealthOptions
 from lacewingpond.settings.model import SecretSettings, Settings
 from lacewingpond.util.convert import convert_struct
 from lacewingpond.util.findings import Finding
 
+PROFILES = {
+    "certainty": HealthOptions.for_certainty(),
+    "speed": HealthOptions.for_speed(),
+}
 LOG_LEVELS = ("decisions", "changes", "none")
 MIN_SECRET_BYTES = 16
 
@@ -32,7 +38,8 @@
 ) -> Result[Settings, tuple[Finding, ...]]:
     """Turn parsed settings into `Settings`, or return all findings."""
     findings: list[Finding] = []
-    cfg = convert_struct(Settings, dict(data), place, findings)
+    filled = _fill_profile(dict(data), place, findings)
+    cfg = convert_struct(Settings, filled, place, findings)
     if cfg is not None:
         _check_addresses(cfg, place, findings)
         _check_log(cfg, place, findings)
@@ -71,14 +78,24 @@
     return host.strip("[]"), int(port)
 
 
+def _fill_profile(
+    data: dict[str, object], place: str, findings: list[Finding]
+) -> dict[str, object]:
+    """Put the profile's health options under those of the file."""
+    name = data.get("profile", "certainty")
+    base = PROFILES.get(name) if isinstance(name, str) else None
+    if base is None:
+        choices = ", ".join(PROFILES)
+        findings.append(Finding(f"{place}.profile", f"must be one of {choices}"))
+        return data
+    given = data.get("health", {})
+    if not isinstance(given, dict):
+        return data
+    return {**data, "health": {**msgspec.to_builtins(base), **given}}
+
+
 def _check_addresses(cfg: Settings, place: str, findings: list[Finding]) -> None:
-    wanted = {
-        "listen.callers": cfg.listen.callers,
-        "listen.peers": cfg.listen.peers,
-        "listen.operators": cfg.listen.operators,
-        "platform.store": cfg.platform.store,
-        "platform.vm_list": cfg.platform.vm_list or cfg.platform.store,
-    }
+    wanted = {"store.address": cfg.store.address}
     if cfg.metrics.statsd:
         wanted["metrics.statsd"] = cfg.metrics.statsd
     for key, text in wanted.items():
@@ -86,6 +103,16 @@
             parse_address(text)
         except ValueError as exc:
             findings.append(Finding(f"{place}.{key}", f"{text!r}: {exc}"))
+    hosts = {
+        "http.host": cfg.http.host,
+        "operators.host": cfg.operators.host,
+        "peers.host": cfg.peers.host,
+    }
+    for key, text in hosts.items():
+        try:
+            ipaddress.ip_address(text)
+        except ValueError:
+            findings.append(Finding(f"{place}.{key}", f"{text!r} is no IP number"))
 
 
 def _check_log(cfg: Settings, place: str, findings: list[Finding]) -> None:
--- a/lacewingpond/settings/model.py
+++ b/lacewingpond/settings/model.py
@@ -2,6 +2,20 @@
 
 from msgspec import Struct
 
+from lacewingpond.config.options import ConfigOptions
+from lacewingpond.health.options import HealthOptions
+from lacewingpond.http.options import HttpOptions
+from lacewingpond.limits.options import LimitOptions
+from lacewingpond.membership.options import MembershipOptions
+from lacewingpond.peers.options import PeerOptions
+from lacewingpond.placement.options import PlacementOptions
+from lacewingpond.proxy.options import ProxyOptions
+from lacewingpond.queues.options import QueueOptions
+from lacewingpond.retries.options import RetryOptions
+from lacewingpond.shards.options import ShardOptions
+from lacewingpond.store.options import StoreOptions
+from lacewingpond.targets.options import TargetOptions
+
 
 class VmSettings(Struct, frozen=True):
     """Who and where this VM is.
@@ -19,29 +33,6 @@
     region: str = ""
 
 
-class ListenSettings(Struct, frozen=True):
-    """Addresses to listen on, as ``host:port`` with an IP number; port 0 is any."""
-
-    callers: str = "127.0.0.1:8080"
-    peers: str = "127.0.0.1:8081"
-    operators: str = "127.0.0.1:8082"
-
-
-class PlatformSettings(Struct, frozen=True):
-    """Where the platform's services are.
-
-    Parameters
-    ----------
-    store : str
-        ``host:port`` of the key-value service.
-    vm_list : str
-        ``host:port`` of the VM list; the store's address when empty.
-    """
-
-    store: str
-    vm_list: str = ""
-
-
 class SecretSettings(Struct, frozen=True):
     """Where a secret comes from: a file, or a variable of the environment."""
 
@@ -83,13 +74,64 @@
     prefix: str = "lacewingpond"
 
 
+class OperatorSettings(Struct, frozen=True):
+    """Where operators are served, by IP number; port 0 takes a free one."""
+
+    host: str = "127.0.0.1"
+    port: int = 8082
+
+
+class StopSettings(Struct, frozen=True):
+    """Times of a planned stop.
+
+    Parameters
+    ----------
+    balancer_notice_s : float
+        How long requests are taken after the balancer's check fails, in seconds.
+    grace_s : float
+        Longest wait for running requests and for the hand-over of shards, in
+        seconds.
+    """
+
+    balancer_notice_s: float = 5.0
+    grace_s: float = 30.0
+
+
 class Settings(Struct, frozen=True):
-    """All settings of one daemon."""
+    """All settings of one daemon; each part of the daemon brings its options.
+
+    Parameters
+    ----------
+    vm : VmSettings
+        Who this VM is.
+    store : StoreOptions
+        The platform's key-value service and VM list.
+    fleet_secret, operator_token : SecretSettings
+        What VMs prove to each other, and operators to VMs.
+    profile : str
+        ``certainty`` weighs false ejections and wrongful refusals most, ``speed``
+        detection time and the worst-served workspace. The keys of ``health``
+        replace those of the profile.
+    """
 
     vm: VmSettings
-    platform: PlatformSettings
+    store: StoreOptions
     fleet_secret: SecretSettings
     operator_token: SecretSettings
-    listen: ListenSettings = ListenSettings()
+    profile: str = "certainty"
+    config: ConfigOptions = ConfigOptions()
+    health: HealthOptions = HealthOptions.for_certainty()
+    http: HttpOptions = HttpOptions()
+    limits: LimitOptions = LimitOptions()
     log: LogSettings = LogSettings()
+    membership: MembershipOptions = MembershipOptions()
     metrics: MetricsSettings = MetricsSettings()
+    operators: OperatorSettings = OperatorSettings()
+    peers: PeerOptions = PeerOptions()
+    placement: PlacementOptions = PlacementOptions()
+    proxy: ProxyOptions = ProxyOptions()
+    queues: QueueOptions = QueueOptions()
+    retries: RetryOptions = RetryOptions()
+    shards: ShardOptions = ShardOptions()
+    stop: StopSettings = StopSettings()
+    targets: TargetOptions = TargetOptions()
--- a/lacewingpond/shards/manager.py
+++ b/lacewingpond/shards/manager.py
@@ -138,6 +138,11 @@
         """Attempted writes of the table since the start."""
         return self._tables.writes
 
+    @property
+    def knows_table(self) -> bool:
+        """Whether this process has learned who owns the shards."""
+        return bool(self._book.table.rows)
+
     def owner(self, shard: int) -> Ownership | None:
         """Return the last known owner, or None."""
         row = self._book.table.rows.get(shard)
@@ -253,12 +258,11 @@
         reads = self._fleet.is_reader()
         interval_s = self._options.refresh_s if reads else self._options.pull_s
         self._refresh_at = now + interval_s * self._rng.uniform(0.8, 1.2)
-        if not reads:
-            self._spread.pull()
-            return
         before = self._book.table.version
-        self._book.read_fresh()
-        if self._book.table.version > before:
+        # While the store is away the other VMs still know the table.
+        if not reads or not isinstance(self._book.read_fresh(), Ok):
+            self._spread.pull()
+        elif self._book.table.version > before:
             self._spread.push(before)
 
     def _rebalance(self) -> None:
--- a/lacewingpond/ui/application.py
+++ b/lacewingpond/ui/application.py
@@ -10,9 +10,22 @@
 from lacewingpond.ui.commands.check import CheckCommand
 from lacewingpond.ui.commands.load import LoadCommand
 from lacewingpond.ui.commands.replay import ReplayCommand
+from lacewingpond.ui.commands.serve import ServeCommand
+from lacewingpond.ui.commands.standin import (
+    StandinPlatformCommand,
+    StandinTargetCommand,
+)
 from lacewingpond.util.errors import UserError
 
-COMMANDS = (BenchCommand, CheckCommand, LoadCommand, ReplayCommand)
+COMMANDS = (
+    BenchCommand,
+    CheckCommand,
+    LoadCommand,
+    ReplayCommand,
+    ServeCommand,
+    StandinPlatformCommand,
+    StandinTargetCommand,
+)
 USAGE_STATUS = 2
 
 
--- a/tests/settings/test_settings_load.py
+++ b/tests/settings/test_settings_load.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lacewingpond.health.options import HealthOptions
 from lacewingpond.settings.load import check_settings, load_settings, parse_address
 
 
@@ -11,7 +12,7 @@
     secret.write_text("0123456789abcdef0123\n")
     return {
         "vm": {"id": "vm-1", "failure_domain": "a"},
-        "platform": {"store": "127.0.0.1:9000"},
+        "store": {"address": "127.0.0.1:9000"},
         "fleet_secret": {"file": str(secret)},
         "operator_token": {"file": str(secret)},
     }
@@ -41,13 +42,16 @@
 def test_values_are_checked(data, tmp_path):
     short = tmp_path / "short"
     short.write_text("abc")
-    data["listen"] = {"callers": "localhost:80", "peers": "127.0.0.1:99999"}
+    data["store"] = {"address": "127.0.0.1:99999"}
+    data["http"] = {"host": "localhost"}
+    data["profile"] = "careless"
     data["log"] = {"level": "loud"}
     data["fleet_secret"] = {"variable": "LACEWINGPOND_TEST_UNSET"}
     data["operator_token"] = {"file": str(short)}
     assert places(check_settings(data, "s")) == {
-        "s.listen.callers",
-        "s.listen.peers",
+        "s.store.address",
+        "s.http.host",
+        "s.profile",
         "s.log.level",
         "s.fleet_secret.variable",
         "s.operator_token",
@@ -65,3 +69,11 @@
 def test_bad_addresses_are_refused(text):
     with pytest.raises(ValueError):
         parse_address(text)
+
+
+def test_health_keys_replace_those_of_the_profile(data):
+    data["profile"] = "speed"
+    data["health"] = {"threshold": 99.0}
+    health = check_settings(data, "s").unwrap().health
+    assert health.threshold == 99.0
+    assert health.period_s == HealthOptions.for_speed().period_s
