Count failed calls in the latency benchmark and measure in paired rounds

A call that was refused raised in its own greenlet and was missing from the histogram without a word. Short rounds, direct and then through the proxy, keep a burst of other work on the machine from deciding the difference.

--- a/lacewingpond/bench/caller.py
+++ b/lacewingpond/bench/caller.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.pool import Pool
 from hdrh.histogram import HdrHistogram
+from msgspec import Struct
 
 from lacewingpond.util.clock import Clock
 
@@ -19,6 +20,29 @@
 _LENGTH = b"content-length: "
 
 
+class LoopResult(Struct, frozen=True):
+    """What came of an open loop.
+
+    Parameters
+    ----------
+    histogram : HdrHistogram
+        Latencies of the requests that were answered, in microseconds.
+    failed : int
+        Requests that were refused or cut.
+    """
+
+    histogram: HdrHistogram
+    failed: int
+
+    def percentile_ms(self, percent: float) -> float:
+        """Return a latency in milliseconds."""
+        return self.histogram.get_value_at_percentile(percent) / MICROSECONDS * 1e3
+
+
+class FailedCallError(Exception):
+    """A call was not answered with 200."""
+
+
 class BenchCaller:
     """Sends the same request over connections that it keeps.
 
@@ -41,10 +65,20 @@
         self._free: deque[socket.socket] = deque()
 
     def call(self) -> None:
-        """Send one request and read its whole answer."""
+        """Send one request and read its whole answer.
+
+        Raises
+        ------
+        FailedCallError, OSError
+            When the answer is not 200, or does not come whole.
+        """
         sock = self._free.pop() if self._free else self.connect()
-        sock.sendall(self._raw)
-        _read_answer(sock)
+        try:
+            sock.sendall(self._raw)
+            read_answer(sock)
+        except BaseException:
+            sock.close()
+            raise
         self._free.append(sock)
 
     def connect(self) -> socket.socket:
@@ -53,7 +87,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
 
-    def open_loop(self, rate: float, count: int, rng: random.Random) -> HdrHistogram:
+    def open_loop(self, rate: float, count: int, rng: random.Random) -> LoopResult:
         """Send `count` requests at random times, whether answers come or not.
 
         Latencies count from the time at which a request was due, so that a stall
@@ -67,11 +101,6 @@
             Requests.
         rng : random.Random
             Draws the times between requests.
-
-        Returns
-        -------
-        HdrHistogram
-            Latencies in microseconds.
         """
         histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
         jobs = Pool()
@@ -80,8 +109,8 @@
             due += rng.expovariate(rate)
             self._clock.sleep(max(due - self._clock.now(), 0.0))
             jobs.spawn(self._timed_call, due, histogram)
-        jobs.join(raise_error=True)
-        return histogram
+        jobs.join()
+        return LoopResult(histogram, count - histogram.get_total_count())
 
     def closed_loop(self, callers: int, count: int) -> None:
         """Send `count` requests, `callers` at a time, as fast as they are answered."""
@@ -95,7 +124,11 @@
             self._free.pop().close()
 
     def _timed_call(self, due: float, histogram: HdrHistogram) -> None:
-        self.call()
+        try:
+            self.call()
+        except (FailedCallError, OSError):
+            # The request is missing from the histogram and so counts as failed.
+            return
         taken_us = (self._clock.now() - due) * MICROSECONDS
         histogram.record_value(max(int(taken_us), LOWEST_US))
 
@@ -104,13 +137,14 @@
             self.call()
 
 
-def _read_answer(sock: socket.socket) -> None:
+def read_answer(sock: socket.socket) -> None:
+    """Read one answer whole; raises unless its status is 200."""
     data = b""
     while _HEAD_END not in data:
         data += _receive(sock)
     head, _, body = data.partition(_HEAD_END)
     if not head.startswith(b"HTTP/1.1 200 "):
-        raise RuntimeError(f"unexpected answer: {head[:80]!r}")
+        raise FailedCallError(head[:80].decode("latin-1"))
     length = int(head.lower().partition(_LENGTH)[2].split(b"\r\n")[0])
     left = length - len(body)
     while left > 0:
--- a/lacewingpond/bench/latency.py
+++ b/lacewingpond/bench/latency.py
@@ -2,15 +2,15 @@
 
 import gc
 import random
+import statistics
 import time
 from collections.abc import Callable
 from pathlib import Path
 from resource import getpagesize
 
-from hdrh.histogram import HdrHistogram
 from msgspec import Struct
 
-from lacewingpond.bench.caller import BenchCaller
+from lacewingpond.bench.caller import BenchCaller, LoopResult, read_answer
 from lacewingpond.bench.series import Point, Series
 from lacewingpond.config.model import Target
 from lacewingpond.http.options import HttpOptions
@@ -25,15 +25,15 @@
 from lacewingpond.util.clock import RuntimeClock
 
 RATES_PER_S = (125, 250, 500, 750, 1_000)
-REQUESTS_PER_RATE = 2_000
+ROUNDS = 7
+REQUESTS_PER_ROUND = 400
 ANSWER_BYTES = 1_024
 DEADLINE_S = 10.0
-TARGET_CONNECTIONS = 64
+TARGET_CONNECTIONS = 512
 CLOSED_LOOP_CALLERS = (1, 4, 16, 32)
 CLOSED_LOOP_REQUESTS = 3_200
 HELD_CONNECTIONS = (250, 500, 1_000, 2_000)
 WARM_UP_REQUESTS = 200
-MILLISECONDS_PER_US = 1e-3
 MICROSECONDS = 1e6
 REQUEST = b"GET /plans/7 HTTP/1.1\r\nHost: bench\r\nX-Api-Key: key\r\n\r\n"
 
@@ -95,27 +95,57 @@
     through = BenchCaller(servers.proxy.port, REQUEST, clock)
     for caller in (direct, through):
         caller.closed_loop(4, WARM_UP_REQUESTS)
-    plain, proxied = [], []
-    for rate in RATES_PER_S:
-        plain.append(direct.open_loop(rate, REQUESTS_PER_RATE, rng))
-        proxied.append(through.open_loop(rate, REQUESTS_PER_RATE, rng))
+    pairs = [_Pairs.measure(direct, through, rate, rng) for rate in RATES_PER_S]
     direct.close()
     through.close()
-    return tuple(
-        _percentile_series(percent, variant, histograms)
-        for percent in (50.0, 99.0)
-        for variant, histograms in (("direct", plain), ("current", proxied))
+    return (
+        _rate_series("latency p50", "direct", [p.direct_ms(50.0) for p in pairs]),
+        _rate_series("latency p99", "direct", [p.direct_ms(99.0) for p in pairs]),
+        _rate_series("added p50", "current", [p.added_ms(50.0) for p in pairs]),
+        _rate_series("added p99", "current", [p.added_ms(99.0) for p in pairs]),
+        _rate_series("failed", "current", [p.failed for p in pairs], "requests"),
     )
 
 
-def _percentile_series(
-    percent: float, variant: str, histograms: list[HdrHistogram]
+class _Pairs(Struct, frozen=True):
+    """Rounds at one rate, each direct and then through the proxy."""
+
+    direct: tuple[LoopResult, ...]
+    through: tuple[LoopResult, ...]
+
+    @classmethod
+    def measure(
+        cls, direct: BenchCaller, through: BenchCaller, rate: float, rng: random.Random
+    ) -> "_Pairs":
+        """Run the rounds one after the other."""
+        plain, proxied = [], []
+        for _ in range(ROUNDS):
+            plain.append(direct.open_loop(rate, REQUESTS_PER_ROUND, rng))
+            proxied.append(through.open_loop(rate, REQUESTS_PER_ROUND, rng))
+        return cls(tuple(plain), tuple(proxied))
+
+    @property
+    def failed(self) -> int:
+        """Requests without an answer, in all rounds."""
+        return sum(result.failed for result in (*self.direct, *self.through))
+
+    def direct_ms(self, percent: float) -> float:
+        """Return the median round's latency of direct calls."""
+        return statistics.median(r.percentile_ms(percent) for r in self.direct)
+
+    def added_ms(self, percent: float) -> float:
+        """Return the median round's difference."""
+        return statistics.median(
+            through.percentile_ms(percent) - direct.percentile_ms(percent)
+            for direct, through in zip(self.direct, self.through, strict=True)
+        )
+
+
+def _rate_series(
+    name: str, variant: str, values: list[float], unit: str = "ms"
 ) -> Series:
-    points = tuple(
-        Point(rate, histogram.get_value_at_percentile(percent) * MILLISECONDS_PER_US)
-        for rate, histogram in zip(RATES_PER_S, histograms, strict=True)
-    )
-    return Series(f"latency p{percent:g}", variant, "requests/s", "ms", points)
+    points = zip(RATES_PER_S, values, strict=True)
+    return Series(name, variant, "requests/s", unit, tuple(Point(*p) for p in points))
 
 
 def _processor_series(servers: _Servers) -> Series:
@@ -148,7 +178,8 @@
         while len(held) < count:
             held.append(caller.connect())
             # One request on it makes all that a held connection keeps.
-            _call_on(held[-1])
+            held[-1].sendall(REQUEST)
+            read_answer(held[-1])
         gc.collect()
         points.append(Point(count, _resident_bytes() - before))
     for sock in held:
@@ -158,13 +189,6 @@
     )
 
 
-def _call_on(sock) -> None:
-    sock.sendall(REQUEST)
-    received = 0
-    while received < ANSWER_BYTES:
-        received += len(sock.recv(65_536))
-
-
 def _resident_bytes() -> int:
     pages = Path("/proc/self/statm").read_text().split()[1]
     return int(pages) * getpagesize()
--- a/tests/bench/test_bench_path.py
+++ b/tests/bench/test_bench_path.py
@@ -45,8 +45,10 @@
 
 
 def test_open_loop_counts_every_request():
-    with caller_server(lambda req: Response(200, body=b"x" * 100_000)) as server:
+    answers = iter([Response(503)] * 5 + [Response(200, body=b"x" * 100_000)] * 45)
+    with caller_server(lambda req: next(answers)) as server:
         caller = BenchCaller(server.port, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", CLOCK)
-        histogram = caller.open_loop(2_000.0, 50, random.Random(1))
+        result = caller.open_loop(2_000.0, 50, random.Random(1))
         caller.close()
-    assert histogram.get_total_count() == 50
+    assert result.histogram.get_total_count() == 45
+    assert result.failed == 5
