Look through the bytes of a head only once

A caller that sends byte by byte made the server search the whole head again for each byte. Property test: any bytes give a head or a fault.

--- a/lacewingpond/http/reader.py
+++ b/lacewingpond/http/reader.py
@@ -54,16 +54,21 @@
         if not self._buffer and not self._receive_first():
             return Err(CALLER_GONE)
         deadline = self._clock.now() + self._options.head_timeout_s
+        checked = 0
         while True:
-            # One empty line before a request is allowed by RFC 9112, section 2.2.
-            buffer = self._buffer.removeprefix(b"\r\n")
-            end = buffer.find(_HEAD_END)
-            fault = self._head_fault(buffer, end)
+            if checked == 0:
+                # RFC 9112, section 2.2, allows an empty line before a request.
+                self._buffer = self._buffer.removeprefix(b"\r\n")
+            end = self._buffer.find(_HEAD_END, checked)
+            fault = self._head_fault(end, checked)
             if fault is not None:
                 return Err(fault)
             if end >= 0:
-                self._buffer = buffer[end + len(_HEAD_END) :]
-                return Ok(buffer[:end])
+                head = self._buffer[:end]
+                self._buffer = self._buffer[end + len(_HEAD_END) :]
+                return Ok(head)
+            # What was looked through is not looked through again for each byte.
+            checked = max(len(self._buffer) - len(_HEAD_END), 0)
             remaining = deadline - self._clock.now()
             more = self._receive(remaining) if remaining > 0 else None
             if more is None:
@@ -142,12 +147,12 @@
             return False
         return self._body_bytes < self._waited_s * self._options.min_body_bytes_per_s
 
-    def _head_fault(self, buffer: bytes, end: int) -> HeadError | None:
-        head = buffer if end < 0 else buffer[: end + 2]
-        if _BARE_LINE_END.search(head):
+    def _head_fault(self, end: int, checked: int) -> HeadError | None:
+        size = len(self._buffer) if end < 0 else end + 2
+        if _BARE_LINE_END.search(self._buffer, checked, size):
             return HeadError(400, "bare-line-end", "Lines must end with CR LF.")
-        if len(head) <= self._options.max_head_bytes:
+        if size <= self._options.max_head_bytes:
             return None
-        if head.find(b"\r\n", 0, self._options.max_request_line_bytes + 2) < 0:
+        if self._buffer.find(b"\r\n", 0, self._options.max_request_line_bytes + 2) < 0:
             return HeadError(414, "uri-too-long", "The request line is too long.")
         return HeadError(431, "head-too-large", "The header fields are too large.")
--- a/tests/http/test_request_head.py
+++ b/tests/http/test_request_head.py
@@ -1,7 +1,9 @@
 """Tests of heads that two parsers could read in two ways."""
 
 import pytest
-from path_helper import caller_server, exchange, status_of
+from hypothesis import given
+from hypothesis import strategies as st
+from path_helper import caller_server, connect, exchange, read_all, status_of
 
 from lacewingpond.http.head import parse_head
 from lacewingpond.http.options import HttpOptions
@@ -97,3 +99,37 @@
 def test_long_run_of_spaces_in_a_value_is_kept_cheaply():
     raw = b"GET / HTTP/1.1\r\nHost: a\r\nX: a" + b" " * 30_000 + b"b"
     assert len(parse_head(raw, HttpOptions()).ok().headers.get("X")) == 30_002
+
+
+PIECES = st.sampled_from(
+    [b"GET", b" ", b"/", b"HTTP/1.1", b"\r\n", b"Host", b":", b"a", b"Content-Length"]
+    + [b"Transfer-Encoding", b"chunked", b"5", b",", b"\t", b"\xff", b"http://", b"["]
+)
+
+
+@given(st.lists(PIECES | st.binary(max_size=3), max_size=40).map(b"".join))
+def test_any_bytes_give_a_head_or_a_fault(raw):
+    result = parse_head(raw, HttpOptions())
+    if result.is_err():
+        assert result.err().status in {400, 414, 431, 501, 505}
+    else:
+        assert result.ok().path[0] in "/*"
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"\r\nGET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 200),
+        (b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 200),
+        (b"GET /a HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n", 400),
+    ],
+)
+def test_head_that_comes_byte_by_byte(raw, status):
+    def handler(req):
+        return Response(200)
+
+    with caller_server(handler) as server, connect(server.port) as sock:
+        for byte in raw:
+            sock.sendall(bytes((byte,)))
+        assert status_of(read_all(sock)) == status
