--- a/lacewingpond/membership/membership.py
+++ b/lacewingpond/membership/membership.py
@@ -168,6 +168,13 @@
         record = self._table.get(vm_id)
         return record is not None and record.status is not MemberStatus.GONE
 
+    def listed_count(self) -> int:
+        """Return how many other VMs the platform lists, reachable or not."""
+        return sum(
+            record.status is not MemberStatus.GONE and record.vm_id != self._vm.vm_id
+            for record in self._table.records()
+        )
+
     def is_dropped(self) -> bool:
         """Return whether this VM was listed once and is missing from the list now."""
         record = self._table.get(self._vm.vm_id)
