Check the isolation rule once a second, not on each request

Each request on a route that needs a key asks whether this VM is isolated, and listing all live VMs for it would cost more than the request in a large fleet. The neighbours are chosen anew every 2 s for the same reason. A process that was paused finds its verdict too old and checks again before its first request.

--- a/lacewingpond/config/isolation.py
+++ b/lacewingpond/config/isolation.py
@@ -6,6 +6,10 @@
 from lacewingpond.config.options import ConfigOptions
 from lacewingpond.membership.base import MembershipView
 from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+
+CHECK_PERIOD_S = 1.0
+"""How long a verdict is used; each request asks for it."""
 
 
 class IsolationRule:
@@ -25,11 +29,14 @@
         Returns how many other VMs the platform's list held when last read.
     options : ConfigOptions
         Bounds.
+    clock : Clock
+        Times the verdict.
     log : DecisionLog
         Takes a line when the verdict changes.
     """
 
-    __slots__ = ("_contacts", "_membership", "_listed", "_options", "_log", "_was")
+    __slots__ = ("_contacts", "_membership", "_listed", "_options", "_clock", "_log")
+    __slots__ += ("_why", "_checked_at")
 
     def __init__(
         self,
@@ -37,27 +44,37 @@
         membership: MembershipView,
         listed: Callable[[], int],
         options: ConfigOptions,
+        clock: Clock,
         log: DecisionLog,
     ) -> None:
         self._contacts = contacts
         self._membership = membership
         self._listed = listed
         self._options = options
+        self._clock = clock
         self._log = log
-        self._was = ""
+        self._why = ""
+        self._checked_at = float("-inf")
 
     def is_isolated(self) -> bool:
         """Return whether routes that need a key must be refused here."""
+        now = self._clock.now()
+        if now - self._checked_at >= CHECK_PERIOD_S:
+            self._checked_at = now
+            self._check()
+        return bool(self._why)
+
+    def _check(self) -> None:
         why = self._reason()
-        if why != self._was:
-            self._log.decision(
-                "config-isolation",
-                "isolated" if why else "connected",
-                why or "the store or enough VMs are heard again",
-                store_age_s=round(self._contacts.store_age_s(), 1),
-            )
-            self._was = why
-        return bool(why)
+        if why == self._why:
+            return
+        self._why = why
+        self._log.decision(
+            "config-isolation",
+            "isolated" if why else "connected",
+            why or "the store or enough VMs are heard again",
+            store_age_s=round(self._contacts.store_age_s(), 1),
+        )
 
     def _reason(self) -> str:
         listed = self._listed()
--- a/lacewingpond/config/options.py
+++ b/lacewingpond/config/options.py
@@ -20,6 +20,8 @@
         Bounds of the random, doubling pause after the store failed.
     neighbours_in_domain, neighbours_elsewhere : int
         VMs that this one exchanges revisions with.
+    neighbours_period_s : float
+        How often those are chosen anew from the live VMs.
     pull_period_s : float
         How often it asks one of them for news.
     pull_timeout_s : float
@@ -45,6 +47,7 @@
     retry_max_s: float = 2.0
     neighbours_in_domain: int = 3
     neighbours_elsewhere: int = 2
+    neighbours_period_s: float = 2.0
     pull_period_s: float = 1.0
     pull_timeout_s: float = 1.0
     lonely_after_s: float = 4.0
--- a/lacewingpond/config/spread.py
+++ b/lacewingpond/config/spread.py
@@ -70,7 +70,15 @@
 
     __slots__ = ("contacts", "isolation", "_holder", "_channel", "_membership")
     __slots__ += ("_options", "_clock", "_rng", "_log", "_metrics", "_neighbours")
-    __slots__ += ("_server", "_watch", "_turn", "_behind", "_wake", "_greenlets")
+    __slots__ += (
+        "_server",
+        "_watch",
+        "_chosen_at",
+        "_turn",
+        "_behind",
+        "_wake",
+        "_greenlets",
+    )
 
     def __init__(
         self,
@@ -87,7 +95,9 @@
         metrics: Metrics,
     ) -> None:
         self.contacts = Contacts(clock)
-        self.isolation = IsolationRule(self.contacts, membership, listed, options, log)
+        self.isolation = IsolationRule(
+            self.contacts, membership, listed, options, clock, log
+        )
         self._holder = holder
         self._channel = channel
         self._membership = membership
@@ -109,6 +119,7 @@
             log,
             metrics,
         )
+        self._chosen_at = float("-inf")
         self._turn = 0
         self._behind: str | None = None
         self._wake = Event()
@@ -160,7 +171,7 @@
 
     def watch_once(self) -> None:
         """Wait once for the store, or a while for a reason to watch it."""
-        self._neighbours.update(self._membership.live())
+        self._update_neighbours()
         if self._neighbours.watches or self._is_lonely():
             self._watch.step()
         else:
@@ -168,7 +179,7 @@
 
     def pull_once(self) -> None:
         """Ask one VM for news, first of all one that is known to have some."""
-        self._neighbours.update(self._membership.live())
+        self._update_neighbours()
         vm_id = self._next_vm()
         if vm_id is None:
             return
@@ -194,6 +205,14 @@
             if wait_for(self._wake, self._clock, varied_s):
                 self._wake.clear()
 
+    def _update_neighbours(self) -> None:
+        now = self._clock.now()
+        fresh = now - self._chosen_at < self._options.neighbours_period_s
+        if fresh and self._neighbours.chosen:
+            return
+        self._chosen_at = now
+        self._neighbours.update(self._membership.live())
+
     def _is_lonely(self) -> bool:
         return self.contacts.peer_age_s() >= self._options.lonely_after_s
 
--- a/tests/config/test_config_spread.py
+++ b/tests/config/test_config_spread.py
@@ -226,9 +226,9 @@
 
 
 def test_lone_vm_is_never_isolated(clock):
-    rule = IsolationRule(
-        Contacts(clock), Others(()), lambda: 0, ConfigOptions(), RecordingDecisionLog()
-    )
+    log = RecordingDecisionLog()
+    alone = (Contacts(clock), Others(()), lambda: 0, ConfigOptions(), clock, log)
+    rule = IsolationRule(*alone)
     clock.advance(3_600.0)
     assert not rule.is_isolated()
 
