--- a/lacewingpond/placement/options.py
+++ b/lacewingpond/placement/options.py
@@ -12,6 +12,8 @@
         VMs of the fleet until membership says otherwise.
     subset_size : int
         Targets of a service that one VM uses.
+    choices : int
+        Targets of the subset that are drawn and compared for each request.
     home_share : float
         Part of the subset that comes from the VM's own failure domain.
     home_penalty : float
@@ -23,6 +25,7 @@
 
     fleet_size: int = 40
     subset_size: int = 16
+    choices: int = 5
     home_share: float = 0.75
-    home_penalty: float = 0.15
-    load_half_life_s: float = 0.5
+    home_penalty: float = 0.05
+    load_half_life_s: float = 0.1
--- a/lacewingpond/placement/placer.py
+++ b/lacewingpond/placement/placer.py
@@ -30,7 +30,7 @@
 
 
 class Placer:
-    """Power of two choices on known load, among targets that may take work.
+    """The least loaded of a few drawn targets, among those that may take work.
 
     Source: Mitzenmacher, "The power of two choices in randomized load
     balancing", IEEE Transactions on Parallel and Distributed Systems, 2001.
@@ -167,9 +167,12 @@
         load = known.load(candidates[first].target.target_id)
         if len(candidates) == 1:
             return load
-        second = self._draw(candidates, passed_over=first)
-        other = known.load(candidates[second].target.target_id)
-        return min(load, other, key=self._cost)
+        for _ in range(self._options.choices - 1):
+            index = self._draw(candidates, passed_over=first)
+            other = known.load(candidates[index].target.target_id)
+            if self._cost(known, other) < self._cost(known, load):
+                load = other
+        return load
 
     def _draw(
         self, candidates: tuple[Candidate, ...], passed_over: int | None = None
@@ -185,8 +188,13 @@
         indices = [i for i in range(len(candidates)) if i != passed_over]
         return max(indices, key=lambda i: candidates[i].weight)
 
-    def _cost(self, load: TargetLoad) -> float:
-        cost = load.pressure(self._clock.now(), self._options.load_half_life_s)
+    def _cost(self, known: ServiceTargets, load: TargetLoad) -> float:
+        cost = load.pressure(
+            self._clock.now(),
+            self._options.load_half_life_s,
+            known.usual_others,
+            known.usual_s,
+        )
         if load.target.failure_domain != self._home:
             cost += self._options.home_penalty
         return cost
@@ -194,16 +202,18 @@
     def _place(self, known: ServiceTargets, load: TargetLoad) -> Placement:
         load.in_flight += 1
         target = load.target
+        placed_at = self._clock.now()
 
         def on_done(reported: float | None) -> None:
             load.in_flight -= 1
             if reported is not None:
-                load.report(self._clock.now(), reported)
+                now = self._clock.now()
+                known.report(now, load, reported, now - placed_at)
 
         self._log.decision(
             "place",
             target.target_id,
-            "less loaded of two",
+            "least loaded of the drawn",
             service=known.service.name,
             in_flight=load.in_flight,
         )
--- a/lacewingpond/placement/service_targets.py
+++ b/lacewingpond/placement/service_targets.py
@@ -5,6 +5,9 @@
 from lacewingpond.placement.subset import subset_of
 from lacewingpond.placement.target_load import TargetLoad
 
+USUAL_WEIGHT = 0.02
+"""Weight of one answer in what is usual for the service."""
+
 
 class ServiceTargets:
     """The VM's subset of the targets, and their loads.
@@ -23,6 +26,8 @@
         "service",
         "subset",
         "least_slots",
+        "usual_others",
+        "usual_s",
         "_loads",
         "_options",
         "_vm_id",
@@ -40,6 +45,8 @@
         self._vm_id = vm_id
         self._home = failure_domain
         self._loads: dict[str, TargetLoad] = {}
+        self.usual_others = 0.0
+        self.usual_s = 0.0
         self.configure(service)
 
     def configure(self, service: Service) -> None:
@@ -61,6 +68,16 @@
         """Return the load of a target of the subset."""
         return self._loads[target_id]
 
+    def report(
+        self, now: float, target: TargetLoad, load: float, latency_s: float
+    ) -> None:
+        """Learn from the load and the latency of one answer."""
+        others = target.report(now, load, latency_s)
+        self.usual_others += USUAL_WEIGHT * (others - self.usual_others)
+        if not self.usual_s:
+            self.usual_s = latency_s
+        self.usual_s += USUAL_WEIGHT * (latency_s - self.usual_s)
+
     def connection_share(self, fleet_size: int) -> int:
         """Return the connections that this VM may hold to one target."""
         users = fleet_size
--- a/lacewingpond/placement/target_load.py
+++ b/lacewingpond/placement/target_load.py
@@ -2,12 +2,14 @@
 
 from lacewingpond.config.model import Target
 
-NEGLIGIBLE_LOAD = 0.05
-"""Reported requests in work below which a target counts as idle."""
+LATENCY_WEIGHT = 0.15
+"""Weight of one answer in the target's latency."""
+TRUSTED_LATENCY_RATIO = 1.5
+"""Latency beside the usual one from which a reported load is not trusted."""
 
 
 class TargetLoad:
-    """Local requests in flight, and the load that the target last reported.
+    """Local requests in flight, the load last reported, and recent latency.
 
     Parameters
     ----------
@@ -15,27 +17,61 @@
         The target as configured.
     """
 
-    __slots__ = ("target", "in_flight", "_reported", "_reported_at")
+    __slots__ = ("target", "in_flight", "latency_s", "_others", "_reported_at")
 
     def __init__(self, target: Target) -> None:
         self.target = target
         self.in_flight = 0
-        self._reported = 0.0
-        self._reported_at = 0.0
+        self.latency_s = 0.0
+        self._others = 0.0
+        self._reported_at = float("-inf")
 
-    def report(self, now: float, load: float) -> None:
-        """Keep a load that came with an answer, in requests in work.
+    def report(self, now: float, load: float, latency_s: float) -> float:
+        """Keep what came with an answer.
 
-        The load counts this VM's own requests too, so those still in flight are
-        taken off; `pressure` adds them again.
+        Parameters
+        ----------
+        now : float
+            Seconds of the clock.
+        load : float
+            Requests in work at the target, those of this VM among them.
+        latency_s : float
+            How long the answer took, in seconds.
+
+        Returns
+        -------
+        float
+            Requests of other VMs in work at the target.
         """
-        self._reported = max(load - self.in_flight, 0.0)
+        self._others = max(load - self.in_flight, 0.0)
         self._reported_at = now
+        if not self.latency_s:
+            self.latency_s = latency_s
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+        return self._others
+
+    def pressure(
+        self, now: float, half_life_s: float, usual_others: float, usual_s: float
+    ) -> float:
+        """Return the expected share of the target's slots in use.
 
-    def pressure(self, now: float, half_life_s: float) -> float:
-        """Return the expected share of the target's slots in use."""
-        age_s = now - self._reported_at
-        others = self._reported * 0.5 ** (age_s / half_life_s)
-        if others < NEGLIGIBLE_LOAD:
-            others = 0.0
-        return (self.in_flight + others) / max(self.target.slots, 1)
+        As a report grows old, the expectation goes back to what is usual for the
+        service. A report that the latency belies gives way to the latency.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the clock.
+        half_life_s : float
+            Age at which a report counts half, in seconds.
+        usual_others : float
+            Usual number of requests of other VMs at a target.
+        usual_s : float
+            Usual latency of the service, in seconds.
+        """
+        share = 0.5 ** ((now - self._reported_at) / half_life_s)
+        others = usual_others + share * (self._others - usual_others)
+        used = (self.in_flight + others) / max(self.target.slots, 1)
+        if self.latency_s > TRUSTED_LATENCY_RATIO * usual_s > 0.0:
+            used = max(used, self.latency_s / usual_s)
+        return used
