--- a/lacewingpond/ui/application.py
+++ b/lacewingpond/ui/application.py
@@ -8,23 +8,40 @@
 from lacewingpond import __version__
 from lacewingpond.ui.commands.bench import BenchCommand
 from lacewingpond.ui.commands.check import CheckCommand
+from lacewingpond.ui.commands.confirm import ConfirmCommand
+from lacewingpond.ui.commands.key import KeyGrantCommand, KeyWithdrawCommand
 from lacewingpond.ui.commands.load import LoadCommand
+from lacewingpond.ui.commands.plan import PlanCommand
 from lacewingpond.ui.commands.replay import ReplayCommand
 from lacewingpond.ui.commands.serve import ServeCommand
+from lacewingpond.ui.commands.show import ShowCommand
 from lacewingpond.ui.commands.standin import (
     StandinPlatformCommand,
     StandinTargetCommand,
 )
+from lacewingpond.ui.commands.status import StatusCommand
+from lacewingpond.ui.commands.workspace import (
+    WorkspacePutCommand,
+    WorkspaceRemoveCommand,
+)
 from lacewingpond.util.errors import UserError
 
 COMMANDS = (
     BenchCommand,
     CheckCommand,
+    ConfirmCommand,
+    KeyGrantCommand,
+    KeyWithdrawCommand,
     LoadCommand,
+    PlanCommand,
     ReplayCommand,
     ServeCommand,
+    ShowCommand,
     StandinPlatformCommand,
     StandinTargetCommand,
+    StatusCommand,
+    WorkspacePutCommand,
+    WorkspaceRemoveCommand,
 )
 USAGE_STATUS = 2
 
