--- a/lacewingpond/queues/fair_order.py
+++ b/lacewingpond/queues/fair_order.py
@@ -1,23 +1,46 @@
-"""Deficit round robin over workspaces.
+"""Weighted fair order over workspaces, by deadline within each.
 
-Source: Shreedhar and Varghese, "Efficient fair queueing using deficit round
-robin", SIGCOMM 1995. All requests cost the same, so that the deficit is always
-spent and one request is taken from each workspace in turn.
+Source of the fair part: Goyal, Vin and Cheng, "Start-time fair queueing",
+SIGCOMM 1996, with all requests of the same length.
 """
 
-from collections import OrderedDict, deque
-from collections.abc import Iterator
+import heapq
+import itertools
+from collections.abc import Callable, Iterator
 
+from lacewingpond.queues.line import Line
 from lacewingpond.queues.ticket import Ticket
 
+MAX_FINISHED = 1024
+"""Workspaces without waiting requests whose last virtual time is kept."""
+
 
 class FairOrder:
-    """Takes one request of each waiting workspace in turn."""
+    """Takes requests of each waiting workspace in proportion to its weight.
+
+    Parameters
+    ----------
+    weight_of : callable
+        Returns the weight, above 0, of a workspace.
+    """
 
-    __slots__ = ("_queues", "_size")
+    __slots__ = (
+        "_weight_of",
+        "_lines",
+        "_heap",
+        "_order",
+        "_now",
+        "_finished",
+        "_size",
+    )
 
-    def __init__(self) -> None:
-        self._queues: OrderedDict[str, deque[Ticket]] = OrderedDict()
+    def __init__(self, weight_of: Callable[[str], float]) -> None:
+        self._weight_of = weight_of
+        self._lines: dict[str, Line] = {}
+        self._heap: list[tuple[float, int, str]] = []
+        self._order = itertools.count()
+        self._now = 0.0
+        self._finished: dict[str, float] = {}
         self._size = 0
 
     def __len__(self) -> int:
@@ -26,51 +49,82 @@
 
     def __iter__(self) -> Iterator[Ticket]:
         """Iterate over all waiting tickets, workspace by workspace."""
-        for queue in self._queues.values():
-            yield from queue
+        for line in self._lines.values():
+            yield from line.tickets
 
     def push(self, ticket: Ticket) -> None:
-        """Add a ticket behind those of its workspace."""
-        queue = self._queues.get(ticket.workspace)
-        if queue is None:
-            queue = self._queues[ticket.workspace] = deque()
-        queue.append(ticket)
+        """Add a ticket to its workspace."""
+        line = self._lines.get(ticket.workspace)
+        if line is None:
+            start = max(self._now, self._finished.pop(ticket.workspace, 0.0))
+            line = Line(self._weight_of(ticket.workspace), start)
+            self._lines[ticket.workspace] = line
+            self._enlist(ticket.workspace, line)
+        line.push(ticket)
         self._size += 1
 
     def pop(self) -> Ticket:
-        """Remove and return the first ticket of the workspace whose turn it is."""
-        workspace, queue = self._queues.popitem(last=False)
-        ticket = queue.popleft()
-        if queue:
-            self._queues[workspace] = queue
+        """Remove and return the first ticket of the workspace that is due."""
+        while True:
+            start, _, workspace = heapq.heappop(self._heap)
+            line = self._lines.get(workspace)
+            if line is not None and line.start == start:
+                break
+        self._now = start
+        ticket = line.tickets.pop(0)
         self._size -= 1
+        line.start = start + 1.0 / line.weight
+        if line.tickets:
+            self._enlist(workspace, line)
+        else:
+            self._delist(workspace, line)
         return ticket
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a ticket that may or may not wait."""
-        queue = self._queues.get(ticket.workspace)
-        if queue is None or ticket not in queue:
+        line = self._lines.get(ticket.workspace)
+        if line is None or ticket not in line.tickets:
             return
-        queue.remove(ticket)
+        line.tickets.remove(ticket)
         self._size -= 1
-        if not queue:
-            del self._queues[ticket.workspace]
+        if not line.tickets:
+            self._delist(ticket.workspace, line)
 
     def ahead_of(self, ticket: Ticket) -> int:
         """Return how many waiting tickets would be served before a new one."""
-        own = len(self._queues.get(ticket.workspace, ()))
+        line = self._lines.get(ticket.workspace)
+        own = line.ahead_of(ticket.deadline) if line is not None else 0
+        turns = (own + 1) / self._weight_of(ticket.workspace)
         others = (
-            min(len(queue), own + 1)
-            for workspace, queue in self._queues.items()
-            if workspace != ticket.workspace
+            min(len(other.tickets), int(turns * other.weight))
+            for other in self._lines.values()
+            if other is not line
         )
         return own + sum(others)
 
     def surplus(self, workspace: str) -> Ticket | None:
-        """Return the newest ticket of the longest queue, if longer than its own."""
-        if not self._queues:
+        """Return the last ticket of the workspace furthest above its share."""
+        if not self._lines:
             return None
-        longest = max(self._queues.values(), key=len)
-        if len(longest) <= len(self._queues.get(workspace, ())) + 1:
+        furthest = max(self._lines.values(), key=_length)
+        line = self._lines.get(workspace)
+        own = 1 if line is None else len(line.tickets) + 1
+        if _length(furthest) <= own / self._weight_of(workspace):
             return None
-        return longest[-1]
+        return furthest.tickets[-1]
+
+    def _enlist(self, workspace: str, line: Line) -> None:
+        heapq.heappush(self._heap, (line.start, next(self._order), workspace))
+
+    def _delist(self, workspace: str, line: Line) -> None:
+        del self._lines[workspace]
+        if len(self._finished) >= MAX_FINISHED:
+            self._finished = {w: t for w, t in self._finished.items() if t > self._now}
+        if len(self._finished) < MAX_FINISHED:
+            self._finished[workspace] = line.start
+        if not self._lines:
+            self._heap.clear()
+
+
+def _length(line: Line) -> float:
+    return len(line.tickets) / line.weight
--- a/lacewingpond/queues/fair_queue.py
+++ b/lacewingpond/queues/fair_queue.py
@@ -15,6 +15,9 @@
 from lacewingpond.telemetry.metrics import Metrics
 from lacewingpond.util.clock import Clock
 
+DEFAULT_WEIGHT = 1.0
+"""Weight of requests without a workspace, as a rate of one request a second."""
+
 
 class FairQueue:
     """Lets requests through to services, fairly by workspace.
@@ -29,7 +32,15 @@
         Where refusals are told.
     """
 
-    __slots__ = ("_options", "_clock", "_log", "_metrics", "_queues", "_sweeper")
+    __slots__ = (
+        "_options",
+        "_clock",
+        "_log",
+        "_metrics",
+        "_queues",
+        "_rates",
+        "_sweeper",
+    )
 
     def __init__(
         self, options: QueueOptions, clock: Clock, log: DecisionLog, metrics: Metrics
@@ -39,6 +50,7 @@
         self._log = log
         self._metrics = metrics
         self._queues: dict[str, ServiceQueue] = {}
+        self._rates: dict[str, float] = {}
         self._sweeper: gevent.Greenlet | None = None
 
     @classmethod
@@ -50,6 +62,7 @@
 
     def configure(self, cfg: Config) -> None:
         """Take over the services of a revision; waiting requests stay in line."""
+        self._rates = {w.name: w.rate for w in cfg.workspaces if w.rate > 0.0}
         wanted = {service.name for service in cfg.services}
         for gone in [name for name in self._queues if name not in wanted]:
             self._close(self._queues.pop(gone))
@@ -57,7 +70,7 @@
             if name not in self._queues:
                 self._queues[name] = ServiceQueue(
                     self._options,
-                    FairOrder(),
+                    FairOrder(self._weight_of),
                     AdaptiveLimit(self._options),
                     self._clock,
                 )
@@ -97,6 +110,9 @@
         queue = self._queues.get(service)
         return len(queue) if queue is not None else 0
 
+    def _weight_of(self, workspace: str) -> float:
+        return self._rates.get(workspace, DEFAULT_WEIGHT)
+
     def _wait(self, queue: ServiceQueue, ticket: Ticket) -> None:
         if self._sweeper is None:
             self._sweeper = gevent.spawn(self._sweep)
--- /dev/null
+++ b/lacewingpond/queues/line.py
@@ -0,0 +1,36 @@
+"""The waiting requests of one workspace."""
+
+import bisect
+
+from lacewingpond.queues.ticket import Ticket
+
+
+class Line:
+    """Tickets of one workspace, earliest deadline first.
+
+    Parameters
+    ----------
+    weight : float
+        Share of the service that the workspace gets beside others.
+    start : float
+        Virtual time at which its next ticket is due.
+    """
+
+    __slots__ = ("weight", "start", "tickets")
+
+    def __init__(self, weight: float, start: float) -> None:
+        self.weight = weight
+        self.start = start
+        self.tickets: list[Ticket] = []
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a ticket behind those with the same or an earlier deadline."""
+        bisect.insort(self.tickets, ticket, key=_deadline)
+
+    def ahead_of(self, deadline: float) -> int:
+        """Return how many tickets have the same or an earlier deadline."""
+        return bisect.bisect_right(self.tickets, deadline, key=_deadline)
+
+
+def _deadline(ticket: Ticket) -> float:
+    return ticket.deadline
--- a/lacewingpond/queues/service_queue.py
+++ b/lacewingpond/queues/service_queue.py
@@ -1,7 +1,7 @@
 """The queue in front of one service."""
 
 from lacewingpond.health.outcome import Outcome
-from lacewingpond.queues.limit import AdaptiveLimit
+from lacewingpond.queues.limit_base import ConcurrencyLimit
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.queues.order import QueueOrder
 from lacewingpond.queues.refusal import QueueReason, QueueRefusal
@@ -26,7 +26,7 @@
         Bounds.
     order : QueueOrder
         Order of the waiting tickets.
-    limit : AdaptiveLimit
+    limit : ConcurrencyLimit
         Requests in work at once.
     clock : Clock
         Time source.
@@ -38,7 +38,7 @@
         self,
         options: QueueOptions,
         order: QueueOrder,
-        limit: AdaptiveLimit,
+        limit: ConcurrencyLimit,
         clock: Clock,
     ) -> None:
         self._options = options
--- a/tests/queues/test_fair_queue.py
+++ b/tests/queues/test_fair_queue.py
@@ -5,9 +5,11 @@
 
 from lacewingpond.config.model import Config, Service
 from lacewingpond.health.outcome import Outcome
+from lacewingpond.queues.fair_order import FairOrder
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.queues.refusal import QueueReason
+from lacewingpond.queues.ticket import Ticket
 from lacewingpond.telemetry.decisions import NullDecisionLog
 from lacewingpond.telemetry.metrics import CountingMetrics
 
@@ -104,3 +106,21 @@
     queue.configure(Config())
     gevent.sleep(0)
     assert waiter.value.unwrap_err().reason is QueueReason.UNKNOWN_SERVICE
+
+
+def test_heavier_workspaces_get_more_turns():
+    order = FairOrder({"big": 3.0, "small": 1.0}.__getitem__)
+    for name in ["big"] * 6 + ["small"] * 6:
+        order.push(Ticket(name, 10.0, 0.0))
+    first = [order.pop().workspace for _ in range(8)]
+    assert first.count("big") == 6
+
+
+def test_earliest_deadline_goes_first_within_a_workspace():
+    order = FairOrder(lambda workspace: 1.0)
+    late, soon = Ticket("w", 9.0, 0.0), Ticket("w", 3.0, 0.0)
+    order.push(late)
+    order.push(soon)
+    order.remove(Ticket("w", 3.0, 0.0))
+    assert [order.pop(), order.pop()] == [soon, late]
+    assert len(order) == 0
