--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -7,4 +7,10 @@
 BENCHES: dict[str, Bench] = {
     LatencyBench.name: LatencyBench(),
     RoutingBench.name: RoutingBench(),
+from lacewingpond.bench.health import HealthBench
+from lacewingpond.bench.placement import PlacementBench
+
+BENCHES: dict[str, Bench] = {
+    HealthBench.name: HealthBench(),
+    PlacementBench.name: PlacementBench(),
 }
