Replay changes and faults of the store through the configuration's spread

Ten traces on 40 VMs: store up, 50 times the requests, two VMs cut from the store, a slow store, lossy and one-way links, lost answers, racing operators, an outage of 200 s, a store that comes back older, and a group cut off from all.

The replay found two faults, mended here. A plan failed when the answer to the grant of its lease was lost; the grant is now repeated.

--- a/lacewingpond/config/options.py
+++ b/lacewingpond/config/options.py
@@ -14,6 +14,8 @@
         In a larger fleet, VMs of each failure domain that watch.
     watch_timeout_s : float
         Longest wait of one watch.
+    load_jitter_s : float
+        Longest random pause before new chunks are read from the store.
     role_check_s : float
         How often a VM that does not watch looks whether it should.
     retry_min_s, retry_max_s : float
@@ -42,6 +44,7 @@
     watch_all_up_to_vms: int = 64
     watchers_per_domain: int = 3
     watch_timeout_s: float = 10.0
+    load_jitter_s: float = 0.1
     role_check_s: float = 2.0
     retry_min_s: float = 0.1
     retry_max_s: float = 2.0
--- a/lacewingpond/config/repository.py
+++ b/lacewingpond/config/repository.py
@@ -139,7 +139,7 @@
     def save_plan(self, plan: Plan) -> Result[None, StoreError]:
         """Keep a plan for `PLAN_TTL_S`, so that any VM can confirm it."""
         key = PLAN_PREFIX + plan.plan_id
-        lease = self.store.grant_lease(PLAN_TTL_S)
+        lease = self._grant_lease()
         if lease.is_err():
             return lease
         value = zlib.compress(msgspec.msgpack.encode(plan), COMPRESSION_LEVEL)
@@ -152,6 +152,15 @@
             return Ok(None)
         return saved
 
+    def _grant_lease(self) -> Result[str, StoreError]:
+        lease = self.store.grant_lease(PLAN_TTL_S)
+        for _ in range(WRITE_ATTEMPTS):
+            if lease.is_ok() or lease.err_value.failure is not StoreFailure.UNKNOWN:
+                break
+            # A lease whose answer was lost holds no keys and lapses by itself.
+            lease = self.store.grant_lease(PLAN_TTL_S)
+        return lease
+
     def read_plan(self, plan_id: str) -> Result[Plan | None, StoreError]:
         """Read a pending plan; None when it is unknown or has lapsed."""
         read = self.store.get(PLAN_PREFIX + plan_id)
--- a/lacewingpond/config/store_watch.py
+++ b/lacewingpond/config/store_watch.py
@@ -153,6 +153,11 @@
         return self._load(stored)
 
     def _load(self, stored: StoredHead) -> bool:
+        # All watches end at once; a short random pause lets the first VM to read
+        # the chunks push them to the others, which then need not read them.
+        self._clock.sleep(self._rng.uniform(0.0, self._options.load_jitter_s))
+        if self._holder.revision >= stored.head.revision:
+            return True
         loaded = self._repository.load(self._holder.state, stored.head)
         if loaded.is_err():
             # A chunk may be gone because the head has moved on; look again.
--- /dev/null
+++ b/lacewingpond/replay/config.py
@@ -0,0 +1,313 @@
+"""Replays operators' changes and faults of the store through the spread."""
+
+import random
+
+import gevent
+from msgspec import Struct
+
+from lacewingpond.config.confirmation import Refusal
+from lacewingpond.config.intents import (
+    GrantKey,
+    Intent,
+    PutWorkspace,
+    SetRate,
+    WithdrawKey,
+)
+from lacewingpond.config.keys import digest_of
+from lacewingpond.config.model import Key, Workspace
+from lacewingpond.config.repository import ConfigRepository
+from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
+from lacewingpond.replay.base import Measures, Variant
+from lacewingpond.replay.config_naive import PollingVm
+from lacewingpond.replay.config_traces import config_traces
+from lacewingpond.replay.config_vm import ReplayVm
+from lacewingpond.replay.trace import Trace, TraceEvent
+from lacewingpond.standin.bucket import Bucket
+from lacewingpond.standin.faulty import FaultyStore
+from lacewingpond.store.base import VmRecord
+from lacewingpond.store.counts import CallCounts
+from lacewingpond.store.memory import MemoryStore, StoreImage
+from lacewingpond.util.clock import PausedClock
+
+STEP_S = 0.02
+SETTLE_S = 2.0
+WRITES_PER_S = 500.0
+READS_PER_S = 2_000.0
+LINK_DELAY_S = 0.001
+WORKSPACE = "shop"
+
+
+class Confirmed(Struct):
+    """A confirmation of the trace and what came of it.
+
+    Parameters
+    ----------
+    started_at : float
+        When the operator confirmed.
+    plan_id : str
+        The plan.
+    withdrawn : str
+        Key that it withdraws, or empty.
+    revision : int
+        Revision that it made; 0 while none.
+    refused : bool
+        True when the operator was told "not accepted".
+    in_force_at : float or None
+        When all VMs that had to learn of it had done so.
+    accepted_until : float
+        When a VM last took the withdrawn key.
+    """
+
+    started_at: float
+    plan_id: str = ""
+    withdrawn: str = ""
+    revision: int = 0
+    refused: bool = False
+    in_force_at: float | None = None
+    accepted_until: float = 0.0
+
+
+class ConfigPlayer:
+    """Player of the scenario ``config``."""
+
+    scenario = "config"
+
+    def play(self, trace: Trace, variant: Variant) -> Measures:
+        """Replay `trace` and return what came of it."""
+        return _Run(trace, variant).play()
+
+    def generate(self, seed: int) -> tuple[tuple[str, Trace], ...]:
+        """Return the scenario's traces by file name."""
+        return config_traces(seed)
+
+
+class _Run:
+    """One replay of one trace by one variant."""
+
+    def __init__(self, trace: Trace, variant: Variant) -> None:
+        params = trace.header.params
+        seed = trace.header.seed
+        self.trace = trace
+        self.seconds = float(params["seconds"])
+        self.requests_per_step = float(params["requests_per_s"]) * STEP_S
+        self.rng = random.Random(seed)
+        self.clock = PausedClock()
+        self.start = self.clock.now()
+        self.memory = MemoryStore(self.clock)
+        self.counts = CallCounts()
+        self.platform = FaultyStore(
+            self.memory,
+            self.clock,
+            counts=self.counts,
+            writes=Bucket(self.clock, WRITES_PER_S, WRITES_PER_S),
+            reads=Bucket(self.clock, READS_PER_S, READS_PER_S),
+        )
+        options = MemoryOptions(
+            loss=float(params["loss"]),
+            min_delay_s=LINK_DELAY_S / 2,
+            max_delay_s=LINK_DELAY_S,
+        )
+        self.network = MemoryNetwork(self.clock, random.Random(seed), options)
+        kind = PollingVm if variant is Variant.NAIVE else ReplayVm
+        records = _records(int(params["vms"]), int(params["domains"]))
+        self.vms = {
+            vm.vm_id: kind(vm, records, self.platform, self.network, self.clock, seed)
+            for vm in records
+        }
+        self.image: StoreImage | None = None
+        self.confirmed: list[Confirmed] = []
+        self.cut: set[str] = set()
+        self.isolated = 0
+        self.reverts = 0
+        self.requests = 0
+        self.wrongly_accepted = 0
+        self.calls: list[int] = []
+        self.recovery_from: float | None = None
+
+    def play(self) -> Measures:
+        self._set_up()
+        events = list(reversed(self.trace.events))
+        steps = round(self.seconds / STEP_S)
+        for _ in range(steps):
+            while events and events[-1].at <= self._now():
+                self._take(events.pop())
+            self._step()
+        for vm in self.vms.values():
+            vm.stop()
+        return self._measures()
+
+    def _now(self) -> float:
+        return self.clock.now() - self.start
+
+    def _set_up(self) -> None:
+        """Start all VMs with one workspace and its keys in force."""
+        first = next(iter(self.vms.values()))
+        keys = (
+            GrantKey(Key(f"key-{n}", WORKSPACE, digest_of(f"key-{n}")))
+            for n in range(8)
+        )
+        intents = (PutWorkspace(Workspace(WORKSPACE, 100.0, 100.0)), *keys)
+        first.confirm(first.plan(intents)).unwrap()
+        for vm in self.vms.values():
+            vm.start()
+        for _ in range(round(SETTLE_S / STEP_S)):
+            self.clock.advance(STEP_S)
+            self.network.run_due()
+        while any(vm.revision < first.revision for vm in self.vms.values()):
+            self.clock.advance(STEP_S)
+            self.network.run_due()
+        self.start = self.clock.now()
+        self.counts.by_kind.clear()
+
+    def _step(self) -> None:
+        before = {vm_id: vm.revision for vm_id, vm in self.vms.items()}
+        self.clock.advance(STEP_S)
+        self.network.run_due()
+        gevent.sleep(0)
+        self.calls.append(self.counts.total)
+        for vm_id, vm in self.vms.items():
+            self.reverts += vm.revision < before[vm_id]
+            self.isolated += vm_id not in self.cut and vm.is_isolated()
+        for change in self.confirmed:
+            self._follow(change)
+        self._send_requests()
+
+    def _follow(self, change: Confirmed) -> None:
+        if change.withdrawn and any(
+            vm.accepts(change.withdrawn) for vm in self.vms.values()
+        ):
+            change.accepted_until = self._now()
+        if not change.revision:
+            return
+        reached = [vm for vm_id, vm in self.vms.items() if vm_id not in self.cut]
+        done = all(vm.revision >= change.revision for vm in reached)
+        if done and change.in_force_at is None:
+            change.in_force_at = self._now()
+
+    def _send_requests(self) -> None:
+        """Look keys up as requests do, to show that they cost no store call."""
+        vms = list(self.vms.values())
+        withdrawn = [change for change in self.confirmed if change.withdrawn]
+        whole = int(self.requests_per_step)
+        count = whole + (self.rng.random() < self.requests_per_step - whole)
+        for _ in range(count):
+            vm = self.rng.choice(vms)
+            self.requests += 1
+            if not withdrawn:
+                vm.accepts("key-7")
+                continue
+            change = self.rng.choice(withdrawn)
+            late = self._now() - change.started_at >= 3.0 and change.revision
+            self.wrongly_accepted += bool(late and vm.accepts(change.withdrawn))
+
+    def _take(self, event: TraceEvent) -> None:
+        match event.kind:
+            case "set-rate" | "withdraw":
+                gevent.spawn(self._operate, event)
+            case "cut-store":
+                self.vms[event.subject].store.faults.outage = bool(event.fields["on"])
+            case "cut-vms":
+                self._cut_vms(event)
+            case "block":
+                self.network.block(event.subject, str(event.fields["to"]))
+            case "outage":
+                self.platform.faults.outage = bool(event.fields["on"])
+                if not event.fields["on"]:
+                    self.recovery_from = self._now()
+            case "slow":
+                self.platform.faults.delay_s = float(event.fields["delay_s"])
+            case "lose-answers":
+                self.platform.faults.lose_answers = int(event.fields["count"])
+                self.platform.faults.lose_prefix = str(event.fields["prefix"])
+            case "keep-image":
+                self.image = self.memory.image()
+            case "older":
+                self.memory.restore(self.image)
+
+    def _cut_vms(self, event: TraceEvent) -> None:
+        """Cut a group of VMs from the store and from all others."""
+        group = frozenset(event.subject.split(","))
+        rest = frozenset(self.vms) - group
+        self.cut |= group
+        for vm_id in self.vms:
+            self.vms[vm_id].members.lost = rest if vm_id in group else group
+        for one in group:
+            self.vms[one].store.faults.outage = True
+            for other in rest:
+                self.network.block(one, other)
+                self.network.block(other, one)
+
+    def _operate(self, event: TraceEvent) -> None:
+        vm = self.vms[event.subject]
+        change = Confirmed(self._now())
+        plan_id = vm.plan((self._intent(event, change),))
+        if plan_id is None:
+            return
+        change.plan_id = plan_id
+        change.started_at = self._now()
+        self.confirmed.append(change)
+        outcome = vm.confirm(plan_id)
+        if outcome.is_ok():
+            change.revision = outcome.ok_value.revision
+        else:
+            change.refused = outcome.err_value.refusal is not Refusal.UNKNOWN
+
+    def _intent(self, event: TraceEvent, change: Confirmed) -> Intent:
+        if event.kind == "withdraw":
+            change.withdrawn = str(event.fields["key"])
+            return WithdrawKey(change.withdrawn)
+        rate = float(event.fields["rate"])
+        return SetRate("workspace", WORKSPACE, rate, rate)
+
+    def _measures(self) -> Measures:
+        accepted = [change for change in self.confirmed if change.revision]
+        waits = [
+            (change.in_force_at or self.seconds) - change.started_at
+            for change in accepted
+        ]
+        withdrawn = [
+            max(change.accepted_until - change.started_at, 0.0)
+            for change in accepted
+            if change.withdrawn
+        ]
+        measures = {
+            "changes": float(len(accepted)),
+            "in_force_s": round(max(waits, default=0.0), 2),
+            "reverts": float(self.reverts),
+            "untruthful": float(self._untruthful()),
+            "isolated_vm_s": round(self.isolated * STEP_S, 1),
+            "requests": float(self.requests),
+            "withdrawn_accepted": float(self.wrongly_accepted),
+            "store_calls_s": round(self.calls[-1] / self.seconds, 1),
+            "store_calls_peak_s": float(self._peak(0.0)),
+        }
+        if withdrawn:
+            measures["withdrawn_s"] = round(max(withdrawn), 2)
+        if self.recovery_from is not None:
+            measures["recovery_calls_peak_s"] = float(self._peak(self.recovery_from))
+        return measures
+
+    def _untruthful(self) -> int:
+        """Count plans whose operator was told the contrary of what is true."""
+        head = ConfigRepository(self.memory).read_head().unwrap().head
+        wrong = 0
+        for change in self.confirmed:
+            in_force = head.confirmed(change.plan_id) is not None
+            wrong += in_force and change.refused
+            wrong += bool(change.revision) and not in_force
+        return wrong
+
+    def _peak(self, since_s: float) -> int:
+        """Return the most store calls within any second from `since_s` on."""
+        window = round(1.0 / STEP_S)
+        first = round(since_s / STEP_S)
+        calls = [0, *self.calls]
+        ends = range(min(first + window, len(calls) - 1), len(calls))
+        return max(calls[end] - calls[max(end - window, 0)] for end in ends)
+
+
+def _records(vms: int, domains: int) -> tuple[VmRecord, ...]:
+    return tuple(
+        VmRecord(f"vm-{n}", f"10.0.0.{n}:1", f"domain-{n % domains}")
+        for n in range(vms)
+    )
--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -1,8 +1,10 @@
 """All players by scenario."""
 
 from lacewingpond.replay.base import Player
+from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
 
 PLAYERS: dict[str, Player] = {
+    ConfigPlayer.scenario: ConfigPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
 }
--- a/lacewingpond/standin/faults.py
+++ b/lacewingpond/standin/faults.py
@@ -16,6 +16,9 @@
         Added to each call.
     lose_answers : int
         Next writes that take effect and whose answers are lost.
+    lose_prefix : str
+        Only answers to writes of keys that start with it are lost; a lease has
+        the empty key.
     list_outage : bool
         The VM list can't be read.
     list_lag_s : float
@@ -26,5 +29,6 @@
     hang: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    lose_prefix: str = ""
     list_outage: bool = False
     list_lag_s: float = 0.0
--- a/lacewingpond/standin/faulty.py
+++ b/lacewingpond/standin/faulty.py
@@ -73,13 +73,15 @@
     ) -> Result[int, StoreError]:
         """Write `key` if its revision is `expected_revision` (0: must not exist)."""
         return self._write(
-            "put_if", lambda: self._store.put_if(key, value, expected_revision, lease)
+            "put_if",
+            key,
+            lambda: self._store.put_if(key, value, expected_revision, lease),
         )
 
     def delete_if(self, key: str, expected_revision: int) -> Result[int, StoreError]:
         """Remove `key` if its revision is `expected_revision`."""
         return self._write(
-            "delete_if", lambda: self._store.delete_if(key, expected_revision)
+            "delete_if", key, lambda: self._store.delete_if(key, expected_revision)
         )
 
     def watch(
@@ -96,11 +98,11 @@
 
     def grant_lease(self, ttl_s: float) -> Result[str, StoreError]:
         """Create a lease; keys bound to it vanish when it lapses."""
-        return self._write("grant_lease", lambda: self._store.grant_lease(ttl_s))
+        return self._write("grant_lease", "", lambda: self._store.grant_lease(ttl_s))
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
         """Renew a lease."""
-        return self._write("keep_alive", lambda: self._store.keep_alive(lease))
+        return self._write("keep_alive", "", lambda: self._store.keep_alive(lease))
 
     def _read(self, kind: str, call: Callable[[], Result]) -> Result:
         error = self._admit(kind, self._reads)
@@ -110,12 +112,13 @@
         # An outage that began while a watch waited cuts the watch too.
         return Err(REFUSED) if self.faults.outage else answer
 
-    def _write(self, kind: str, call: Callable[[], Result]) -> Result:
+    def _write(self, kind: str, key: str, call: Callable[[], Result]) -> Result:
         error = self._admit(kind, self._writes)
         if error is not None:
             return Err(error)
         answer = call()
-        if answer.is_ok() and self.faults.lose_answers > 0:
+        is_lost = self.faults.lose_answers > 0
+        if is_lost and answer.is_ok() and key.startswith(self.faults.lose_prefix):
             self.faults.lose_answers -= 1
             return Err(ANSWER_LOST)
         return answer
--- a/tests/config/test_config_confirm.py
+++ b/tests/config/test_config_confirm.py
@@ -30,8 +30,11 @@
     def _read(self, kind, call):
         return self._play(super()._read, kind, call, StoreFailure.UNAVAILABLE)
 
-    def _write(self, kind, call):
-        return self._play(super()._write, kind, call, self.failure)
+    def _write(self, kind, key, call):
+        def forward(kind, call):
+            return FaultyStore._write(self, kind, key, call)
+
+        return self._play(forward, kind, call, self.failure)
 
     def _play(self, forward, kind, call, failure):
         self.calls += 1
--- /dev/null
+++ b/tests/replay/test_replay_config.py
@@ -0,0 +1,27 @@
+"""Tests that the configuration's traces hold, and that the naive VM breaks them."""
+
+from pathlib import Path
+
+import pytest
+
+from lacewingpond.replay.base import Variant
+from lacewingpond.replay.config import ConfigPlayer
+from lacewingpond.replay.runner import replay
+from lacewingpond.replay.trace import Trace
+
+TRACES = Path(__file__).parents[2] / "traces"
+
+
+@pytest.mark.parametrize("name", ["config-older", "config-cut-group"])
+def test_stated_outcomes_hold_and_the_naive_vm_breaks_them(name):
+    trace = Trace.from_file(TRACES / f"{name}.jsonl")
+    rows = replay(name, trace)
+    assert [row.measure for row in rows if not row.held] == []
+    bounds = {bound.measure: bound.at_most for bound in trace.header.expect}
+    naive = ConfigPlayer().play(trace, Variant.NAIVE)
+    assert naive["withdrawn_s"] > bounds["withdrawn_s"]
+
+
+def test_traces_on_file_are_the_generated_ones():
+    for name, trace in ConfigPlayer().generate(1):
+        assert (TRACES / f"{name}.jsonl").read_bytes() == trace.to_bytes()
