--- a/lacewingpond/membership/membership.py
+++ b/lacewingpond/membership/membership.py
@@ -169,11 +169,9 @@
         return record is not None and record.status is not MemberStatus.GONE
 
     def listed_count(self) -> int:
-        """Return how many other VMs the platform lists, reachable or not."""
-        return sum(
-            record.status is not MemberStatus.GONE and record.vm_id != self._vm.vm_id
-            for record in self._table.records()
-        )
+        """Return how many other VMs the platform's list holds, as known here."""
+        mine = self.is_listed(self._vm.vm_id)
+        return self._table.listed - int(mine)
 
     def is_dropped(self) -> bool:
         """Return whether this VM was listed once and is missing from the list now."""
--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -3,8 +3,10 @@
 from lacewingpond.replay.base import Player
 from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
+from lacewingpond.replay.placement import PlacementPlayer
 
 PLAYERS: dict[str, Player] = {
     ConfigPlayer.scenario: ConfigPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
+    PlacementPlayer.scenario: PlacementPlayer(),
 }
