Take verdicts as they arrive over a stream, and add the demo

Cause: a verdict's state arrives as a plain number, and a number is no member test of an enumeration on Python 3.11, so every HealthVerdicts message failed in its handler; VMs other than the judge fell back to judging alone. The tests handed objects over without packing them; they pack them now (6 of 11 failed before, 0 after).

The demo still reports repeats that run twice, because claims are not wired yet.

--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -1,16 +1,14 @@
 """All benchmarks by name."""
 
 from lacewingpond.bench.base import Bench
-from lacewingpond.bench.latency import LatencyBench
-from lacewingpond.bench.routing import RoutingBench
-
-BENCHES: dict[str, Bench] = {
-    LatencyBench.name: LatencyBench(),
-    RoutingBench.name: RoutingBench(),
 from lacewingpond.bench.health import HealthBench
+from lacewingpond.bench.latency import LatencyBench
 from lacewingpond.bench.placement import PlacementBench
+from lacewingpond.bench.routing import RoutingBench
 
 BENCHES: dict[str, Bench] = {
     HealthBench.name: HealthBench(),
+    LatencyBench.name: LatencyBench(),
     PlacementBench.name: PlacementBench(),
+    RoutingBench.name: RoutingBench(),
 }
--- a/lacewingpond/health/service_health.py
+++ b/lacewingpond/health/service_health.py
@@ -7,6 +7,7 @@
 from lacewingpond.health.tally import Tally
 from lacewingpond.health.verdict import Verdict, VerdictState
 
+STATES = frozenset(VerdictState)
 OUT_OF_WORK = frozenset({VerdictState.EJECTED, VerdictState.DRAINING})
 
 
@@ -88,7 +89,7 @@
                 VerdictState(row.state), row.weight / 255.0, now - row.age_s
             )
             for row in rows
-            if row.state in VerdictState
+            if row.state in STATES
         }
 
     def held(self) -> tuple[VerdictRow, ...]:
--- a/lacewingpond/ui/application.py
+++ b/lacewingpond/ui/application.py
@@ -9,6 +9,7 @@
 from lacewingpond.ui.commands.bench import BenchCommand
 from lacewingpond.ui.commands.check import CheckCommand
 from lacewingpond.ui.commands.confirm import ConfirmCommand
+from lacewingpond.ui.commands.demo import DemoCommand
 from lacewingpond.ui.commands.key import KeyGrantCommand, KeyWithdrawCommand
 from lacewingpond.ui.commands.load import LoadCommand
 from lacewingpond.ui.commands.plan import PlanCommand
@@ -30,6 +31,7 @@
     BenchCommand,
     CheckCommand,
     ConfirmCommand,
+    DemoCommand,
     KeyGrantCommand,
     KeyWithdrawCommand,
     LoadCommand,
--- a/tests/health/test_health_reporter.py
+++ b/tests/health/test_health_reporter.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from lacewingpond.config.model import Config, Service, Target
@@ -17,6 +18,12 @@
 CFG = Config(services=(Service("ledger", TARGETS),))
 
 
+def as_received(message):
+    """Return `message` with the plain values that arrive over a stream."""
+    packed = msgspec.msgpack.encode(message)
+    return msgspec.msgpack.decode(packed, type=type(message))
+
+
 class Wire:
     """Hands messages to their handlers at once, but for cut VMs."""
 
@@ -38,7 +45,8 @@
     def send(self, vm_id, message):
         if {vm_id, self.vm_id} & self.wire.cut:
             return False
-        self.wire.handlers[vm_id, type(message)](self.vm_id, message)
+        received = as_received(message)
+        self.wire.handlers[vm_id, type(message)](self.vm_id, received)
         return True
 
 
