--- a/lacewingpond/config/options.py
+++ b/lacewingpond/config/options.py
@@ -14,12 +14,16 @@
         In a larger fleet, VMs of each failure domain that watch.
     watch_timeout_s : float
         Longest wait of one watch.
+    load_jitter_s : float
+        Longest random pause before new chunks are read from the store.
     role_check_s : float
         How often a VM that does not watch looks whether it should.
     retry_min_s, retry_max_s : float
         Bounds of the random, doubling pause after the store failed.
     neighbours_in_domain, neighbours_elsewhere : int
         VMs that this one exchanges revisions with.
+    neighbours_period_s : float
+        How often those are chosen anew from the live VMs.
     pull_period_s : float
         How often it asks one of them for news.
     pull_timeout_s : float
@@ -40,11 +44,13 @@
     watch_all_up_to_vms: int = 64
     watchers_per_domain: int = 3
     watch_timeout_s: float = 10.0
+    load_jitter_s: float = 0.1
     role_check_s: float = 2.0
     retry_min_s: float = 0.1
     retry_max_s: float = 2.0
     neighbours_in_domain: int = 3
     neighbours_elsewhere: int = 2
+    neighbours_period_s: float = 2.0
     pull_period_s: float = 1.0
     pull_timeout_s: float = 1.0
     lonely_after_s: float = 4.0
--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -1,8 +1,14 @@
 """All players by scenario."""
 
 from lacewingpond.replay.base import Player
+from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
+from lacewingpond.replay.placement import PlacementPlayer
+from lacewingpond.replay.queues import QueuePlayer
 
 PLAYERS: dict[str, Player] = {
+    ConfigPlayer.scenario: ConfigPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
+    PlacementPlayer.scenario: PlacementPlayer(),
+    QueuePlayer.scenario: QueuePlayer(),
 }
