Frame a request to a target by the body that is sent

A body that was read in chunks and kept for a retry, or the other way round, now goes out with its own length and not with that of the caller's framing.

--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -207,6 +207,10 @@
     for name, value in req.headers:
         headers.add(name, value)
     headers[DEADLINE_HEADER] = str(remaining_ms)
+    # The length of what is sent counts, not what the caller's framing was.
+    headers.discard("Content-Length")
+    if req.body is not None and req.content_length is not None:
+        headers["Content-Length"] = str(req.content_length)
     for name in ("User-Agent", "Accept-Encoding"):
         if name not in headers:
             # The caller's request stays as it was.
--- a/tests/targets/test_target_client.py
+++ b/tests/targets/test_target_client.py
@@ -381,6 +381,18 @@
     assert (error.failure, error.reason) == (SendFailure.UNKNOWN, SendReason.DEADLINE)
 
 
+@pytest.mark.parametrize("length", [5, None])
+def test_framing_follows_the_body_that_is_sent(length):
+    def handler(req):
+        assert req.body.content_length == length
+        return Response(200, body=b"".join(req.body))
+
+    with caller_server(handler) as server:
+        req = plain_request("POST", body=(b"he", b"llo"), content_length=length)
+        req.headers.add("Content-Length", "7")
+        assert body_of(send(target_client(), target_of(server), req)) == b"hello"
+
+
 def test_header_order_and_repeats_survive():
     seen = []
 
