--- a/lacewingpond/bench/latency.py
+++ b/lacewingpond/bench/latency.py
@@ -24,7 +24,7 @@
 from lacewingpond.telemetry.decisions import NullDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
-RATES_PER_S = (125, 250, 500, 750, 1_000)
+RATES_PER_S = (125, 250, 500, 750, 1_000, 1_250, 1_500)
 ROUNDS = 7
 REQUESTS_PER_ROUND = 400
 ANSWER_BYTES = 1_024
--- a/tests/targets/test_target_client.py
+++ b/tests/targets/test_target_client.py
@@ -346,6 +346,21 @@
         assert error.failure is SendFailure.UNKNOWN
 
 
+def test_request_waiting_on_a_condemned_connection_is_given_up_early():
+    with raw_target(silent_after_first([])) as target:
+        client = target_client(silent_after_s=0.05, caller_check_s=0.02)
+        first, second = (send(client, target) for _ in range(2))
+        assert body_of(first) + body_of(second) == b"okok"
+        gevent.sleep(0.001)
+        req = plain_request(idempotent=True)
+        short = gevent.spawn(send, client, target, req, 0.1)
+        long = gevent.spawn(send, client, target, req, 3600.0)
+        gevent.sleep(0.01)
+        assert body_of(send(client, target, req)) == b"ok"
+        reasons = {job.get().err().reason for job in (short, long)}
+        assert reasons == {SendReason.SILENT_CONNECTION}
+
+
 def test_sick_target_is_not_taken_for_silent_connections():
     def serve(sock):
         answering(b"", after=lambda s: gevent.sleep(9))(sock)
--- a/tests/targets/test_whole_path.py
+++ b/tests/targets/test_whole_path.py
@@ -222,10 +222,12 @@
                 counts["refused"] += 1
 
 
-def test_answers_are_never_crossed():
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_answers_are_never_crossed(idempotent):
     counts = {"whole": 0, "refused": 0}
     with caller_server(echo_some(random.Random(5))) as back:
-        handler = forward(target_client(caller_check_s=0.005), target_of(back))
+        client = target_client(caller_check_s=0.005)
+        handler = forward(client, target_of(back), idempotent)
         with caller_server(handler) as front:
             callers = [
                 gevent.spawn(run_caller, front.port, caller, counts)
