--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -1,10 +1,12 @@
 """All benchmarks by name."""
 
 from lacewingpond.bench.base import Bench
+from lacewingpond.bench.config import ConfigBench
 from lacewingpond.bench.latency import LatencyBench
 from lacewingpond.bench.routing import RoutingBench
 
 BENCHES: dict[str, Bench] = {
+    ConfigBench.name: ConfigBench(),
     LatencyBench.name: LatencyBench(),
     RoutingBench.name: RoutingBench(),
 }
--- /dev/null
+++ b/lacewingpond/bench/config.py
@@ -0,0 +1,138 @@
+"""Measures what the configuration costs a daemon, by its size and by the fleet's."""
+
+import random
+from collections.abc import Callable
+
+from result import Ok, Result
+
+from lacewingpond.bench.config_fleet import ConfigFleet
+from lacewingpond.bench.config_sample import FULL_WORKSPACES, sample_config
+from lacewingpond.bench.series import Point, Series
+from lacewingpond.config.changes import Changes
+from lacewingpond.config.chunks import Chunk, ChunkRef
+from lacewingpond.config.model import Config, Workspace
+from lacewingpond.config.state import ConfigState
+from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
+
+SIZES = (5_875, 11_750, 23_500, FULL_WORKSPACES)
+FLEETS = (100, 200, 400, 800, 1_700)
+
+
+class ConfigBench:
+    """Benchmark ``config``."""
+
+    name = "config"
+    summary = "size, load, change and spread of the configuration"
+
+    def run(self, seed: int) -> tuple[Series, ...]:
+        """Measure, with random choices drawn from `seed`."""
+        configs = [sample_config(size, random.Random(seed)) for size in SIZES]
+        states = [ConfigState.from_config(cfg) for cfg in configs]
+        return (*_state_series(configs, states), *_fleet_series(seed))
+
+
+def _state_series(
+    configs: list[Config], states: list[ConfigState]
+) -> tuple[Series, ...]:
+    return (
+        _sized("snapshot packed", "current", "bytes", states, _packed_bytes),
+        _sized("head", "current", "bytes", states, _head_bytes),
+        _sized("largest chunk", "current", "bytes", states, _largest_chunk),
+        _sized("memory of a state", "current", "bytes", states, _memory),
+        _sized("load of a snapshot", "current", "s", states, _load_s),
+        _sized("apply one change", "current", "s", states, _change_s),
+        _sized("apply one change", "rebuild all", "s", configs, _rebuild_s),
+        _sized("written for one change", "current", "bytes", states, _written_bytes),
+        _sized("written for one change", "whole", "bytes", states, _packed_bytes),
+    )
+
+
+def _fleet_series(seed: int) -> tuple[Series, ...]:
+    costs = [ConfigFleet(vms, seed).measure() for vms in FLEETS]
+    fields = (
+        ("sent and received while quiet", "idle_bytes_s", "bytes/s"),
+        ("processor share while quiet", "idle_cpu_share", "cores"),
+        ("sent and received for one change", "change_bytes", "bytes"),
+        ("change in force on all VMs", "spread_s", "s"),
+        ("store calls while quiet", "store_calls_s", "calls/s"),
+        ("store calls for one change", "change_calls", "calls"),
+        ("store calls after an outage", "recovery_calls_s", "calls/s"),
+    )
+    return tuple(
+        _by_fleet(name, unit, [getattr(cost, field) for cost in costs])
+        for name, field, unit in fields
+    )
+
+
+def _by_fleet(name: str, unit: str, values: list[float]) -> Series:
+    points = tuple(
+        Point(float(vms), value) for vms, value in zip(FLEETS, values, strict=True)
+    )
+    return Series(name, "current", "VMs", unit, points)
+
+
+def _sized(
+    name: str,
+    variant: str,
+    unit: str,
+    subjects: list[Config] | list[ConfigState],
+    measure: Callable[[Config | ConfigState], float],
+) -> Series:
+    points = tuple(
+        Point(float(size), float(measure(subject)))
+        for size, subject in zip(SIZES, subjects, strict=True)
+    )
+    return Series(name, variant, "workspaces", unit, points)
+
+
+def _chunks(state: ConfigState) -> dict[bytes, Chunk]:
+    return {ref.digest: state.chunk(ref) for ref in state.head.chunks}
+
+
+def _packed_bytes(state: ConfigState) -> int:
+    packed = sum(len(chunk.packed) for chunk in _chunks(state).values())
+    return packed + _head_bytes(state)
+
+
+def _head_bytes(state: ConfigState) -> int:
+    return len(state.head.to_bytes())
+
+
+def _largest_chunk(state: ConfigState) -> int:
+    return max(len(chunk.packed) for chunk in _chunks(state).values())
+
+
+def _loader(state: ConfigState) -> Callable[[], ConfigState]:
+    chunks = _chunks(state)
+
+    def read(refs: tuple[ChunkRef, ...]) -> Result[dict[bytes, Chunk], str]:
+        return Ok({ref.digest: chunks[ref.digest] for ref in refs})
+
+    return lambda: ConfigState.empty().load(state.head, read).unwrap()
+
+
+def _memory(state: ConfigState) -> int:
+    return retained_bytes(_loader(state))
+
+
+def _load_s(state: ConfigState) -> float:
+    return cpu_seconds(_loader(state))
+
+
+def _one_change() -> Changes:
+    return Changes(workspaces=(Workspace("workspace-00007", 999.0, 999.0),))
+
+
+def _change_s(state: ConfigState) -> float:
+    return cpu_seconds(lambda: state.changed(_one_change(), "plan"), repeats=10)
+
+
+def _rebuild_s(cfg: Config) -> float:
+    return cpu_seconds(lambda: ConfigState.from_config(cfg), repeats=1)
+
+
+def _written_bytes(state: ConfigState) -> int:
+    later = state.changed(_one_change(), "plan")
+    refs = state.missing(later.head)
+    chunks = sum(len(later.chunk(ref).packed) for ref in refs)
+    return chunks + len(later.head.to_bytes())
--- /dev/null
+++ b/lacewingpond/bench/config_fleet.py
@@ -0,0 +1,231 @@
+"""A fleet of VMs that spread revisions in one process, to count what it costs."""
+
+import random
+import time
+
+from msgspec import Struct
+
+from lacewingpond.config.changes import Changes
+from lacewingpond.config.holder import ConfigHolder
+from lacewingpond.config.model import Config, Workspace
+from lacewingpond.config.options import ConfigOptions
+from lacewingpond.config.repository import ConfigRepository
+from lacewingpond.config.spread import ConfigSpread
+from lacewingpond.config.state import ConfigState
+from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions, MemoryPeerChannel
+from lacewingpond.standin.faulty import FaultyStore
+from lacewingpond.store.base import VmRecord
+from lacewingpond.store.counts import CallCounts
+from lacewingpond.store.memory import MemoryStore
+from lacewingpond.telemetry.decisions import NullDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import PausedClock
+
+FAILURE_DOMAINS = 22
+STEP_S = 0.02
+MIN_DELAY_S = 0.0005
+MAX_DELAY_S = 0.1
+IDLE_S = 20.0
+CHANGES = 10
+CHANGE_PERIOD_S = 2.0
+OUTAGE_S = 10.0
+WORKSPACES = 100
+
+
+class FleetCosts(Struct, frozen=True):
+    """What the spread costs a fleet.
+
+    Parameters
+    ----------
+    idle_bytes_s : float
+        Bytes a second that one VM sends and receives while nothing changes.
+    idle_cpu_share : float
+        Share of a core that one VM takes meanwhile.
+    change_bytes : float
+        Bytes that one VM sends and receives for one change.
+    spread_s : float
+        Longest time until a change was in force on all VMs.
+    store_calls_s : float
+        Store calls a second of the whole fleet while nothing changes.
+    change_calls : float
+        Store calls of the whole fleet for one change.
+    recovery_calls_s : float
+        Most store calls within a second after an outage.
+    """
+
+    idle_bytes_s: float
+    idle_cpu_share: float
+    change_bytes: float
+    spread_s: float
+    store_calls_s: float
+    change_calls: float
+    recovery_calls_s: float
+
+
+class FixedView:
+    """A membership view in which all VMs live."""
+
+    __slots__ = ("_others",)
+
+    def __init__(self, others: tuple[VmRecord, ...]) -> None:
+        self._others = others
+
+    def live(self) -> tuple[VmRecord, ...]:
+        """Return the other VMs."""
+        return self._others
+
+    def is_reachable(self, vm_id: str) -> bool:
+        """Return True."""
+        return True
+
+
+class ConfigFleet:
+    """Many VMs on one paused clock.
+
+    Parameters
+    ----------
+    vms : int
+        Number of VMs, spread over `FAILURE_DOMAINS`.
+    seed : int
+        Seed of delays and jitter.
+    """
+
+    def __init__(self, vms: int, seed: int) -> None:
+        rng = random.Random(seed)
+        self._rng = rng
+        self._clock = PausedClock()
+        self._counts = CallCounts()
+        memory = MemoryStore(self._clock)
+        self._store = FaultyStore(memory, self._clock, counts=self._counts)
+        self._repository = ConfigRepository(self._store)
+        delays = MemoryOptions(min_delay_s=MIN_DELAY_S, max_delay_s=MAX_DELAY_S)
+        self._network = MemoryNetwork(self._clock, rng, delays)
+        self._records = tuple(
+            VmRecord(f"vm-{n:04}", f"10.0.0.1:{n}", f"domain-{n % FAILURE_DOMAINS}")
+            for n in range(vms)
+        )
+        self._state = self._first_state()
+        self._holders: list[ConfigHolder] = []
+        self._channels: list[MemoryPeerChannel] = []
+        self._spreads: list[ConfigSpread] = []
+        for record in self._records:
+            self._add(record)
+
+    def measure(self) -> FleetCosts:
+        """Run the fleet through quiet, changes and an outage."""
+        for spread in self._spreads:
+            spread.start()
+        self._run(5.0)
+        idle = self._measure_idle()
+        changed = self._measure_changes(idle)
+        recovery = self._measure_recovery()
+        for spread in self._spreads:
+            spread.stop()
+        return FleetCosts(*idle, *changed, recovery)
+
+    def _first_state(self) -> ConfigState:
+        workspaces = tuple(
+            Workspace(f"w-{number}", 10.0, 10.0) for number in range(WORKSPACES)
+        )
+        state = ConfigState.from_config(Config(revision=1, workspaces=workspaces))
+        self._repository.write_chunks(state, state.head.chunks).unwrap()
+        self._repository.write_head(state.head, 0).unwrap()
+        return state
+
+    def _add(self, record: VmRecord) -> None:
+        holder = ConfigHolder(self._state)
+        channel = self._network.channel(record.vm_id)
+        others = tuple(vm for vm in self._records if vm is not record)
+        spread = ConfigSpread(
+            record,
+            holder,
+            self._repository,
+            channel,
+            FixedView(others),
+            lambda: len(others),
+            ConfigOptions(),
+            self._clock,
+            random.Random(self._rng.random()),
+            NullDecisionLog(),
+            CountingMetrics(),
+        )
+        self._holders.append(holder)
+        self._channels.append(channel)
+        self._spreads.append(spread)
+
+    def _run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self._clock.advance(STEP_S)
+            self._network.run_due()
+
+    def _bytes_per_vm(self) -> float:
+        """Return what one VM has sent and received; each byte sent is received."""
+        sent = sum(
+            tally.sent_bytes
+            for channel in self._channels
+            for tally in channel.traffic.by_kind.values()
+        )
+        return 2.0 * sent / len(self._channels)
+
+    def _measure_idle(self) -> tuple[float, float]:
+        started = time.process_time()
+        before = self._bytes_per_vm()
+        calls = self._counts.total
+        self._run(IDLE_S)
+        cpu_s = time.process_time() - started
+        self._idle_calls_s = (self._counts.total - calls) / IDLE_S
+        idle_bytes = self._bytes_per_vm() - before
+        return idle_bytes / IDLE_S, cpu_s / IDLE_S / len(self._channels)
+
+    def _measure_changes(
+        self, idle: tuple[float, float]
+    ) -> tuple[float, float, float, float]:
+        before = self._bytes_per_vm()
+        calls = self._counts.total
+        slowest_s = max(self._change(number) for number in range(CHANGES))
+        seconds = CHANGES * CHANGE_PERIOD_S
+        spent = self._bytes_per_vm() - before - idle[0] * seconds
+        called = self._counts.total - calls - self._idle_calls_s * seconds
+        return (
+            max(spent, 0.0) / CHANGES,
+            slowest_s,
+            self._idle_calls_s,
+            max(called, 0.0) / CHANGES,
+        )
+
+    def _change(self, number: int) -> float:
+        """Put one change in the store; return when all VMs have it."""
+        changes = Changes(workspaces=(Workspace(f"w-{number}", 20.0, 20.0),))
+        stored = self._repository.read_head().unwrap()
+        state = self._state.changed(changes, f"plan-{number}")
+        refs = self._state.missing(state.head)
+        self._repository.write_chunks(state, refs).unwrap()
+        self._repository.write_head(state.head, stored.store_revision).unwrap()
+        self._state = state
+        started = self._clock.now()
+        in_force_at = None
+        for _ in range(round(CHANGE_PERIOD_S / STEP_S)):
+            self._run(STEP_S)
+            if in_force_at is None and self._is_in_force():
+                in_force_at = self._clock.now()
+        return (in_force_at or float("inf")) - started
+
+    def _is_in_force(self) -> bool:
+        revision = self._state.revision
+        return all(holder.revision >= revision for holder in self._holders)
+
+    def _measure_recovery(self) -> float:
+        self._store.faults.outage = True
+        self._run(OUTAGE_S)
+        self._store.faults.outage = False
+        totals = [self._counts.total]
+        for _ in range(round(5.0 / STEP_S)):
+            self._run(STEP_S)
+            totals.append(self._counts.total)
+        window = round(1.0 / STEP_S)
+        return float(
+            max(
+                after - before
+                for before, after in zip(totals, totals[window:], strict=False)
+            )
+        )
