--- a/lacewingpond/bench/config.py
+++ b/lacewingpond/bench/config.py
@@ -106,11 +106,16 @@
     chunks = _chunks(state)
 
     def read(refs: tuple[ChunkRef, ...]) -> Result[dict[bytes, Chunk], str]:
-        return Ok({ref.digest: chunks[ref.digest] for ref in refs})
+        return Ok({ref.digest: _received(chunks[ref.digest]) for ref in refs})
 
     return lambda: ConfigState.empty().load(state.head, read).unwrap()
 
 
+def _received(chunk: Chunk) -> Chunk:
+    """Return a copy, as a loaded state keeps the bytes that came to it."""
+    return Chunk(chunk.digest, bytes(bytearray(chunk.packed)))
+
+
 def _memory(state: ConfigState) -> int:
     return retained_bytes(_loader(state))
 
--- a/lacewingpond/config/options.py
+++ b/lacewingpond/config/options.py
@@ -16,6 +16,11 @@
         Longest wait of one watch.
     load_jitter_s : float
         Longest random pause before new chunks are read from the store.
+    small_load_chunks : int
+        More chunks than these are rather read from another VM.
+    large_load_jitter_s, large_load_wait_s : float
+        Longest random pause before so many chunks are read from the store, and
+        longest wait for VMs that are known to have them.
     role_check_s : float
         How often a VM that does not watch looks whether it should.
     retry_min_s, retry_max_s : float
@@ -45,6 +50,9 @@
     watchers_per_domain: int = 3
     watch_timeout_s: float = 10.0
     load_jitter_s: float = 0.1
+    small_load_chunks: int = 16
+    large_load_jitter_s: float = 2.0
+    large_load_wait_s: float = 12.0
     role_check_s: float = 2.0
     retry_min_s: float = 0.1
     retry_max_s: float = 2.0
--- a/lacewingpond/config/state.py
+++ b/lacewingpond/config/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import gevent
 from result import Err, Ok, Result
 
 from lacewingpond.config import chunks
@@ -11,6 +12,9 @@
 from lacewingpond.config.kinds import Item, ItemRef, Kind, items_of, name_of
 from lacewingpond.config.model import Config
 
+CHUNKS_PER_TURN = 16
+"""Chunks unpacked before other greenlets get their turn."""
+
 Buckets = dict[int, tuple[Item, ...]]
 ReadChunks = Callable[[tuple[ChunkRef, ...]], Result[dict[bytes, Chunk], str]]
 
@@ -28,13 +32,22 @@
         Digest of the whole revision.
     """
 
-    __slots__ = ("head", "cfg", "root", "_buckets")
+    __slots__ = ("head", "cfg", "root", "_buckets", "_packed")
 
-    def __init__(self, head: Head, buckets: dict[Kind, Buckets], cfg: Config) -> None:
+    def __init__(
+        self,
+        head: Head,
+        buckets: dict[Kind, Buckets],
+        cfg: Config,
+        packed: dict[ChunkRef, Chunk] | None = None,
+    ) -> None:
         self.head = head
         self.cfg = cfg
         self.root = head.root()
         self._buckets = buckets
+        # Packed chunks are kept, as packing all of them for each VM that starts
+        # would stall the requests on this one.
+        self._packed = packed if packed is not None else {}
 
     @classmethod
     def empty(cls) -> "ConfigState":
@@ -90,16 +103,22 @@
             chunks=tuple(refs[key] for key in sorted(refs)),
             history=history,
         )
-        return ConfigState(head, buckets, _replaced(self.cfg, revision, fields))
+        cfg = _replaced(self.cfg, revision, fields)
+        return ConfigState(head, buckets, cfg, self._kept(head))
 
     def chunk(self, ref: ChunkRef) -> Chunk | None:
         """Return a chunk of this revision, packed; None when it has no such."""
-        kind = Kind(ref.kind)
-        items = self._buckets[kind].get(ref.bucket)
+        kept = self._packed.get(ref)
+        if kept is not None:
+            return kept
+        items = self._buckets[Kind(ref.kind)].get(ref.bucket)
         if items is None:
             return None
         chunk = chunks.pack(items)
-        return chunk if chunk.digest == ref.digest else None
+        if chunk.digest != ref.digest:
+            return None
+        self._packed[ref] = chunk
+        return chunk
 
     def missing(self, other: Head) -> tuple[ChunkRef, ...]:
         """Return the chunks of `other` that this state does not hold."""
@@ -112,18 +131,24 @@
         read = read_chunks(missing)
         if read.is_err():
             return read
+        packed = self._kept(head)
         fresh: dict[ChunkRef, tuple[Item, ...]] = {}
-        for ref in missing:
-            items = self._unpacked(ref, read.ok_value)
+        for number, ref in enumerate(missing, start=1):
+            items = _unpacked(ref, read.ok_value)
             if items.is_err():
                 return items
             fresh[ref] = items.ok_value
+            packed[ref] = read.ok_value[ref.digest]
+            if number % CHUNKS_PER_TURN == 0:
+                # Unpacking all chunks in one go would stall the requests here.
+                gevent.sleep(0)
         buckets: dict[Kind, Buckets] = {kind: {} for kind in Kind}
         for ref in head.chunks:
             kind = Kind(ref.kind)
             held = fresh[ref] if ref in fresh else self._buckets[kind][ref.bucket]
             buckets[kind][ref.bucket] = held
-        return Ok(ConfigState(head, buckets, _config(head.revision, buckets)))
+        cfg = _config(head.revision, buckets)
+        return Ok(ConfigState(head, buckets, cfg, packed))
 
     def changes_to(self, later: "ConfigState") -> Changes:
         """Return what differs in `later`, looking only at chunks that differ."""
@@ -149,13 +174,10 @@
         buckets = self._buckets[kind]
         return {name_of(item): item for ref in refs for item in buckets[ref.bucket]}
 
-    def _unpacked(
-        self, ref: ChunkRef, read: dict[bytes, Chunk]
-    ) -> Result[tuple[Item, ...], str]:
-        chunk = read.get(ref.digest)
-        if chunk is None:
-            return Err(f"chunk {ref.digest.hex()} is missing")
-        return chunks.unpack(Chunk(ref.digest, chunk.packed), Kind(ref.kind))
+    def _kept(self, head: Head) -> dict[ChunkRef, Chunk]:
+        """Return the packed chunks that `head` still names."""
+        refs = set(head.chunks)
+        return {ref: chunk for ref, chunk in self._packed.items() if ref in refs}
 
     def _rewrite(
         self,
@@ -183,6 +205,13 @@
         return touched
 
 
+def _unpacked(ref: ChunkRef, read: dict[bytes, Chunk]) -> Result[tuple[Item, ...], str]:
+    chunk = read.get(ref.digest)
+    if chunk is None:
+        return Err(f"chunk {ref.digest.hex()} is missing")
+    return chunks.unpack(Chunk(ref.digest, chunk.packed), Kind(ref.kind))
+
+
 def _touches(changes: Changes, kind: Kind) -> bool:
     if items_of(changes, kind):
         return True
--- a/lacewingpond/config/store_watch.py
+++ b/lacewingpond/config/store_watch.py
@@ -153,9 +153,7 @@
         return self._load(stored)
 
     def _load(self, stored: StoredHead) -> bool:
-        # All watches end at once; a short random pause lets the first VM to read
-        # the chunks push them to the others, which then need not read them.
-        self._clock.sleep(self._rng.uniform(0.0, self._options.load_jitter_s))
+        self._let_peers_be_first(stored)
         if self._holder.revision >= stored.head.revision:
             return True
         loaded = self._repository.load(self._holder.state, stored.head)
@@ -176,6 +174,29 @@
             self._on_news()
         return True
 
+    def _let_peers_be_first(self, stored: StoredHead) -> None:
+        """Pause, so that few VMs read the chunks and the others get them pushed.
+
+        All watches end at once, and a fleet that starts needs all chunks on each
+        VM, so the store would see every VM read the same.
+        """
+        options = self._options
+        missing = len(self._holder.state.missing(stored.head))
+        if missing <= options.small_load_chunks:
+            self._clock.sleep(self._rng.uniform(0.0, options.load_jitter_s))
+            return
+        deadline = self._clock.now() + options.large_load_wait_s
+        self._clock.sleep(self._rng.uniform(0.0, options.large_load_jitter_s))
+        while self._peers_have(stored) and self._clock.now() < deadline:
+            self._clock.sleep(options.pull_period_s)
+
+    def _peers_have(self, stored: StoredHead) -> bool:
+        """Return whether pulls will bring the revision of `stored`."""
+        if self._holder.revision >= stored.head.revision:
+            return False
+        known = self._contacts.fleet_revision >= stored.head.revision
+        return known and self._contacts.peer_age_s() < self._options.lonely_after_s
+
     def _check_fork(self, stored: StoredHead, held: ConfigState) -> None:
         if stored.head.root() == held.root:
             return
--- a/tests/config/test_config_spread.py
+++ b/tests/config/test_config_spread.py
@@ -272,3 +272,42 @@
     fleet.run(0.2)
     calls = sum(vm.store.counts.total for vm in fleet.vms) - before
     assert calls <= 12 / 2
+
+
+def large_state():
+    workspaces = tuple(Workspace(f"w{n}", 1.0, 1.0) for n in range(10_000))
+    return ConfigState.from_config(Config(revision=1, workspaces=workspaces))
+
+
+def publish(vm, state):
+    vm.repository.write_chunks(state, state.head.chunks).unwrap()
+    vm.repository.write_head(state.head, 0).unwrap()
+
+
+def test_fleet_that_starts_reads_a_large_snapshot_from_the_store_a_few_times(fleet_of):
+    state = large_state()
+    fleet = fleet_of(12)
+    publish(fleet.vms[0], state)
+    before = sum(vm.store.counts.by_kind.get("get", 0) for vm in fleet.vms)
+    fleet.run(10.0)
+    assert fleet.revisions() == {1}
+    reads = sum(vm.store.counts.by_kind.get("get", 0) for vm in fleet.vms) - before
+    assert reads <= 12 * len(state.head.chunks) / 4
+
+
+def test_late_vm_leaves_a_large_snapshot_to_its_peers(fleet_of):
+    state = large_state()
+    fleet = fleet_of(3)
+    for vm in fleet.vms[:2]:
+        vm.holder.replace(state)
+    publish(fleet.vms[0], state)
+    fleet.run(4.0)
+    assert fleet.vms[2].holder.revision == 1
+    assert fleet.vms[2].store.counts.by_kind.get("get", 0) == 0
+
+
+def test_lone_vm_reads_a_large_snapshot_from_the_store(fleet_of):
+    fleet = fleet_of(1)
+    publish(fleet.vms[0], large_state())
+    fleet.run(4.0)
+    assert fleet.revisions() == {1}
