--- a/lacewingpond/demo/scenario.py
+++ b/lacewingpond/demo/scenario.py
@@ -133,6 +133,7 @@
             name=workspace,
             key=self._keys[workspace],
             rate=60.0,
+            held_sessions=5,
             requests=(
                 RequestKind("/gallery", weight=1.0),
                 RequestKind("/commission", weight=1.0),
--- a/lacewingpond/load/runner.py
+++ b/lacewingpond/load/runner.py
@@ -9,6 +9,7 @@
 from lacewingpond.load.caller import REASON_LIMITED, Answer, Caller, Outcome
 from lacewingpond.load.plan import LoadPlan
 from lacewingpond.load.schedule import Arrival, schedule
+from lacewingpond.load.session import HeldSession
 from lacewingpond.load.summary import LoadReport, WorkspaceTally
 from lacewingpond.load.targets import TargetCounts
 from lacewingpond.util.clock import Clock
@@ -59,25 +60,36 @@
         started = self._clock.now()
         ticker = gevent.spawn(self._report_progress, started)
         self._balancer.start()
+        sessions = [
+            gevent.spawn(self._hold, session, started)
+            for session in HeldSession.all_of(self._plan, len(arrivals))
+        ]
         pool = Pool(MAX_CONCURRENT)
         for arrival in arrivals:
             self._clock.sleep(max(0.0, started + arrival.at - self._clock.now()))
-            pool.spawn(self._one, arrival, started)
+            pool.spawn(self._one, self._caller, arrival, started)
         pool.join()
+        gevent.joinall(sessions, raise_error=True)
         ticker.kill()
         self._balancer.stop()
         return self._report(started)
 
-    def _one(self, arrival: Arrival, started: float) -> None:
+    def _hold(self, session: HeldSession, started: float) -> None:
+        caller = Caller(self._plan.timeout_s, self._plan.seed)
+        for arrival in session.arrivals():
+            self._clock.sleep(max(0.0, started + arrival.at - self._clock.now()))
+            self._one(caller, arrival, started)
+
+    def _one(self, caller: Caller, arrival: Arrival, started: float) -> None:
         tally = self._tallies[arrival.workspace.name]
         tally.sent += 1
         daemon = self._balancer.route(arrival.daemon)
         if arrival.abandons:
-            self._caller.send(arrival, daemon, ABANDON_AFTER_S)
-        answers = [self._caller.send(arrival, daemon)]
+            caller.send(arrival, daemon, ABANDON_AFTER_S)
+        answers = [caller.send(arrival, daemon)]
         tally.record_latency(self._clock.now() - started - arrival.at)
         if arrival.repeats:
-            answers.append(self._caller.send(arrival, self._balancer.other(daemon)))
+            answers.append(caller.send(arrival, self._balancer.other(daemon)))
         _count(tally, answers[0])
         self._answers.append((arrival, tuple(answers)))
 
--- /dev/null
+++ b/tests/load/test_load_runner.py
@@ -0,0 +1,94 @@
+"""Tests that broken promises are found, against servers that break them."""
+
+import pytest
+from gevent.pywsgi import WSGIServer
+
+from lacewingpond.load.plan import LoadPlan, RequestKind, WorkspaceLoad
+from lacewingpond.load.runner import LoadRunner
+from lacewingpond.standin.options import TargetOptions
+from lacewingpond.standin.target import StandinTarget
+from lacewingpond.util.clock import RuntimeClock
+
+POST = RequestKind(
+    "/pay", "POST", body_bytes=200, idempotency_key=True, repeat_share=1.0
+)
+
+
+@pytest.fixture
+def target():
+    target = StandinTarget.from_options(TargetOptions(work_s=0.0), RuntimeClock())
+    target.start()
+    yield target
+    target.stop()
+
+
+def run(daemon, target, kind, key=""):
+    workspace = WorkspaceLoad("w", key, 40.0, (kind,))
+    plan = LoadPlan((daemon,), (workspace,), (target.address,), duration_s=0.5)
+    return LoadRunner(plan, RuntimeClock(), lambda line: None).run()
+
+
+def serve(answer):
+    """Start a server that answers with `answer(environ, body)`."""
+
+    def app(environ, start_response):
+        body = environ["wsgi.input"].read()
+        status, headers, data = answer(environ, body)
+        start_response(status, headers)
+        return [data]
+
+    server = WSGIServer(("127.0.0.1", 0), app, log=None)
+    server.start()
+    return server
+
+
+def test_honest_target_breaks_nothing(target):
+    report = run(target.address, target, RequestKind("/x"))
+    assert report.broken == ()
+    assert report.workspaces[0].answered == report.workspaces[0].sent > 0
+
+
+def test_held_session_asks_over_one_connection(target):
+    workspace = WorkspaceLoad("w", "", 0.0, (RequestKind("/x"),), held_sessions=3)
+    plan = LoadPlan((target.address,), (workspace,), duration_s=2.0)
+    report = LoadRunner(plan, RuntimeClock(), lambda line: None).run()
+    assert report.workspaces[0].answered == 6
+
+
+def test_second_run_under_one_key_is_named(target):
+    assert "ran 2 times" in run(target.address, target, POST).broken[0]
+
+
+def test_key_that_reaches_a_target_is_named(target):
+    report = run(target.address, target, RequestKind("/x"), key="secret")
+    assert "callers' keys" in report.broken[-1]
+
+
+@pytest.mark.parametrize(
+    ("answer", "why"),
+    [
+        (lambda env, body: ("200 OK", [], body[:-1]), "body not whole"),
+        (lambda env, body: ("200 OK", [], body), "never ran"),
+    ],
+)
+def test_wrong_answers_are_named(target, answer, why):
+    server = serve(answer)
+    report = run(f"127.0.0.1:{server.server_port}", target, POST)
+    server.stop()
+    assert why in report.broken[0]
+
+
+def test_refusal_that_ran_is_named(target):
+    def lie(environ, body):
+        import urllib3
+
+        request_id = environ["HTTP_X_REQUEST_ID"]
+        url = f"http://{target.address}/pay"
+        urllib3.request("POST", url, body=body, headers={"X-Request-Id": request_id})
+        return "503 Sorry", [("Lacewingpond-Run", "not-run")], b""
+
+    server = serve(lie)
+    kind = RequestKind("/pay", "POST", body_bytes=10)
+    report = run(f"127.0.0.1:{server.server_port}", target, kind)
+    server.stop()
+    assert "was told not-run and ran" in report.broken[0]
