--- a/lacewingpond/settings/model.py
+++ b/lacewingpond/settings/model.py
@@ -34,7 +34,15 @@
 
 
 class SecretSettings(Struct, frozen=True):
-    """Where a secret comes from: a file, or a variable of the environment."""
+    """Where a secret comes from: a file, or a variable of the environment.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file.
+    variable : str
+        Name of the variable.
+    """
 
     file: str = ""
     variable: str = ""
@@ -75,7 +83,13 @@
 
 
 class OperatorSettings(Struct, frozen=True):
-    """Where operators are served, by IP number; port 0 takes a free one."""
+    """Where operators are served.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address by IP number; port 0 takes a free one.
+    """
 
     host: str = "127.0.0.1"
     port: int = 8082
--- a/lacewingpond/ui/commands/check.py
+++ b/lacewingpond/ui/commands/check.py
@@ -3,11 +3,13 @@
 from pathlib import Path
 
 from cleo.commands.command import Command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 from result import Err
 
 from lacewingpond.settings.load import load_settings
+from lacewingpond.settings.reference import reference
 from lacewingpond.ui.output import FORMAT_OPTION, to_json, wants_json
+from lacewingpond.util.errors import UserError
 
 FINDINGS_STATUS = 2
 
@@ -21,11 +23,19 @@
         "Example: <info>lacewingpond check settings.toml</info>\n"
         "The exit status is 2 when there are findings."
     )
-    arguments = [argument("settings", "Path of the settings file.")]
-    options = [FORMAT_OPTION]
+    arguments = [argument("settings", "Path of the settings file.", optional=True)]
+    options = [
+        FORMAT_OPTION,
+        option("reference", None, "Print a page that lists all settings."),
+    ]
 
     def handle(self) -> int:
         """Run the command."""
+        if self.option("reference"):
+            self.line(reference())
+            return 0
+        if not self.argument("settings"):
+            raise UserError("check: name a settings file")
         as_json = wants_json(self.option("format"))
         outcome = load_settings(Path(self.argument("settings")))
         findings = outcome.err_value if isinstance(outcome, Err) else ()
