--- a/lacewingpond/replay/shard_world.py
+++ b/lacewingpond/replay/shard_world.py
@@ -90,6 +90,30 @@
         return result
 
 
+class PausableClock:
+    """The clock of one process, whose sleeps last at least as long as its pauses."""
+
+    __slots__ = ("_clock", "_vm")
+
+    def __init__(self, clock: PausedClock, vm: "ShardVm") -> None:
+        self._clock = clock
+        self._vm = vm
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self._clock.now()
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+        return self._clock.wall()
+
+    def sleep(self, seconds: float) -> None:
+        """Block for `seconds`, and further while the process stands still."""
+        self._clock.sleep(seconds)
+        while self._vm.paused_until > self._clock.now():
+            self._clock.sleep(STEP_S)
+
+
 class ShardVm:
     """One process of the fleet."""
 
@@ -290,6 +314,7 @@
         self._incarnations += 1
         process = ProcessId(vm_id, str(self._incarnations))
         rng = random.Random(self._rng.random())
+        clock = PausableClock(self.clock, vm)
         channel = self.network.channel(vm_id)
         vm_list = FaultyVmList(self.vm_list, vm.faults)
         metrics = CountingMetrics()
@@ -297,7 +322,7 @@
         vm.part = NumberPart(self.truth)
         options = MembershipOptions()
         vm.membership = Membership.from_options(
-            options, vm.vm, vm_list, channel, self.clock, rng, vm.log, metrics
+            options, vm.vm, vm_list, channel, clock, rng, vm.log, metrics
         )
         if self._variant is Variant.NAIVE:
             count = self.options.shards.shard_count
@@ -312,7 +337,7 @@
             vm_list,
             vm.membership,
             channel,
-            self.clock,
+            clock,
             rng,
             vm.log,
             metrics,
