--- a/lacewingpond/config/changes.py
+++ b/lacewingpond/config/changes.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from lacewingpond.config.kinds import Item, ItemRef, Kind, ref_of
+from lacewingpond.config.kinds import Item, ItemRef, Kind, items_of, ref_of
 from lacewingpond.config.model import Key, Route, Service, Workspace
 
 
@@ -35,6 +35,12 @@
         yield from self.services
         yield from self.routes
 
+    def touches(self, kind: Kind) -> bool:
+        """Return whether any item of `kind` is put or removed."""
+        if items_of(self, kind):
+            return True
+        return any(ref.kind == kind.value for ref in self.removed)
+
     @property
     def size(self) -> int:
         """Number of items put or removed."""
--- a/lacewingpond/config/holder.py
+++ b/lacewingpond/config/holder.py
@@ -9,6 +9,7 @@
 from lacewingpond.config.diff import DiffLine, diff_lines
 from lacewingpond.config.model import Config
 from lacewingpond.config.state import ConfigState
+from lacewingpond.telemetry.decisions import DecisionLog, EliotDecisionLog
 
 ConfigListener = Callable[[Config, Changes], None]
 """Takes the new configuration and what differs from the one before."""
@@ -50,15 +51,25 @@
 class ConfigHolder:
     """Holds the newest revision that this VM has applied; it only rises.
 
+    Parameters
+    ----------
+    state : ConfigState or None
+        The first revision; None for an empty one.
+    log : DecisionLog or None
+        Takes faults of listeners; None writes them to eliot.
+
     Attributes
     ----------
     state : ConfigState
         The revision in force with its chunks.
     """
 
-    __slots__ = ("state", "_listeners", "_steps")
+    __slots__ = ("state", "_listeners", "_steps", "_log")
 
-    def __init__(self, state: ConfigState | None = None) -> None:
+    def __init__(
+        self, state: ConfigState | None = None, log: DecisionLog | None = None
+    ) -> None:
+        self._log = log if log is not None else EliotDecisionLog("")
         self.state = state if state is not None else ConfigState.empty()
         self._listeners: list[ConfigListener] = []
         self._steps: deque[Step] = deque(maxlen=MAX_STEPS)
@@ -88,7 +99,7 @@
             self._steps.clear()
         self.state = state
         for listener in self._listeners:
-            listener(state.cfg, changes)
+            self._tell(listener, changes)
         return True
 
     def steps_after(self, revision: int) -> tuple[Step, ...] | None:
@@ -98,6 +109,19 @@
         steps = tuple(step for step in self._steps if step.revision > revision)
         return steps if len(steps) == self.revision - revision else None
 
+    def _tell(self, listener: ConfigListener, changes: Changes) -> None:
+        # The revision is in force, whatever one part makes of it, and the other
+        # parts must still learn of it.
+        try:
+            listener(self.current, changes)
+        except Exception as exc:  # noqa: BLE001
+            self._log.decision(
+                "config-fault",
+                str(self.revision),
+                "a part failed to take the revision",
+                detail=repr(exc),
+            )
+
     def _keep(self, state: ConfigState, changes: Changes) -> None:
         if changes.size > MAX_ITEMS_PER_STEP:
             # A large step is cheaper to fetch by its chunks than to keep.
--- a/lacewingpond/config/kinds.py
+++ b/lacewingpond/config/kinds.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from lacewingpond.config.model import Config, Key, Route, Service, Workspace
+from lacewingpond.config.model import Key, Route, Service, Workspace
 
 Item = Workspace | Key | Service | Route
 
@@ -67,6 +67,6 @@
     return ItemRef(kind_of(item).value, name_of(item))
 
 
-def items_of(cfg: Config, kind: Kind) -> tuple[Item, ...]:
-    """Return all items of `kind`."""
-    return getattr(cfg, kind.value)
+def items_of(holder: Struct, kind: Kind) -> tuple[Item, ...]:
+    """Return all items of `kind` in a `Config` or in `Changes`."""
+    return getattr(holder, kind.value)
--- a/lacewingpond/config/spread.py
+++ b/lacewingpond/config/spread.py
@@ -195,16 +195,25 @@
 
     def _run_watch(self) -> None:
         while True:
-            self.watch_once()
+            self._guard("watch", self.watch_once)
 
     def _run_pulls(self) -> None:
         while True:
-            self.pull_once()
+            self._guard("pull", self.pull_once)
             period_s = self._options.pull_period_s
             varied_s = period_s * (1.0 + JITTER * (2.0 * self._rng.random() - 1.0))
             if wait_for(self._wake, self._clock, varied_s):
                 self._wake.clear()
 
+    def _guard(self, name: str, step: Callable[[], None]) -> None:
+        """Run one step; a fault in it must not end the loop for good."""
+        try:
+            step()
+        except Exception as exc:  # noqa: BLE001
+            self._metrics.incr("config.faults")
+            self._log.decision("config-fault", name, "a step failed", detail=repr(exc))
+            self._clock.sleep(self._options.retry_max_s)
+
     def _update_neighbours(self) -> None:
         now = self._clock.now()
         fresh = now - self._chosen_at < self._options.neighbours_period_s
--- a/lacewingpond/config/state.py
+++ b/lacewingpond/config/state.py
@@ -92,7 +92,7 @@
         buckets = dict(self._buckets)
         fields: dict[str, tuple[Item, ...]] = {}
         for kind in Kind:
-            if not _touches(changes, kind):
+            if not changes.touches(kind):
                 continue
             touched = self._rewrite(kind, changes, counts, buckets)
             _update_refs(refs, kind, buckets[kind], touched)
@@ -212,12 +212,6 @@
     return chunks.unpack(Chunk(ref.digest, chunk.packed), Kind(ref.kind))
 
 
-def _touches(changes: Changes, kind: Kind) -> bool:
-    if items_of(changes, kind):
-        return True
-    return any(ref.kind == kind.value for ref in changes.removed)
-
-
 def _members(
     members: tuple[Item, ...],
     bucket: int,
--- a/tests/config/test_config_spread.py
+++ b/tests/config/test_config_spread.py
@@ -311,3 +311,16 @@
     publish(fleet.vms[0], large_state())
     fleet.run(4.0)
     assert fleet.revisions() == {1}
+
+
+def test_fault_in_a_step_does_not_end_the_spread(fleet_of):
+    fleet = fleet_of(2)
+    vm = fleet.vms[1]
+    vm.members.live = None
+    fleet.run(5.0)
+    assert "config-fault" in vm.decided()
+    vm.members = Others(vm.members.records)
+    vm.spread._membership = vm.members
+    fleet.vms[0].confirm(*first_intents())
+    fleet.run(5.0)
+    assert fleet.revisions() == {1}
--- a/tests/config/test_config_state.py
+++ b/tests/config/test_config_state.py
@@ -12,6 +12,7 @@
 from lacewingpond.config.kinds import ItemRef, Kind
 from lacewingpond.config.model import Config, Workspace
 from lacewingpond.config.state import ConfigState
+from lacewingpond.telemetry.decisions import RecordingDecisionLog
 
 
 def many(count, rate=1.0):
@@ -105,3 +106,14 @@
     holder.replace(state)
     assert holder.steps_after(4) is None
     assert holder.steps_after(5) == ()
+
+
+def test_failing_listener_hides_the_revision_from_no_other():
+    log = RecordingDecisionLog()
+    holder = ConfigHolder(log=log)
+    told = []
+    holder.on_change(lambda cfg, changes: 1 / 0)
+    holder.on_change(lambda cfg, changes: told.append(cfg.revision))
+    assert holder.replace(ConfigState.from_config(small_config()))
+    assert told == [1]
+    assert log.lines[0][0] == "config-fault"
