Replay crashes, pauses, restarts and outages on the shards

The replay showed that a process paused within a batch went on to hand over shards that it had lost meanwhile; it now looks again before each. A test now fails when a returning owner does not write the table.

--- a/lacewingpond/replay/lease_shards.py
+++ b/lacewingpond/replay/lease_shards.py
@@ -21,6 +21,7 @@
 
 LEASE_S = 6.0
 RENEW_S = 2.0
+SETTLE_S = 5.0
 LEASE_PREFIX = "lease/"
 
 
@@ -63,6 +64,7 @@
         "_acting",
         "_revision",
         "_renew_at",
+        "_settled_at",
         "_holds",
     )
 
@@ -87,6 +89,7 @@
         self._acting: dict[int, Ownership] = {}
         self._revision = 0
         self._renew_at = clock.now()
+        self._settled_at = clock.now() + SETTLE_S
         self._holds = False
 
     def tick(self) -> None:
@@ -106,7 +109,7 @@
         self._table = stored.ok_value.table
         live = self._live(leases.ok_value)
         moves = self._moves(live)
-        if moves:
+        if moves and self._clock.now() >= self._settled_at:
             self.store_calls += 1
             self.store_writes += 1
             written = self._tables.write(stored.ok_value, moves)
--- a/lacewingpond/replay/shard_world.py
+++ b/lacewingpond/replay/shard_world.py
@@ -54,18 +54,25 @@
 
 
 class InterruptedStore:
-    """A store during whose next call the calling process may be paused."""
+    """A store during whose calls the calling process may be paused.
+
+    Attributes
+    ----------
+    before, after : dict of str to callable
+        Run once, just before or after the next call of that kind, ``get`` or
+        ``put_if``.
+    """
 
     __slots__ = ("_store", "before", "after")
 
     def __init__(self, store: FaultyStore) -> None:
         self._store = store
-        self.before: Callable[[], None] | None = None
-        self.after: Callable[[], None] | None = None
+        self.before: dict[str, Callable[[], None]] = {}
+        self.after: dict[str, Callable[[], None]] = {}
 
     def get(self, key: str) -> Result[Entry | None, StoreError]:
         """Read one key."""
-        return self._interrupted(lambda: self._store.get(key))
+        return self._interrupted("get", lambda: self._store.get(key))
 
     def scan(self, prefix: str) -> Result[tuple[Entry, ...], StoreError]:
         """Read all keys below a prefix."""
@@ -76,20 +83,20 @@
     ) -> Result[int, StoreError]:
         """Write by compare-and-swap."""
         return self._interrupted(
-            lambda: self._store.put_if(key, value, expected_revision, lease)
+            "put_if", lambda: self._store.put_if(key, value, expected_revision, lease)
         )
 
-    def _interrupted(self, call: Callable[[], Result]) -> Result:
-        before, self.before = self.before, None
-        if before is not None:
-            before()
+    def _interrupted(self, kind: str, call: Callable[[], Result]) -> Result:
+        self.before.pop(kind, _nothing)()
         result = call()
-        after, self.after = self.after, None
-        if after is not None:
-            after()
+        self.after.pop(kind, _nothing)()
         return result
 
 
+def _nothing() -> None:
+    """Let the call pass."""
+
+
 class PausableClock:
     """The clock of one process, whose sleeps last at least as long as its pauses."""
 
@@ -156,14 +163,20 @@
         "truth",
         "reports",
         "unowned_shard_s",
+        "worst_unowned_s",
         "double_owned",
         "calls_of_ended",
         "writes_of_ended",
         "list_reads_of_ended",
         "_variant",
+        "_away",
         "_rng",
         "_incarnations",
         "_dead_since",
+        "_unowned_since",
+        "_base_calls",
+        "_base_writes",
+        "_base_reads",
         "_interrupted",
     )
 
@@ -182,13 +195,19 @@
         self.truth = ShardTruth()
         self.reports: list[HandOverReport] = []
         self.unowned_shard_s = 0.0
+        self.worst_unowned_s = 0.0
         self.double_owned = 0
         self.calls_of_ended = 0
         self.writes_of_ended = 0
         self.list_reads_of_ended = 0
         self._variant = variant
+        self._away = False
         self._incarnations = 0
         self._dead_since: dict[str, float] = {}
+        self._unowned_since: dict[int, float] = {}
+        self._base_calls = 0
+        self._base_writes = 0
+        self._base_reads = 0
         self._interrupted = False
 
     def start(self, vm_id: str) -> None:
@@ -199,7 +218,7 @@
         self.vm_list.set((*listed, record))
         vm = ShardVm()
         vm.vm = record
-        vm.faults = PlatformFaults()
+        vm.faults = PlatformFaults(outage=self._away)
         vm.log = RecordingDecisionLog()
         vm.paused_since = float("-inf")
         vm.paused_until = float("-inf")
@@ -227,8 +246,10 @@
         vm.paused_until = self.clock.now() + seconds
         self.network.pause(vm_id)
 
-    def pause_in_call(self, vm_id: str, seconds: float, before: bool) -> None:
-        """Let a process stand still around its next call to the store."""
+    def pause_in_call(
+        self, vm_id: str, seconds: float, before: bool, kind: str = "put_if"
+    ) -> None:
+        """Let a process stand still just before or after its next call of a kind."""
         vm = self.vms[vm_id]
         if self._variant is Variant.NAIVE:
             self.pause(vm_id, seconds)
@@ -246,10 +267,8 @@
             if self.vms.get(vm_id) is vm:
                 self._resume(vm)
 
-        if before:
-            vm.store.before = stand_still
-        else:
-            vm.store.after = stand_still
+        hooks = vm.store.before if before else vm.store.after
+        hooks[kind] = stand_still
 
     def stop(self, vm_id: str, grace_s: float = 20.0) -> None:
         """Begin a planned stop, at whose end the process exits."""
@@ -264,6 +283,8 @@
 
     def set_outage(self, away: bool, vm_ids: list[str] | None = None) -> None:
         """Take the store away from all processes or some, or bring it back."""
+        if vm_ids is None:
+            self._away = away
         for vm_id in vm_ids or list(self.vms):
             self.vms[vm_id].faults.outage = away
 
@@ -286,23 +307,29 @@
                 owners.setdefault(shard, []).append(vm)
         return owners
 
+    def begin_measures(self) -> None:
+        """Start all measures anew, when the fleet has settled."""
+        self.unowned_shard_s = 0.0
+        self.worst_unowned_s = 0.0
+        self._unowned_since.clear()
+        self._base_calls += self.store_calls()
+        self._base_writes += self.store_writes()
+        self._base_reads += self.list_reads()
+
     def store_calls(self) -> int:
         """Return the calls of all processes for the shards, list reads included."""
-        return self.calls_of_ended + sum(
-            vm.shards.store_calls for vm in self.vms.values()
-        )
+        calls = sum(vm.shards.store_calls for vm in self.vms.values())
+        return self.calls_of_ended + calls - self._base_calls
 
     def store_writes(self) -> int:
         """Return the writes of all processes."""
-        return self.writes_of_ended + sum(
-            vm.shards.store_writes for vm in self.vms.values()
-        )
+        writes = sum(vm.shards.store_writes for vm in self.vms.values())
+        return self.writes_of_ended + writes - self._base_writes
 
     def list_reads(self) -> int:
         """Return the reads of the list by all processes for the membership."""
-        return self.list_reads_of_ended + sum(
-            vm.membership.list_reads for vm in self.vms.values()
-        )
+        reads = sum(vm.membership.list_reads for vm in self.vms.values())
+        return self.list_reads_of_ended + reads - self._base_reads
 
     def _record(self, vm_id: str) -> VmRecord:
         number = int("".join(c for c in vm_id if c.isdigit()) or "0")
@@ -406,11 +433,17 @@
             self.vm_list.set(tuple(wanted.values()))
 
     def _measure(self) -> None:
-        owned = self._measure_owners()
-        count = self.options.shards.shard_count
-        self.unowned_shard_s += (count - owned) * STEP_S
-
-    def _measure_owners(self) -> int:
+        owners = self._measure_owners()
+        now = self.clock.now()
+        for shard in range(self.options.shards.shard_count):
+            if shard in owners:
+                self._unowned_since.pop(shard, None)
+                continue
+            self.unowned_shard_s += STEP_S
+            since = self._unowned_since.setdefault(shard, now - STEP_S)
+            self.worst_unowned_s = max(self.worst_unowned_s, now - since)
+
+    def _measure_owners(self) -> dict[int, list[ShardVm]]:
         owners = self.owners()
         self.double_owned += sum(len(vms) > 1 for vms in owners.values())
-        return len(owners)
+        return owners
--- a/lacewingpond/shards/handover.py
+++ b/lacewingpond/shards/handover.py
@@ -148,6 +148,9 @@
         return None
 
     def _send(self, shard: int, asked: int) -> Move | None:
+        # The shard may have been lost during the calls for the ones before it.
+        if shard not in self._book.acting or not self._trust.holds():
+            return None
         ids = [v for v in self._fleet.live_ids() if self._fleet.is_reachable(v)]
         epoch = self._book.acting[shard].epoch
         data = encode_states(self._book.release(shard))
--- a/lacewingpond/shards/manager.py
+++ b/lacewingpond/shards/manager.py
@@ -76,7 +76,9 @@
         self._trust = Trust(
             options, self._book, fleet, vm_list, self._tables, clock, rng, log
         )
-        self._spread = TableSpread(options, self._book, fleet, channel, rng)
+        self._spread = TableSpread(
+            options, self._book, self._trust, fleet, channel, rng
+        )
         pieces = (self._book, self._trust, self._tables, self._spread)
         self._claimer = Claimer(options, *pieces, fleet, channel, clock, log)
         self._hand_over = HandOver(options, *pieces, fleet, channel, clock, log)
--- a/lacewingpond/shards/spread.py
+++ b/lacewingpond/shards/spread.py
@@ -10,6 +10,7 @@
 from lacewingpond.shards.fleet import FleetView
 from lacewingpond.shards.messages import ShardNews, ShardPull
 from lacewingpond.shards.options import ShardOptions
+from lacewingpond.shards.trust import Trust
 
 
 class TableSpread:
@@ -19,8 +20,8 @@
     ----------
     options : ShardOptions
         Fan-out and timeouts.
-    book : ShardBook
-        The newest known table.
+    book, trust : ShardBook, Trust
+        The newest known table, and whether its shards may be adopted.
     fleet : FleetView
         Whom to tell.
     channel : PeerChannel
@@ -29,18 +30,20 @@
         Chooses the receivers.
     """
 
-    __slots__ = ("_options", "_book", "_fleet", "_channel", "_rng")
+    __slots__ = ("_options", "_book", "_trust", "_fleet", "_channel", "_rng")
 
     def __init__(
         self,
         options: ShardOptions,
         book: ShardBook,
+        trust: Trust,
         fleet: FleetView,
         channel: PeerChannel,
         rng: random.Random,
     ) -> None:
         self._options = options
         self._book = book
+        self._trust = trust
         self._fleet = fleet
         self._channel = channel
         self._rng = rng
@@ -84,6 +87,8 @@
             self._pull_from(sender)
         if self._book.table.version > known:
             self.push(known)
+        if self._trust.holds():
+            self._book.adopt()
 
     def _on_pull(self, sender: str, message: ShardPull) -> ShardNews:
         table = self._book.table
--- a/tests/shards/test_shards_fleet.py
+++ b/tests/shards/test_shards_fleet.py
@@ -1,5 +1,7 @@
 """Tests of the shard manager with a few VMs, a platform and its faults."""
 
+from functools import partial
+
 import pytest
 
 from lacewingpond.replay.base import Variant
@@ -182,3 +184,24 @@
     assert_all_owned_once(world)
     assert len(owned_by(world, "vm0")) < SHARDS // 2
     assert (world.truth.lost, world.truth.unclean) == (0, 0)
+
+
+def test_take_over_decided_before_the_owner_was_listed_again_fails():
+    world = make_world(drop_after_s=1e9)
+    victim = biggest(world)
+    owner = world.vms[victim]
+
+    def listed_again(stand_still):
+        owner.unlisted_until = world.clock.now()
+        stand_still()
+
+    for vm_id in world.vms:
+        if vm_id != victim:
+            world.pause_in_call(vm_id, 120.0, before=True)
+            hooks = world.vms[vm_id].store.before
+            hooks["put_if"] = partial(listed_again, hooks["put_if"])
+            world.network.block(vm_id, victim)
+    world.unlist(victim, 600.0)
+    world.run(240)
+    assert owner.unlisted_until < world.clock.now()
+    assert_all_owned_once(world)
--- a/tests/shards/test_shards_safety.py
+++ b/tests/shards/test_shards_safety.py
@@ -63,9 +63,14 @@
     def pause(self, number, seconds):
         self.world.pause(self.pick(number), seconds)
 
-    @rule(number=PICKS, seconds=PAUSES_S, before=st.booleans())
-    def pause_in_call(self, number, seconds, before):
-        self.world.pause_in_call(self.pick(number), seconds, before)
+    @rule(
+        number=PICKS,
+        seconds=PAUSES_S,
+        before=st.booleans(),
+        kind=st.sampled_from(["get", "put_if"]),
+    )
+    def pause_in_call(self, number, seconds, before, kind):
+        self.world.pause_in_call(self.pick(number), seconds, before, kind)
 
     @rule(number=PICKS, seconds=PAUSES_S)
     def unlist(self, number, seconds):
