--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -1,10 +1,16 @@
 """All benchmarks by name."""
 
 from lacewingpond.bench.base import Bench
+from lacewingpond.bench.config import ConfigBench
+from lacewingpond.bench.health import HealthBench
 from lacewingpond.bench.latency import LatencyBench
+from lacewingpond.bench.placement import PlacementBench
 from lacewingpond.bench.routing import RoutingBench
 
 BENCHES: dict[str, Bench] = {
+    ConfigBench.name: ConfigBench(),
+    HealthBench.name: HealthBench(),
     LatencyBench.name: LatencyBench(),
+    PlacementBench.name: PlacementBench(),
     RoutingBench.name: RoutingBench(),
 }
