Let a panel of VMs report in full in large fleets

At 283 VMs before one service, a judge would get 56 KB/s of digests a second apart. Now 64 VMs report all outcomes, drawn by hash; the others tell the judge only of targets that they suspect, which count in the tests of single VMs but not in the common sum. Fleets of up to 64 VMs work as before.

--- a/lacewingpond/health/evidence.py
+++ b/lacewingpond/health/evidence.py
@@ -23,7 +23,13 @@
         self._shares: dict[str, float] = {}
 
     def add(
-        self, vm_id: str, bad: int, total: int, healthy: float, vm_healthy: float
+        self,
+        vm_id: str,
+        bad: int,
+        total: int,
+        healthy: float,
+        vm_healthy: float,
+        is_partial: bool = False,
     ) -> None:
         """Count one VM's outcomes of one period.
 
@@ -36,6 +42,9 @@
         healthy, vm_healthy : float
             Rate of failures of the target's peers as all VMs see it, and as
             this VM sees it.
+        is_partial : bool
+            True when the VM reports suspected targets only; such outcomes would
+            bias the common sum.
         """
         excess = self._options.excess_rate
         rise = log_likelihood(bad, total, max(healthy, vm_healthy), excess)
@@ -45,7 +54,8 @@
             self._by_vm[vm_id] = level
         else:
             self._by_vm.pop(vm_id, None)
-        self._add_shared(vm_id, rise)
+        if not is_partial:
+            self._add_shared(vm_id, rise)
 
     def strength(self, min_vms: int) -> float:
         """Return the evidence that stands without its strongest VMs' surplus.
@@ -57,6 +67,10 @@
         """
         return max(self._single(min_vms), self._common(min_vms))
 
+    def suspicion(self) -> float:
+        """Return the strongest evidence of a single VM."""
+        return max(self._by_vm.values(), default=0.0)
+
     def clear(self) -> None:
         """Forget everything."""
         self._by_vm.clear()
--- a/lacewingpond/health/judge.py
+++ b/lacewingpond/health/judge.py
@@ -23,6 +23,8 @@
 VM_RATE_HALF_LIFE_S = 10.0
 VM_RATE_PRIOR = 3.0
 MAX_VMS = 4096
+SUSPICION = 2.0
+"""Evidence from which a VM tells the judge of a target; about one failure."""
 ADOPT_S = 15.0
 """Age of a judge, in seconds, up to which it takes over former ejections."""
 VM_FORGET_S = 60.0
@@ -69,6 +71,7 @@
         "_vm_target_errors",
         "_vm_seen",
         "_pending",
+        "_partial",
         "_started",
         "_what",
     )
@@ -103,6 +106,7 @@
         self._vm_target_errors: dict[tuple[str, int], DecayedRate] = {}
         self._vm_seen: dict[str, float] = {}
         self._pending: dict[tuple[str, int], Tally] = {}
+        self._partial: set[str] = set()
         self._started = clock.now()
         self.configure(service)
 
@@ -127,18 +131,33 @@
         self._errors.keep(wanted)
         self._slowness.keep(wanted)
 
-    def observe(self, vm_id: str, records: Sequence[TargetRecord]) -> None:
-        """Take one VM's outcomes; they count at the next `evaluate`."""
+    def observe(
+        self, vm_id: str, records: Sequence[TargetRecord], is_partial: bool = False
+    ) -> None:
+        """Take one VM's outcomes; they count at the next `evaluate`.
+
+        Parameters
+        ----------
+        vm_id : str
+            The VM that saw them.
+        records : sequence of TargetRecord
+            Its outcomes since its last digest.
+        is_partial : bool
+            True when the VM reports suspected targets only.
+        """
         if vm_id not in self._vm_seen and len(self._vm_seen) >= MAX_VMS:
             self._metrics.incr("health.digest_dropped")
             return
         self._vm_seen[vm_id] = self._clock.now()
+        if is_partial:
+            self._partial.add(vm_id)
+        else:
+            self._partial.discard(vm_id)
         for record in records:
             if record.target not in self._targets:
                 continue
             tally = self._pending.setdefault((vm_id, record.target), Tally())
-            for code, count in Tally.from_packed(record.counts).counts.items():
-                tally.counts[code] = tally.counts.get(code, 0) + count
+            tally.merge(Tally.from_packed(record.counts))
 
     def adopt(self, rows: Sequence[VerdictRow]) -> None:
         """Take over a former judge's ejections, while this judge is new."""
@@ -187,16 +206,23 @@
         target = self._targets.get(target_hash(target_id))
         return target.verdict(self._clock.now()) if target else None
 
+    def suspects(self) -> frozenset[int]:
+        """Return the targets that at least one VM has some evidence against."""
+        return frozenset(
+            key
+            for key, target in self._targets.items()
+            if target.suspicion() >= SUSPICION
+        )
+
     def vms(self) -> tuple[str, ...]:
         """Return the VMs that used the service of late."""
         return tuple(self._vm_seen)
 
     def _learn(self, now: float, pending: dict[tuple[str, int], Tally]) -> None:
         totals: dict[int, Tally] = {}
-        for (_, key), tally in pending.items():
-            total = totals.setdefault(key, Tally())
-            for code, count in tally.counts.items():
-                total.counts[code] = total.counts.get(code, 0) + count
+        for (vm_id, key), tally in pending.items():
+            if vm_id not in self._partial:
+                totals.setdefault(key, Tally()).merge(tally)
         self._learn_latency(now, totals)
         self._errors.begin(now)
         self._slowness.begin(now)
@@ -250,13 +276,14 @@
         failed = target.failures(now, tally)
         healthy = self._errors.beside(key)
         vm_healthy = self._vm_beside(now, vm_id, key, failed, ok + failed)
-        target.errors.add(vm_id, failed, ok + failed, healthy, vm_healthy)
+        is_partial = vm_id in self._partial
+        target.errors.add(vm_id, failed, ok + failed, healthy, vm_healthy, is_partial)
         slow = 0
         if now >= target.cold_until:
             slow = tally.slower_than(self._slow_bucket)
             normal = self._slowness.beside(key)
-            target.slowness.add(vm_id, slow, ok, normal, normal)
-        if target.phase is Phase.TRIAL:
+            target.slowness.add(vm_id, slow, ok, normal, normal, is_partial)
+        if target.phase is Phase.TRIAL and not is_partial:
             excess = self._options.excess_rate
             target.trial += log_likelihood(failed + slow, ok + failed, healthy, excess)
 
@@ -336,6 +363,7 @@
         gone = {vm for vm, seen in self._vm_seen.items() if now - seen > VM_FORGET_S}
         for vm_id in gone:
             del self._vm_seen[vm_id]
+            self._partial.discard(vm_id)
             self._vm_errors.pop(vm_id, None)
         stale = [
             pair
--- a/lacewingpond/health/messages.py
+++ b/lacewingpond/health/messages.py
@@ -58,11 +58,14 @@
         Only targets that were used.
     held : tuple of VerdictRow
         Ejections from the former judge, sent when the judge has changed.
+    is_partial : bool
+        True when only targets that the VM suspects are among the records.
     """
 
     service: str
     records: tuple[TargetRecord, ...] = ()
     held: tuple[VerdictRow, ...] = ()
+    is_partial: bool = False
 
 
 class ServiceVerdicts(Struct, frozen=True, array_like=True):
--- a/lacewingpond/health/options.py
+++ b/lacewingpond/health/options.py
@@ -39,6 +39,11 @@
         Time after a start in which slow answers don't count, in seconds.
     restart_s : float
         Time in which refused connections count as a restart, in seconds.
+    panel_size : int
+        VMs, of all that may use a service, that report all outcomes; the others
+        report only on targets that they suspect.
+    fleet_size : int
+        VMs that may use a service, until membership says otherwise.
     lapse_s : float
         Silence of the judge, in seconds, after which a VM judges alone.
     connect_backoff_s : float
@@ -64,6 +69,8 @@
     slow_start_s: float = 10.0
     cold_start_s: float = 20.0
     restart_s: float = 8.0
+    panel_size: int = 64
+    fleet_size: int = 40
     lapse_s: float = 5.0
     connect_backoff_s: float = 1.0
     drain_s: float = 300.0
@@ -73,6 +80,11 @@
         """Return options that weigh false ejections and wrongful refusals most."""
         return cls(threshold=30.0, min_error_rate=0.03, alone_threshold=24.0)
 
+    @classmethod
+    def for_large_fleet(cls) -> "HealthOptions":
+        """Return options for hundreds of VMs in front of one service."""
+        return cls(period_s=8.0, lapse_s=40.0, fleet_size=283)
+
     @classmethod
     def for_speed(cls) -> "HealthOptions":
         """Return options that weigh detection time most."""
--- a/lacewingpond/health/reporter.py
+++ b/lacewingpond/health/reporter.py
@@ -22,8 +22,11 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.telemetry.metrics import Metrics
 from lacewingpond.util.clock import Clock
-from lacewingpond.util.rendezvous import shard_of
+from lacewingpond.util.rendezvous import score, shard_of
 
+HASH_RANGE = 2.0**64
+HEARTBEAT_PERIODS = 3
+"""Periods between digests of a VM that has nothing to tell."""
 PERIOD_JITTER = 0.1
 IDLE_S = 60.0
 """A service without requests for so long is no longer reported."""
@@ -51,6 +54,8 @@
         "_metrics",
         "_services",
         "_judges",
+        "_fleet_size",
+        "_periods",
         "_loop",
     )
 
@@ -76,6 +81,8 @@
         self._metrics = metrics
         self._services: dict[str, ServiceHealth] = {}
         self._judges: dict[str, ServiceJudge] = {}
+        self._fleet_size = options.fleet_size
+        self._periods = 0
         self._loop: gevent.Greenlet | None = None
         channel.register(HealthDigest, self._on_digest)
         channel.register(HealthVerdicts, self._on_verdicts)
@@ -114,6 +121,10 @@
         for name, service in wanted.items():
             self._configure_service(name, service)
 
+    def set_fleet_size(self, vm_count: int) -> None:
+        """Take over the number of live VMs that may use the same services."""
+        self._fleet_size = max(vm_count, 1)
+
     def record(
         self,
         service: str,
@@ -166,6 +177,7 @@
     def tick(self) -> None:
         """Send the digests of one period and judge the owned services."""
         by_owner: dict[str, list[ServiceDigest]] = {}
+        self._periods += 1
         now = self._clock.now()
         for name, held in self._services.items():
             self._tick_service(now, name, held, by_owner)
@@ -247,12 +259,23 @@
         if owner is None:
             return
         rows = held.held() if owner.vm_id != held.judge_id else ()
-        digest = ServiceDigest(name, records, rows)
+        is_partial = not self._is_on_panel(name)
+        if is_partial:
+            held.unsent.hold(now, records)
+            records = held.unsent.take(held.alone.suspects())
+            if not records and not rows and self._periods % HEARTBEAT_PERIODS:
+                return
+        digest = ServiceDigest(name, records, rows, is_partial)
         if owner.vm_id == self._vm_id:
             self._take_digest(self._vm_id, digest)
             return
         by_owner.setdefault(owner.vm_id, []).append(digest)
 
+    def _is_on_panel(self, name: str) -> bool:
+        """Return whether this VM reports all its outcomes of a service."""
+        share = self._options.panel_size / self._fleet_size
+        return score(name, self._vm_id) < share * HASH_RANGE
+
     def _judged(self, held: ServiceHealth, now: float, target_id: str) -> Verdict:
         own = held.alone.verdict(target_id) or HEALTHY
         if self._is_lapsed(held, now):
@@ -309,7 +332,7 @@
         judge = self._judge(digest.service)
         if judge is None:
             return None
-        judge.observe(sender, digest.records)
+        judge.observe(sender, digest.records, digest.is_partial)
         judge.adopt(digest.held)
         return judge
 
--- a/lacewingpond/health/service_health.py
+++ b/lacewingpond/health/service_health.py
@@ -5,6 +5,7 @@
 from lacewingpond.health.messages import TargetRecord, VerdictRow, target_hash
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.tally import Tally
+from lacewingpond.health.unsent import UnsentOutcomes
 from lacewingpond.health.verdict import Verdict, VerdictState
 
 OUT_OF_WORK = frozenset({VerdictState.EJECTED, VerdictState.DRAINING})
@@ -27,6 +28,7 @@
         "heard_at",
         "judge_id",
         "used_at",
+        "unsent",
         "_tallies",
         "_rows",
         "_verdicts",
@@ -40,6 +42,7 @@
         self.heard_at = now
         self.judge_id = ""
         self.used_at = now
+        self.unsent = UnsentOutcomes(now)
         self._tallies: dict[str, Tally] = {}
         self._rows: tuple[VerdictRow, ...] = ()
         self._verdicts: dict[int, Verdict] = {}
--- a/lacewingpond/health/tally.py
+++ b/lacewingpond/health/tally.py
@@ -35,6 +35,11 @@
             code = bucket_of(latency_s)
         self.counts[code] = self.counts.get(code, 0) + 1
 
+    def merge(self, other: "Tally") -> None:
+        """Add the counts of `other`."""
+        for code, count in other.counts.items():
+            self.counts[code] = self.counts.get(code, 0) + count
+
     def packed(self) -> bytes:
         """Return pairs of one byte for the code and one for the count."""
         pairs = bytearray()
--- a/lacewingpond/health/target_health.py
+++ b/lacewingpond/health/target_health.py
@@ -64,6 +64,10 @@
         """Return the stronger evidence, of failures or of slow answers."""
         return max(self.errors.strength(min_vms), self.slowness.strength(min_vms))
 
+    def suspicion(self) -> float:
+        """Return the strongest evidence of a single VM."""
+        return max(self.errors.suspicion(), self.slowness.suspicion())
+
     def is_draining(self, now: float) -> bool:
         """Return whether the target has said that it takes no new work."""
         return now < self.draining_until
--- a/lacewingpond/replay/health.py
+++ b/lacewingpond/replay/health.py
@@ -7,6 +7,7 @@
 from lacewingpond.config.model import Config, Service, Target
 from lacewingpond.health.options import HealthOptions
 from lacewingpond.health.verdict import VerdictState
+from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.placement.placement import Placement
 from lacewingpond.replay.base import Measures, Variant
 from lacewingpond.replay.health_fleet import HealthFleet
@@ -24,10 +25,13 @@
 DETECTED_SHARE = 0.9
 AFTERMATH_S = 3.0
 """Time after a fault in which an ejection still is right, in seconds."""
+CHECK_STEPS = 1
+"""Steps between looks at the verdicts."""
 PROFILES = {
     "default": HealthOptions(),
     "certainty": HealthOptions.for_certainty(),
     "speed": HealthOptions.for_speed(),
+    "large-fleet": HealthOptions.for_large_fleet(),
 }
 
 
@@ -54,6 +58,7 @@
         self.naive = variant is Variant.NAIVE
         self.seconds = float(params["seconds"])
         self.rate = float(params["rate"])
+        self.check_steps = int(params.get("check_steps", CHECK_STEPS))
         self.rng = random.Random(trace.header.seed)
         self.clock = PausedClock()
         self.start = self.clock.now()
@@ -67,6 +72,10 @@
             vm: ConsecutiveErrors(self.targets, self.rng) for vm in self.fleet.vm_ids
         }
         index = {vm: number for number, vm in enumerate(self.fleet.vm_ids)}
+        used = len(self.targets)
+        if not self.naive:
+            used = min(used, PlacementOptions().subset_size)
+        self.least_slots = FLOOR * SLOTS * used
         self.world = HealthWorld(float(params["noise"]), index, self.rng)
         self.pending: list[tuple[float, int, str, str, Result, Placement | None]] = []
         self.order = itertools.count()
@@ -95,7 +104,8 @@
             if not self.naive:
                 self.fleet.tick(self.clock.now())
             self._send(at)
-            self._check(at)
+            if step % self.check_steps == 0:
+                self._check(at)
             self.clock.advance(STEP_S)
         return self._measures()
 
@@ -158,7 +168,7 @@
         for vm_id in self.fleet.vm_ids:
             for target_id in self.targets:
                 self._check_ejection(at, vm_id, target_id)
-            if self._slots_in_use(vm_id) < FLOOR * SLOTS * len(self.targets):
+            if self._slots_in_use(vm_id) < self.least_slots:
                 self.floor_breaches += 1
         if self.fault is not None and self.detected_at is None:
             self._check_detection(at, self.fault.subject)
--- a/lacewingpond/replay/health_fleet.py
+++ b/lacewingpond/replay/health_fleet.py
@@ -155,6 +155,8 @@
         placer = Placer.from_options(
             PlacementOptions(), vm_id, "", clock, rng, reporter, log, metrics
         )
+        reporter.set_fleet_size(len(self.vm_ids))
+        placer.set_fleet_size(len(self.vm_ids))
         self.reporters[vm_id] = reporter
         self.placers[vm_id] = placer
         reporter.configure(cfg)
--- a/lacewingpond/replay/health_traces.py
+++ b/lacewingpond/replay/health_traces.py
@@ -31,6 +31,7 @@
         _draining,
         _judge_away,
         _silent_connections,
+        _large_fleet,
     )
     return tuple(builder(seed, rng) for builder in builders)
 
@@ -183,3 +184,22 @@
     event = TraceEvent(30.0, "silent", rng.choice(TARGETS), fields)
     title = "open connections to a target have gone silent"
     return _trace("silent-connections", title, seed, [event])
+
+
+def _large_fleet(seed: int, rng: random.Random) -> tuple[str, Trace]:
+    fields = {"share": 0.5, "one_vm_in": 8, "seconds": 110.0}
+    event = TraceEvent(40.0, "errors", f"t{rng.randrange(24)}", fields)
+    title = "as half-failing, with 128 VMs of which a panel reports in full"
+    return _trace(
+        "large-fleet",
+        title,
+        seed,
+        [event],
+        DETECTED,
+        vms=128,
+        targets=24,
+        rate=200,
+        seconds=150,
+        check_steps=10,
+        profile="large-fleet",
+    )
--- /dev/null
+++ b/tests/replay/test_replay_health.py
@@ -0,0 +1,55 @@
+"""Tests of the replays of health, placement and queues."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from lacewingpond.replay.base import Variant
+from lacewingpond.replay.players import PLAYERS
+from lacewingpond.replay.trace import Trace
+
+TRACES = Path(__file__).parents[2] / "traces"
+
+
+def load(name, **params):
+    trace = Trace.from_file(TRACES / f"{name}.jsonl")
+    header = msgspec.structs.replace(
+        trace.header, params={**trace.header.params, **params}
+    )
+    return msgspec.structs.replace(trace, header=header)
+
+
+@pytest.mark.parametrize("scenario", ["health", "placement", "queues"])
+def test_committed_traces_are_the_generated_ones(scenario):
+    for name, trace in PLAYERS[scenario].generate(1):
+        assert Trace.from_file(TRACES / f"{name}.jsonl") == trace
+
+
+def test_target_that_fails_for_one_vm_in_eight_is_found_before_naive():
+    trace = load("health-half-failing")
+    current = PLAYERS["health"].play(trace, Variant.CURRENT)
+    naive = PLAYERS["health"].play(trace, Variant.NAIVE)
+    assert current["detection_s"] < naive["detection_s"]
+    assert current["false_ejections"] == 0
+
+
+@pytest.mark.parametrize("profile", ["default", "certainty", "speed"])
+def test_poison_ejects_nothing(profile):
+    trace = load("health-poison", profile=profile, seconds=45)
+    measures = PLAYERS["health"].play(trace, Variant.CURRENT)
+    assert measures["false_ejections"] == 0
+    assert measures["floor_breaches"] == 0
+
+
+def test_replays_repeat_exactly():
+    trace = load("placement-uneven", seconds=4)
+    player = PLAYERS["placement"]
+    assert player.play(trace, Variant.CURRENT) == player.play(trace, Variant.CURRENT)
+
+
+def test_other_workspaces_keep_their_rate():
+    trace = load("queues-five-times")
+    measures = PLAYERS["queues"].play(trace, Variant.CURRENT)
+    assert measures["worst_others_served"] >= 0.99
+    assert measures["refused_others"] <= 0.01
