--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -5,10 +5,12 @@
 from lacewingpond.replay.health import HealthPlayer
 from lacewingpond.replay.placement import PlacementPlayer
 from lacewingpond.replay.queues import QueuePlayer
+from lacewingpond.replay.shards import ShardPlayer
 
 PLAYERS: dict[str, Player] = {
     ConfigPlayer.scenario: ConfigPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
     PlacementPlayer.scenario: PlacementPlayer(),
+    ShardPlayer.scenario: ShardPlayer(),
     QueuePlayer.scenario: QueuePlayer(),
 }
