--- a/lacewingpond/limits/limit_history.py
+++ b/lacewingpond/limits/limit_history.py
@@ -48,7 +48,7 @@
 
     def is_settled(self, now: float) -> bool:
         """Return whether all VMs have the newest version."""
-        return now - self._changed_at > self._options.config_spread_s
+        return now > self._settled_at()
 
     def is_forgettable(self, now: float) -> bool:
         """Return whether a slice would be full by now whatever its past."""
@@ -56,7 +56,7 @@
             return False
         if self.bucket is None:
             return True
-        settled_s = now - self._changed_at - self._options.config_spread_s
+        settled_s = now - self._settled_at()
         return settled_s * self.bucket.rate >= self.bucket.burst
 
     def limit(self, shard: int, now: float) -> SliceLimit:
@@ -86,9 +86,14 @@
         refilled = _level(limit, now - since)
         if not self._versions:
             return refilled
-        settled_at = self._changed_at + self._options.config_spread_s
         least = min(old.burst for old in (limit, *self._old_limits(shard)))
-        return min(refilled, least + _level(limit, max(now - settled_at, 0.0)))
+        settled_s = max(now - self._settled_at(), 0.0)
+        return min(refilled, least + _level(limit, settled_s))
+
+    def _settled_at(self) -> float:
+        # The clock of this VM may run fast, so it waits a little longer.
+        spread_s = self._options.config_spread_s
+        return self._changed_at + spread_s * (1.0 + self._options.max_clock_drift)
 
     def _old_limits(self, shard: int) -> list[SliceLimit]:
         return [self._limit_of(old, shard) for old in self._versions]
--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -119,7 +119,7 @@
         self._late: dict[int, PendingAsk] = {}
         self._seq = rng.getrandbits(31)
         self._silent = SilentOwners(options)
-        self._waiters: set[Waiter] = set()
+        self._waiters: dict[int, Waiter] = {}
         self._returns: list[tuple[float, str]] = []
         self._timer: gevent.Greenlet | None = None
         self._housekept_at = clock.now()
@@ -243,11 +243,11 @@
         waiter = Waiter(now + self._options.wait_s)
         for allowance in allowances:
             allowance.waiters.append(waiter)
-        self._waiters.add(waiter)
+        self._waiters[id(waiter)] = waiter
         try:
             return self._wait(waiter, allowances)
         finally:
-            self._waiters.discard(waiter)
+            del self._waiters[id(waiter)]
             self._leave(waiter, allowances)
 
     def _wait(self, waiter: Waiter, allowances: list[Allowance]) -> Admission:
@@ -429,7 +429,7 @@
         now = self._clock.now()
         self._expire_asks(now)
         self._return_unused(now)
-        for waiter in list(self._waiters):
+        for waiter in list(self._waiters.values()):
             waiter.wake()
         if now - self._housekept_at >= HOUSEKEEPING_S:
             self._housekept_at = now
