--- /dev/null
+++ b/lacewingpond/idempotency/answer.py
@@ -0,0 +1,21 @@
+"""A target's whole answer."""
+
+from msgspec import Struct
+
+
+class Answer(Struct, frozen=True, array_like=True):
+    """Status, headers and body of an answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of tuple of str
+        Names and values, without hop-by-hop headers.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
--- /dev/null
+++ b/lacewingpond/idempotency/keyed_request.py
@@ -0,0 +1,45 @@
+"""A whole request with an idempotency key."""
+
+import xxhash
+from msgspec import Struct
+
+
+class KeyedRequest(Struct, frozen=True, array_like=True):
+    """A request as the owner of its key runs it.
+
+    Parameters
+    ----------
+    workspace, key : str
+        Together they name the request.
+    route : str
+        Route that the entry VM matched.
+    method, path : str
+        Method, and path with query.
+    headers : tuple of tuple of str
+        Names and values, without the caller's key and hop-by-hop headers.
+    body : bytes
+        The whole body.
+    timeout_s : float
+        Time that the caller waits, in seconds.
+    """
+
+    workspace: str
+    key: str
+    route: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    timeout_s: float = 10.0
+
+    @property
+    def name(self) -> str:
+        """Workspace and key as one string."""
+        return f"{self.workspace}\x00{self.key}"
+
+    def fingerprint(self) -> bytes:
+        """Return a digest of method, path and body."""
+        digest = xxhash.xxh3_128()
+        digest.update(f"{self.method}\x00{self.path}\x00".encode())
+        digest.update(self.body)
+        return digest.digest()
