Add the retry budget and the rule of what may be sent again

Without a cap, retries multiply the load on a service that fails. Each request earns a tenth of a retry, with a bounded reserve. A request that may have run is sent again only on idempotent routes.

--- /dev/null
+++ b/lacewingpond/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests may be sent again, and how many."""
--- /dev/null
+++ b/lacewingpond/retries/budget.py
@@ -0,0 +1,50 @@
+"""Caps retries as a share of the requests of each service."""
+
+from lacewingpond.retries.options import RetryOptions
+
+
+class RetryBudget:
+    """Earns a part of a retry with each request and spends one with each retry.
+
+    So over any period a service gets at most ``requests * (1 + share)`` plus
+    the reserve, however many attempts fail.
+
+    Parameters
+    ----------
+    options : RetryOptions
+        Settings.
+    """
+
+    __slots__ = ("_options", "_saved")
+
+    def __init__(self, options: RetryOptions) -> None:
+        self._options = options
+        self._saved: dict[str, float] = {}
+
+    @classmethod
+    def from_options(cls, options: RetryOptions) -> "RetryBudget":
+        """Create an empty budget."""
+        return cls(options)
+
+    def earn(self, service: str) -> None:
+        """Count one first attempt."""
+        if service not in self._saved and self._is_full():
+            return
+        saved = self._saved.get(service, 0.0) + self._options.share
+        self._saved[service] = min(saved, self._options.reserve)
+
+    def spend(self, service: str) -> bool:
+        """Return whether a retry may be made, and count it."""
+        saved = self._saved.get(service, 0.0)
+        if saved < 1.0:
+            return False
+        self._saved[service] = saved - 1.0
+        return True
+
+    def keep_only(self, services: frozenset[str]) -> None:
+        """Forget services that the configuration no longer has."""
+        for service in set(self._saved) - services:
+            del self._saved[service]
+
+    def _is_full(self) -> bool:
+        return len(self._saved) >= self._options.max_services
--- /dev/null
+++ b/tests/retries/test_retries_budget.py
@@ -0,0 +1,50 @@
+"""The cap on retries and the rule of what may be sent again."""
+
+import pytest
+
+from lacewingpond.config.model import Route
+from lacewingpond.retries.budget import RetryBudget
+from lacewingpond.retries.decision import may_retry
+from lacewingpond.retries.options import RetryOptions
+from lacewingpond.retries.outcome import SendOutcome
+
+
+def test_retries_stay_within_their_share_when_all_fail():
+    budget = RetryBudget.from_options(RetryOptions(share=0.1, reserve=10.0))
+    retries = 0
+    for _ in range(1000):
+        budget.earn("ledger")
+        while budget.spend("ledger"):
+            retries += 1
+    assert 90 <= retries <= 100
+
+
+def test_reserve_is_bounded():
+    budget = RetryBudget(RetryOptions(share=0.1, reserve=3.0))
+    for _ in range(1000):
+        budget.earn("ledger")
+    assert [budget.spend("ledger") for _ in range(4)] == [True, True, True, False]
+
+
+def test_unknown_services_beyond_the_bound_get_no_retries():
+    budget = RetryBudget(RetryOptions(share=1.0, max_services=1))
+    budget.earn("a")
+    budget.earn("b")
+    assert (budget.spend("a"), budget.spend("b")) == (True, False)
+
+
+@pytest.mark.parametrize(
+    ("method", "outcome", "expected"),
+    [
+        ("POST", SendOutcome.NOT_SENT, True),
+        ("POST", SendOutcome.PROVED_NOT_RUN, True),
+        ("POST", SendOutcome.NO_ANSWER, False),
+        ("POST", SendOutcome.SERVER_ERROR, False),
+        ("GET", SendOutcome.NO_ANSWER, True),
+        ("GET", SendOutcome.SERVER_ERROR, True),
+        ("GET", SendOutcome.ANSWERED, False),
+        ("GET", SendOutcome.PARTLY_PASSED_ON, False),
+    ],
+)
+def test_only_safe_attempts_are_repeated(method, outcome, expected):
+    assert may_retry(Route("r", "s"), method, outcome) is expected
