--- /dev/null
+++ b/lacewingpond/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the targets that run them."""
