--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -80,7 +80,7 @@
         )
         self.queue = FairQueue.from_options(cfg.queues, clock, log, metrics)
         self.client = TargetClient.from_options(cfg.targets, clock, rng, log)
-        self.retries = RetryBudget.from_options(cfg.retries, clock)
+        self.retries = RetryBudget.from_options(cfg.retries)
         dispatcher = Dispatcher(
             cfg.proxy,
             self.queue,
@@ -121,6 +121,7 @@
         self._cfg = cfg
         for part in (self.limiter, self.health, self.placer, self.queue):
             part.configure(cfg)
+        self.retries.keep_only(frozenset(service.name for service in cfg.services))
         self._share_budgets()
         # The routes come last, when everything behind them is ready.
         self.pipeline.configure(cfg)
--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -1,6 +1,6 @@
 """One request on its way to targets: its tries, and what is known of its run."""
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok, Result
@@ -11,6 +11,8 @@
 from lacewingpond.proxy.job import Job
 from lacewingpond.proxy.refused import Refused
 from lacewingpond.queues.slot import Slot
+from lacewingpond.retries.decision import NEVER_RAN, may_retry
+from lacewingpond.retries.outcome import SendOutcome
 from lacewingpond.targets.errors import (
     AnswerCutError,
     SendError,
@@ -25,19 +27,8 @@
 Answer = Result[TargetResponse, Refused]
 
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
-"""Answers of an idempotent request after which another target is tried."""
-
-
-class RetryLimit(Protocol):
-    """Bounds how much retries add to the load."""
-
-    def record_request(self) -> None:
-        """Count a request that is sent for the first time."""
-        ...
-
-    def try_retry(self) -> bool:
-        """Take the right to one retry; False when there is none."""
-        ...
+"""Answers of a target after which an idempotent request goes to another one."""
+CALLER_FAULTS = frozenset({SendReason.CALLER_GONE.value, SendReason.CALLER_BODY.value})
 
 
 class Delivery:
@@ -62,6 +53,7 @@
         "_slot",
         "_tried",
         "_may_have_run",
+        "_last",
         "_refused",
     )
 
@@ -73,6 +65,7 @@
         self._slot = slot
         self._tried: set[str] = set()
         self._may_have_run = False
+        self._last = SendOutcome.NOT_SENT
         self._refused = Refused.not_run(
             503,
             "no-target",
@@ -82,7 +75,7 @@
 
     def run(self) -> Answer:
         """Return the head of an answer, or why there is none."""
-        self._parts.retries.record_request()
+        self._parts.retries.earn(self._job.service.name)
         while True:
             chosen = self._parts.placer.pick(
                 self._job.service.name, frozenset(self._tried)
@@ -131,11 +124,10 @@
             return None
         self.outcome = attempt.answered(response)
         self.latency_s = attempt.latency_s
-        if response.status in RETRIED_STATUSES and self._take_retry():
+        if response.status in RETRIED_STATUSES and self._may_replace():
             response.close()
             attempt.placement.done(None)
-            self._may_have_run = True
-            self._refused = _server_error(response)
+            self._note(SendOutcome.SERVER_ERROR, _server_error(response))
             return None
         self._follow(attempt, response)
         return response
@@ -155,54 +147,57 @@
     def _note_failure(self, attempt: Attempt, error: SendError) -> None:
         self.outcome = attempt.failed(error)
         self.latency_s = attempt.latency_s
-        if error.failure is SendFailure.UNKNOWN:
-            self._may_have_run = True
-        self._refused = _send_refusal(error)
+        sent = error.failure is SendFailure.UNKNOWN
+        outcome = SendOutcome.NO_ANSWER if sent else SendOutcome.NOT_SENT
+        self._note(outcome, _send_refusal(error))
 
     def _note_shed(self, attempt: Attempt, response: TargetResponse) -> None:
         attempt.shed(response)
         self.outcome = Outcome.SHED
         self.latency_s = attempt.latency_s
-        self._refused = Refused.not_run(
+        refused = Refused.not_run(
             503,
             "target-shed",
             "The target refused the request without running it.",
             self._parts.options.unavailable_retry_s,
         )
+        self._note(SendOutcome.PROVED_NOT_RUN, refused)
 
     def _note_cut(self, exc: AnswerCutError) -> None:
         self.outcome = Outcome.ERROR
-        self._may_have_run = True
-        self._refused = Refused.unknown(
-            502,
-            "answer-cut",
-            f"The target's answer was cut short ({exc.reason.value}).",
-        )
+        detail = f"The target's answer was cut short ({exc.reason.value})."
+        self._note(SendOutcome.NO_ANSWER, Refused.unknown(502, "answer-cut", detail))
+
+    def _note(self, outcome: SendOutcome, refused: Refused) -> None:
+        self._last = outcome
+        self._refused = refused
+        self._may_have_run = self._may_have_run or outcome not in NEVER_RAN
 
     def _may_try_again(self) -> bool:
+        if self._last is SendOutcome.SERVER_ERROR:
+            # The answer was given up for a retry that is paid for already.
+            return True
+        return self._may_send_again(self._last)
+
+    def _may_replace(self) -> bool:
+        """Return whether a failed answer may be given up for a retry."""
+        return self._has_other_target() and self._may_send_again(
+            SendOutcome.SERVER_ERROR
+        )
+
+    def _may_send_again(self, outcome: SendOutcome) -> bool:
         if len(self._tried) >= self._parts.options.max_attempts:
             return False
         if self._parts.clock.now() >= self._job.deadline:
             return False
-        if not self._job.body.can_send:
+        if not self._job.body.can_send or self._refused.reason in CALLER_FAULTS:
             return False
-        if self._refused.reason in CALLER_FAULTS:
+        if not may_retry(self._job.match.route, self._job.method, outcome):
             return False
-        if not self._may_have_run:
+        # A request that a target refused costs no target any work.
+        if outcome in NEVER_RAN and not self._may_have_run:
             return True
-        # A replaced answer has paid for its retry already.
-        return self._job.idempotent and (
-            self._refused.reason == SERVER_ERROR or self._parts.retries.try_retry()
-        )
-
-    def _take_retry(self) -> bool:
-        may = (
-            self._job.idempotent
-            and self._job.body.can_send
-            and len(self._tried) < self._parts.options.max_attempts
-            and self._has_other_target()
-        )
-        return may and self._parts.retries.try_retry()
+        return self._parts.retries.spend(self._job.service.name)
 
     def _has_other_target(self) -> bool:
         return any(
@@ -225,13 +220,9 @@
         )
 
 
-SERVER_ERROR = "target-error"
-CALLER_FAULTS = frozenset({SendReason.CALLER_GONE.value, SendReason.CALLER_BODY.value})
-
-
 def _server_error(response: TargetResponse) -> Refused:
     return Refused.unknown(
-        502, SERVER_ERROR, f"A target answered with status {response.status}."
+        502, "target-error", f"A target answered with status {response.status}."
     )
 
 
--- a/lacewingpond/proxy/dispatcher.py
+++ b/lacewingpond/proxy/dispatcher.py
@@ -5,12 +5,13 @@
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.reporter import HealthReporter
 from lacewingpond.placement.placer import Placer
-from lacewingpond.proxy.delivery import Answer, Delivery, RetryLimit
+from lacewingpond.proxy.delivery import Answer, Delivery
 from lacewingpond.proxy.job import Job
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.queues.refusal import QueueRefusal
+from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.targets.client import TargetClient
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
@@ -31,7 +32,7 @@
         Sends to them.
     health : HealthReporter
         Takes outcomes.
-    retries : RetryLimit
+    retries : RetryBudget
         Bounds retries.
     clock : Clock
         Measures deadlines.
@@ -57,7 +58,7 @@
         placer: Placer,
         client: TargetClient,
         health: HealthReporter,
-        retries: RetryLimit,
+        retries: RetryBudget,
         clock: Clock,
         log: DecisionLog,
     ) -> None:
--- a/lacewingpond/retries/options.py
+++ b/lacewingpond/retries/options.py
@@ -4,18 +4,18 @@
 
 
 class RetryOptions(Struct, frozen=True):
-    """How many retries this VM allows itself.
+    """Settings of `RetryBudget`.
 
     Parameters
     ----------
     share : float
-        Retries for each request that is sent for the first time.
-    least_per_s : float
-        Retries a second that are allowed at any load.
-    max_saved : float
+        Retries per request that the budget earns.
+    reserve : float
         Most retries that may be saved up.
+    max_services : int
+        Most services whose budgets are kept.
     """
 
     share: float = 0.1
-    least_per_s: float = 1.0
-    max_saved: float = 20.0
+    reserve: float = 10.0
+    max_services: int = 4096
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -22,6 +22,8 @@
 from lacewingpond.proxy.pipeline import Pipeline
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.queues.options import QueueOptions
+from lacewingpond.retries.budget import RetryBudget
+from lacewingpond.retries.options import RetryOptions
 from lacewingpond.shards.fixed import FixedShards
 from lacewingpond.standin.options import TargetOptions
 from lacewingpond.standin.target import StandinTarget
@@ -35,16 +37,6 @@
 RUN = "Lacewingpond-Run"
 
 
-class Budget:
-    """Allows every retry."""
-
-    def record_request(self):
-        pass
-
-    def try_retry(self):
-        return True
-
-
 class Switch:
     """An availability that tests set."""
 
@@ -83,13 +75,14 @@
         )
         self.queue = FairQueue.from_options(QueueOptions(), self.clock, *told)
         client = TargetClient.from_options(ClientOptions(), self.clock, rng, self.log)
+        self.retries = RetryBudget.from_options(RetryOptions(share=1.0))
         dispatcher = Dispatcher(
             ProxyOptions(),
             self.queue,
             self.placer,
             client,
             self.health,
-            Budget(),
+            self.retries,
             self.clock,
             self.log,
         )
