Give each service a few retries to start with

Cause: an empty budget passed a gray target's failure on to the first callers of a quiet service on each VM.

--- a/lacewingpond/retries/budget.py
+++ b/lacewingpond/retries/budget.py
@@ -7,7 +7,8 @@
     """Earns a part of a retry with each request and spends one with each retry.
 
     So over any period a service gets at most ``requests * (1 + share)`` plus
-    the reserve, however many attempts fail.
+    the reserve, however many attempts fail. It starts with a few retries, so that
+    the first requests of a quiet service survive a failing target too.
 
     Parameters
     ----------
@@ -23,14 +24,14 @@
 
     @classmethod
     def from_options(cls, options: RetryOptions) -> "RetryBudget":
-        """Create an empty budget."""
+        """Create a budget with the first retries of each service."""
         return cls(options)
 
     def earn(self, service: str) -> None:
         """Count one first attempt."""
         if service not in self._saved and self._is_full():
             return
-        saved = self._saved.get(service, 0.0) + self._options.share
+        saved = self._saved.get(service, self._options.first) + self._options.share
         self._saved[service] = min(saved, self._options.reserve)
 
     def spend(self, service: str) -> bool:
--- a/lacewingpond/retries/options.py
+++ b/lacewingpond/retries/options.py
@@ -10,6 +10,8 @@
     ----------
     share : float
         Retries per request that the budget earns.
+    first : float
+        Retries that a service has before its first request.
     reserve : float
         Most retries that may be saved up.
     max_services : int
@@ -17,5 +19,6 @@
     """
 
     share: float = 0.1
+    first: float = 3.0
     reserve: float = 10.0
     max_services: int = 4096
