Refuse requests that crash their targets

Cause: a request that crashed its target was sent to the next one, and again when its caller repeated it. A run that ends with a crash is reported under the request's fingerprint; after two crashes a request is sent to no further target, and once the quarantine convicts it, it is refused as not run. The share of innocent runs that meet a crash is now taken before the crash itself is counted: on a VM with few runs two coincidences had a chance of 2.0e-4 against the bound of 1e-4 and did not convict; now 1.0e-4, which does.

--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -13,6 +13,7 @@
 from lacewingpond.placement.placer import Placer
 from lacewingpond.proxy.dispatcher import Dispatcher
 from lacewingpond.proxy.pipeline import Pipeline
+from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.settings.model import Settings
@@ -42,6 +43,7 @@
         "queue",
         "client",
         "retries",
+        "quarantine",
         "_fleet",
         "_clock",
         "_greenlets",
@@ -81,6 +83,16 @@
         self.queue = FairQueue.from_options(cfg.queues, clock, log, metrics)
         self.client = TargetClient.from_options(cfg.targets, clock, rng, log)
         self.retries = RetryBudget.from_options(cfg.retries)
+        self.quarantine = QuarantineService.from_options(
+            cfg.quarantine,
+            cfg.vm.id,
+            clock,
+            fleet.channel,
+            fleet.shards,
+            fleet.membership,
+            log,
+            metrics,
+        )
         dispatcher = Dispatcher(
             cfg.proxy,
             self.queue,
@@ -88,6 +100,7 @@
             self.client,
             self.health,
             self.retries,
+            self.quarantine,
             clock,
             log,
         )
@@ -99,6 +112,7 @@
         )
         fleet.shards.add_part(self.limiter)
         fleet.shards.add_part(self.health)
+        fleet.shards.add_part(self.quarantine)
         fleet.holder.on_change(self._on_change)
 
     def start(self) -> None:
--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -19,7 +19,7 @@
     SendFailure,
     SendReason,
 )
-from lacewingpond.targets.response import TargetResponse
+from lacewingpond.targets.response import AnswerEnd, TargetResponse
 
 if TYPE_CHECKING:
     from lacewingpond.proxy.dispatcher import Dispatcher
@@ -28,6 +28,8 @@
 
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 """Answers of a target after which an idempotent request goes to another one."""
+MAX_CRASHES = 2
+"""Crashes after which a request is sent to no further target."""
 CALLER_FAULTS = frozenset({SendReason.CALLER_GONE.value, SendReason.CALLER_BODY.value})
 
 
@@ -53,6 +55,7 @@
         "_slot",
         "_tried",
         "_may_have_run",
+        "_crashes",
         "_last",
         "_refused",
     )
@@ -65,6 +68,7 @@
         self._slot = slot
         self._tried: set[str] = set()
         self._may_have_run = False
+        self._crashes = 0
         self._last = SendOutcome.NOT_SENT
         self._refused = Refused.not_run(
             503,
@@ -113,7 +117,7 @@
             return self._take(attempt, response)
         except AnswerCutError as exc:
             attempt.placement.done(None)
-            self._note_cut(exc)
+            self._note_cut(attempt, exc)
             return None
 
     def _take(
@@ -135,21 +139,34 @@
     def _follow(self, attempt: Attempt, response: TargetResponse) -> None:
         slot, outcome = self._slot, self.outcome
 
-        def on_end(end) -> None:
+        def on_end(end: AnswerEnd) -> None:
             attempt.ended(response, end)
             slot.release(outcome, attempt.latency_s)
+            if end is AnswerEnd.COMPLETE:
+                self._note_completed()
+            elif end is AnswerEnd.CUT:
+                self._note_crash(attempt)
 
         if response.end is not None:
             on_end(response.end)
         else:
             response.on_end = on_end
 
+    def _note_completed(self) -> None:
+        if self._job.fingerprint:
+            self._parts.quarantine.note_completed(
+                self._job.fingerprint, self._job.service.name
+            )
+
     def _note_failure(self, attempt: Attempt, error: SendError) -> None:
-        self.outcome = attempt.failed(error)
+        suspect = self._parts.quarantine.is_suspect(self._job.fingerprint)
+        self.outcome = attempt.failed(error, poison_suspect=suspect)
         self.latency_s = attempt.latency_s
         sent = error.failure is SendFailure.UNKNOWN
         outcome = SendOutcome.NO_ANSWER if sent else SendOutcome.NOT_SENT
         self._note(outcome, _send_refusal(error))
+        if sent and error.reason is SendReason.BROKEN:
+            self._note_crash(attempt)
 
     def _note_shed(self, attempt: Attempt, response: TargetResponse) -> None:
         attempt.shed(response)
@@ -163,10 +180,21 @@
         )
         self._note(SendOutcome.PROVED_NOT_RUN, refused)
 
-    def _note_cut(self, exc: AnswerCutError) -> None:
+    def _note_cut(self, attempt: Attempt, exc: AnswerCutError) -> None:
         self.outcome = Outcome.ERROR
         detail = f"The target's answer was cut short ({exc.reason.value})."
         self._note(SendOutcome.NO_ANSWER, Refused.unknown(502, "answer-cut", detail))
+        if exc.reason is SendReason.BROKEN:
+            self._note_crash(attempt)
+
+    def _note_crash(self, attempt: Attempt) -> None:
+        self._crashes += 1
+        if self._job.fingerprint:
+            self._parts.quarantine.note_crashed(
+                self._job.fingerprint,
+                self._job.service.name,
+                attempt.placement.target.target_id,
+            )
 
     def _note(self, outcome: SendOutcome, refused: Refused) -> None:
         self._last = outcome
@@ -190,6 +218,8 @@
             return False
         if self._parts.clock.now() >= self._job.deadline:
             return False
+        if self._crashes >= MAX_CRASHES:
+            return False
         if not self._job.body.can_send or self._refused.reason in CALLER_FAULTS:
             return False
         if not may_retry(self._job.match.route, self._job.method, outcome):
--- a/lacewingpond/proxy/dispatcher.py
+++ b/lacewingpond/proxy/dispatcher.py
@@ -9,6 +9,7 @@
 from lacewingpond.proxy.job import Job
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
+from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.queues.refusal import QueueRefusal
 from lacewingpond.retries.budget import RetryBudget
@@ -34,6 +35,8 @@
         Takes outcomes.
     retries : RetryBudget
         Bounds retries.
+    quarantine : QuarantineService
+        Refuses requests that crash targets.
     clock : Clock
         Measures deadlines.
     log : DecisionLog
@@ -47,6 +50,7 @@
         "client",
         "health",
         "retries",
+        "quarantine",
         "clock",
         "log",
     )
@@ -59,6 +63,7 @@
         client: TargetClient,
         health: HealthReporter,
         retries: RetryBudget,
+        quarantine: QuarantineService,
         clock: Clock,
         log: DecisionLog,
     ) -> None:
@@ -68,11 +73,15 @@
         self.client = client
         self.health = health
         self.retries = retries
+        self.quarantine = quarantine
         self.clock = clock
         self.log = log
 
     def dispatch(self, job: Job) -> Answer:
         """Send `job` and return the head of its answer, or why there is none."""
+        quarantined_s = self.quarantine.quarantined_s(job.fingerprint)
+        if quarantined_s > 0.0:
+            return Err(_quarantined(quarantined_s))
         waited = self.queue.acquire(job.service.name, job.workspace, job.deadline)
         if waited.is_err():
             return Err(_queue_refusal(waited.err_value))
@@ -88,6 +97,11 @@
         return answer
 
 
+def _quarantined(seconds: float) -> Refused:
+    detail = "Earlier runs of this request coincided with crashes of its targets."
+    return Refused.not_run(503, "quarantined", detail, seconds)
+
+
 def _queue_refusal(refusal: QueueRefusal) -> Refused:
     return Refused.not_run(
         503,
--- a/lacewingpond/proxy/job.py
+++ b/lacewingpond/proxy/job.py
@@ -3,13 +3,18 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+import xxhash
+
 from lacewingpond.config.model import Service
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.request import Request
+from lacewingpond.quarantine.fingerprint import fingerprint
 from lacewingpond.routing.hop_by_hop import headers_to_target
 from lacewingpond.routing.match import RouteMatch
 from lacewingpond.targets.request import TargetRequest
 
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+
 
 class JobBody(Protocol):
     """A body that can be sent at least once."""
@@ -91,6 +96,8 @@
         When the head of the answer must have come, in monotonic seconds.
     is_disconnected : callable or None
         Tells whether the caller has gone.
+    fingerprint : str
+        Names the request for the quarantine; empty when its body is not known.
     """
 
     __slots__ = (
@@ -102,6 +109,7 @@
         "body",
         "deadline",
         "is_disconnected",
+        "fingerprint",
     )
 
     def __init__(
@@ -114,6 +122,7 @@
         body: JobBody,
         deadline: float,
         is_disconnected: Callable[[], bool] | None = None,
+        fingerprint: str = "",
     ) -> None:
         self.match = match
         self.workspace = workspace
@@ -123,6 +132,7 @@
         self.body = body
         self.deadline = deadline
         self.is_disconnected = is_disconnected
+        self.fingerprint = fingerprint
 
     @classmethod
     def from_request(
@@ -140,15 +150,17 @@
         RequestBodyError
             When a short body is cut, malformed or too slow.
         """
+        body = _body_of(req, replay_bytes)
         return cls(
             match=match,
             workspace=workspace,
             method=req.method,
             path=req.path,
             headers=headers_to_target(req.headers),
-            body=_body_of(req, replay_bytes),
+            body=body,
             deadline=deadline,
             is_disconnected=req.is_disconnected,
+            fingerprint=_fingerprint(req, match, workspace, body),
         )
 
     @property
@@ -174,6 +186,17 @@
         )
 
 
+def _fingerprint(req: Request, match: RouteMatch, workspace: str, body: JobBody) -> str:
+    key = req.headers.get(IDEMPOTENCY_KEY_HEADER)
+    if key:
+        identity = key.encode("utf-8", "replace")
+    elif isinstance(body, KeptBody):
+        identity = xxhash.xxh3_128_digest(body.data)
+    else:
+        return ""
+    return fingerprint(workspace, match.route.name, req.method, req.path, identity)
+
+
 def _body_of(req: Request, replay_bytes: int) -> JobBody:
     if req.body.is_empty:
         return KeptBody(b"")
--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -11,7 +11,7 @@
 from lacewingpond.http.response import Response
 from lacewingpond.limits.admission import Admission, RefusalReason
 from lacewingpond.proxy.dispatcher import Dispatcher
-from lacewingpond.proxy.job import Job
+from lacewingpond.proxy.job import IDEMPOTENCY_KEY_HEADER, Job
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
 from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER
@@ -23,7 +23,6 @@
 from lacewingpond.telemetry.metrics import Metrics
 from lacewingpond.util.clock import Clock
 
-IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 MISS_STATUS = {
     RouteFailure.NO_ROUTE: 404,
     RouteFailure.METHOD_NOT_ALLOWED: 405,
--- a/lacewingpond/quarantine/service.py
+++ b/lacewingpond/quarantine/service.py
@@ -119,6 +119,10 @@
         self._metrics.incr("quarantine.refused")
         return left_s
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a run of this request coincided with a crash here."""
+        return fingerprint in self._reported
+
     def note_completed(self, fingerprint: str, service: str) -> None:
         """Count a run that ended with a complete answer."""
         self._share(service).note(False, self._clock.now())
@@ -130,12 +134,14 @@
         """Count a run that ended with the crash of its target."""
         now = self._clock.now()
         share = self._share(service)
+        # This crash itself says nothing of how often innocent runs meet one.
+        usual = share.value()
         share.note(True, now)
         self._reported.pop(fingerprint, None)
         self._reported[fingerprint] = now
         _drop_oldest(self._reported, self._options.max_suspects)
         shard = self._shard(fingerprint)
-        self._send(shard, CrashReport(shard, fingerprint, target_id, share.value()))
+        self._send(shard, CrashReport(shard, fingerprint, target_id, usual))
 
     def release(self, shard: int) -> bytes:
         """Forget the shard's suspects; their count starts again elsewhere."""
--- a/lacewingpond/settings/model.py
+++ b/lacewingpond/settings/model.py
@@ -10,6 +10,7 @@
 from lacewingpond.peers.options import PeerOptions
 from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.proxy.options import ProxyOptions
+from lacewingpond.quarantine.options import QuarantineOptions
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.retries.options import RetryOptions
 from lacewingpond.shards.options import ShardOptions
@@ -144,6 +145,7 @@
     peers: PeerOptions = PeerOptions()
     placement: PlacementOptions = PlacementOptions()
     proxy: ProxyOptions = ProxyOptions()
+    quarantine: QuarantineOptions = QuarantineOptions()
     queues: QueueOptions = QueueOptions()
     retries: RetryOptions = RetryOptions()
     shards: ShardOptions = ShardOptions()
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -20,6 +20,8 @@
 from lacewingpond.proxy.dispatcher import Dispatcher
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.pipeline import Pipeline
+from lacewingpond.quarantine.options import QuarantineOptions
+from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.retries.budget import RetryBudget
@@ -37,6 +39,13 @@
 RUN = "Lacewingpond-Run"
 
 
+class NoMembers:
+    """A fleet of one VM."""
+
+    def live(self):
+        return ()
+
+
 class Switch:
     """An availability that tests set."""
 
@@ -75,6 +84,11 @@
         )
         self.queue = FairQueue.from_options(QueueOptions(), self.clock, *told)
         client = TargetClient.from_options(ClientOptions(), self.clock, rng, self.log)
+        self.quarantine = QuarantineService.from_options(
+            QuarantineOptions(), "vm-1", self.clock, channel, shards, NoMembers(), *told
+        )
+        for shard in range(shards.shard_count):
+            self.quarantine.adopt(shards.owned(shard), None)
         self.retries = RetryBudget.from_options(RetryOptions(share=1.0))
         dispatcher = Dispatcher(
             ProxyOptions(),
@@ -83,6 +97,7 @@
             client,
             self.health,
             self.retries,
+            self.quarantine,
             self.clock,
             self.log,
         )
@@ -207,6 +222,17 @@
     assert bench.runs() == 1
 
 
+def test_request_that_crashes_targets_is_refused_as_not_run(bench):
+    bench.start({"restart_s": 0.05}, {"restart_s": 0.05}, {})
+    first = bench.ask("GET", path="/pay/poison", **{"X-Crash": "1"})
+    assert (first.status, first.headers[RUN]) == (502, "unknown")
+    assert sum(target.stats.crashes for target in bench.targets) == 2
+    again = bench.ask("GET", path="/pay/poison", **{"X-Crash": "1"})
+    assert (reason(again), again.headers[RUN]) == ("quarantined", "not-run")
+    assert sum(target.stats.crashes for target in bench.targets) == 2
+    assert bench.ask("GET", path="/pay/other").status == 200
+
+
 def test_shed_request_goes_to_another_target(bench):
     bench.start({"draining": True}, {})
     assert {bench.ask("POST").status for _ in range(10)} == {200}
