--- a/lacewingpond/bench/config.py
+++ b/lacewingpond/bench/config.py
@@ -10,7 +10,9 @@
 from lacewingpond.bench.series import Point, Series
 from lacewingpond.config.changes import Changes
 from lacewingpond.config.chunks import Chunk, ChunkRef
+from lacewingpond.config.head import HISTORY_LENGTH, Confirmed
 from lacewingpond.config.model import Config, Workspace
+from lacewingpond.config.plan import plan_id_of
 from lacewingpond.config.state import ConfigState
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
 
@@ -27,7 +29,7 @@
     def run(self, seed: int) -> tuple[Series, ...]:
         """Measure, with random choices drawn from `seed`."""
         configs = [sample_config(size, random.Random(seed)) for size in SIZES]
-        states = [ConfigState.from_config(cfg) for cfg in configs]
+        states = [_full_state(cfg) for cfg in configs]
         return (*_state_series(configs, states), *_fleet_series(seed))
 
 
@@ -85,6 +87,14 @@
     return Series(name, variant, "workspaces", unit, points)
 
 
+def _full_state(cfg: Config) -> ConfigState:
+    """Return the state of `cfg` with as long a history as a head keeps."""
+    history = tuple(
+        Confirmed(number, plan_id_of(number, ())) for number in range(HISTORY_LENGTH)
+    )
+    return ConfigState.from_config(cfg, history)
+
+
 def _chunks(state: ConfigState) -> dict[bytes, Chunk]:
     return {ref.digest: state.chunk(ref) for ref in state.head.chunks}
 
