--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -4,11 +4,13 @@
 from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
 from lacewingpond.replay.placement import PlacementPlayer
+from lacewingpond.replay.shards import ShardPlayer
 from lacewingpond.replay.queues import QueuePlayer
 
 PLAYERS: dict[str, Player] = {
     ConfigPlayer.scenario: ConfigPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
     PlacementPlayer.scenario: PlacementPlayer(),
+    ShardPlayer.scenario: ShardPlayer(),
     QueuePlayer.scenario: QueuePlayer(),
 }
