--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -4,13 +4,17 @@
 from lacewingpond.bench.config import ConfigBench
 from lacewingpond.bench.health import HealthBench
 from lacewingpond.bench.latency import LatencyBench
+from lacewingpond.bench.membership import MembershipBench
 from lacewingpond.bench.placement import PlacementBench
 from lacewingpond.bench.routing import RoutingBench
+from lacewingpond.bench.shards import ShardBench
 
 BENCHES: dict[str, Bench] = {
     ConfigBench.name: ConfigBench(),
     HealthBench.name: HealthBench(),
     LatencyBench.name: LatencyBench(),
+    MembershipBench.name: MembershipBench(),
     PlacementBench.name: PlacementBench(),
     RoutingBench.name: RoutingBench(),
+    ShardBench.name: ShardBench(),
 }
--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -4,8 +4,8 @@
 from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
 from lacewingpond.replay.placement import PlacementPlayer
-from lacewingpond.replay.shards import ShardPlayer
 from lacewingpond.replay.queues import QueuePlayer
+from lacewingpond.replay.shards import ShardPlayer
 
 PLAYERS: dict[str, Player] = {
     ConfigPlayer.scenario: ConfigPlayer(),
--- a/lacewingpond/shards/claimer.py
+++ b/lacewingpond/shards/claimer.py
@@ -109,15 +109,14 @@
 
     def _missing_owners(self) -> dict[str, int]:
         """Return the owners that seem to be gone and their newest row versions."""
-        owners: dict[str, int] = {}
-        for row in self._book.table.rows.values():
-            if row.vm_id != self._book.me.vm_id:
-                owners[row.vm_id] = max(owners.get(row.vm_id, 0), row.version)
-        return {
-            vm_id: version
-            for vm_id, version in owners.items()
-            if not self._fleet.is_listed(vm_id)
-        }
+        missing: dict[str, int] = {}
+        for owner, rows in self._book.table.by_owner().items():
+            vm_id = owner.vm_id
+            if vm_id == self._book.me.vm_id or self._fleet.is_listed(vm_id):
+                continue
+            newest = max(row.version for row in rows)
+            missing[vm_id] = max(missing.get(vm_id, 0), newest)
+        return missing
 
     def _is_turn(self) -> bool:
         now = self._clock.now()
--- a/lacewingpond/shards/manager.py
+++ b/lacewingpond/shards/manager.py
@@ -16,6 +16,7 @@
 from lacewingpond.shards.options import ShardOptions
 from lacewingpond.shards.placement import home
 from lacewingpond.shards.process import ProcessId
+from lacewingpond.shards.row import ShardRow
 from lacewingpond.shards.spread import TableSpread
 from lacewingpond.shards.table_store import TableStore
 from lacewingpond.shards.trust import Trust
@@ -248,10 +249,14 @@
             self._book.learn(written.ok_value)
             self._spread.push(before)
 
-    def _earlier_rows(self) -> list:
+    def _earlier_rows(self) -> list[ShardRow]:
         me = self._book.me
-        rows = self._book.table.rows.values()
-        return [r for r in rows if r.vm_id == me.vm_id and r.owner != me]
+        return [
+            row
+            for owner, rows in self._book.table.by_owner().items()
+            if owner.vm_id == me.vm_id and owner != me
+            for row in rows
+        ]
 
     def _refresh(self) -> None:
         now = self._clock.now()
--- a/lacewingpond/shards/table.py
+++ b/lacewingpond/shards/table.py
@@ -28,13 +28,14 @@
         Rows of the shards that have an owner.
     """
 
-    __slots__ = ("version", "rows")
+    __slots__ = ("version", "rows", "_by_owner")
 
     def __init__(
         self, version: int = 0, rows: Mapping[int, ShardRow] | None = None
     ) -> None:
         self.version = version
         self.rows: Mapping[int, ShardRow] = rows or {}
+        self._by_owner: dict[ProcessId, list[ShardRow]] | None = None
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "ShardTable":
@@ -60,10 +61,21 @@
 
     def of(self, owner: ProcessId) -> list[ShardRow]:
         """Return the rows of one process."""
-        return [row for row in self.rows.values() if row.owner == owner]
+        return self.by_owner().get(owner, [])
+
+    def by_owner(self) -> Mapping[ProcessId, list[ShardRow]]:
+        """Return the rows of each process, grouped at the first call."""
+        if self._by_owner is None:
+            grouped: dict[ProcessId, list[ShardRow]] = {}
+            for row in self.rows.values():
+                grouped.setdefault(row.owner, []).append(row)
+            self._by_owner = grouped
+        return self._by_owner
 
     def free(self, shard_count: int) -> list[int]:
         """Return the shards that never had an owner."""
+        if len(self.rows) >= shard_count:
+            return []
         return [shard for shard in range(shard_count) if shard not in self.rows]
 
     def fitting(self, moves: Iterable[Move]) -> list[Move]:
--- /dev/null
+++ b/tests/shards/test_shards_tcp.py
@@ -0,0 +1,122 @@
+"""Three processes over real sockets: claims, a planned stop and a restart."""
+
+import random
+
+import gevent
+import pytest
+
+from lacewingpond.membership.membership import Membership
+from lacewingpond.membership.options import MembershipOptions
+from lacewingpond.peers.addresses import LateAddresses
+from lacewingpond.peers.options import PeerOptions
+from lacewingpond.peers.tcp import TcpPeerChannel
+from lacewingpond.replay.shard_part import NumberPart, ShardTruth
+from lacewingpond.shards.manager import ShardManager
+from lacewingpond.shards.options import ShardOptions
+from lacewingpond.shards.process import ProcessId
+from lacewingpond.store.base import VmRecord
+from lacewingpond.store.memory import MemoryStore, MemoryVmList
+from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import RuntimeClock
+
+SHARDS = 16
+MEMBERS = MembershipOptions(
+    probe_interval_s=0.1, list_interval_s=0.1, pull_interval_s=0.1
+)
+OPTIONS = ShardOptions(
+    shard_count=SHARDS,
+    max_gap_s=30.0,
+    longest_grant_s=0.2,
+    settle_s=0.5,
+    tick_s=0.05,
+    step_s=0.05,
+    refresh_s=0.2,
+    pull_s=0.2,
+    rebalance_s=1e9,
+)
+
+
+class Node:
+    def __init__(self, vm_id, incarnation, store, vm_list, truth):
+        clock, log, metrics = RuntimeClock(), RecordingDecisionLog(), CountingMetrics()
+        rng = random.Random(f"{vm_id} {incarnation}")
+        addresses = LateAddresses()
+        self.channel = TcpPeerChannel.from_options(
+            PeerOptions(), vm_id, incarnation, b"s", addresses, clock, rng, log, metrics
+        )
+        self.channel.start()
+        address = f"127.0.0.1:{self.channel.port}"
+        vm = VmRecord(vm_id, address, f"fd-{vm_id}", "r1")
+        others = [other for other in vm_list.current() if other.vm_id != vm_id]
+        vm_list.set((*others, vm))
+        self.members = Membership.from_options(
+            MEMBERS, vm, vm_list, self.channel, clock, rng, log, metrics
+        )
+        addresses.book = self.members
+        self.shards = ShardManager.from_options(
+            OPTIONS,
+            ProcessId(vm_id, incarnation),
+            store,
+            vm_list,
+            self.members,
+            self.channel,
+            clock,
+            rng,
+            log,
+            metrics,
+        )
+        self.part = NumberPart(truth)
+        self.shards.add_part(self.part)
+        self.members.start()
+        self.shards.start()
+
+    def end(self):
+        self.shards.close()
+        self.members.stop()
+        self.channel.stop()
+
+
+def wait_until(condition):
+    with gevent.Timeout(20):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def owned(nodes):
+    return sorted(shard for node in nodes for shard in node.shards.owned_shards())
+
+
+@pytest.fixture
+def fleet():
+    clock = RuntimeClock()
+    store, vm_list, truth = MemoryStore(clock), MemoryVmList(clock), ShardTruth()
+    nodes = [Node(f"vm{n}", "1", store, vm_list, truth) for n in range(3)]
+    yield nodes, store, vm_list, truth
+    for node in nodes:
+        node.end()
+
+
+def test_planned_stop_and_restart_keep_all_shards_and_their_state(fleet):
+    nodes, store, vm_list, truth = fleet
+    everything = list(range(SHARDS))
+    wait_until(lambda: owned(nodes) == everything)
+    leaver = max(nodes, key=lambda node: len(node.shards.owned_shards()))
+    mine = leaver.shards.owned_shards()
+    for shard in mine:
+        leaver.part.work(shard)
+    leaver.members.announce_leaving()
+    report = leaver.shards.hand_over_all(grace_s=20.0)
+    leaver.end()
+    nodes.remove(leaver)
+    assert report.moved == len(mine)
+    wait_until(lambda: owned(nodes) == everything)
+    assert (truth.lost, truth.unclean) == (0, 0)
+
+    crashed = nodes.pop()
+    held = crashed.shards.owned_shards()
+    crashed.end()
+    row_owner = nodes[0].shards.owner(held[0]).vm_id
+    nodes.append(Node(row_owner, "2", store, vm_list, truth))
+    wait_until(lambda: owned(nodes) == everything)
+    assert truth.unclean == len(held)
