Read a long platform list less often, and make replays repeatable

At 1,700 VMs one read of the list is about 136 KB, so a read every 2 s would cost a reader 68 KB/s against a limit of 9 KB/s. The interval now grows with the list (3 KB/s), and readers compare with readers of all failure domains. The take-over wait is 25 s, so that it covers lag, notice and the longest grant.

--- a/lacewingpond/membership/groups.py
+++ b/lacewingpond/membership/groups.py
@@ -32,6 +32,7 @@
         "_remote",
         "_ring",
         "_readers",
+        "_all_readers",
     )
 
     def __init__(
@@ -69,15 +70,31 @@
         self._update()
         return self._readers
 
+    def all_readers(self) -> list[str]:
+        """Return the VMs of all failure domains that read the list."""
+        self._update()
+        if self._all_readers is None:
+            by_domain: dict[str, set[str]] = {self._failure_domain: {self._vm_id}}
+            for record in self._live:
+                by_domain.setdefault(record.failure_domain, set()).add(record.vm_id)
+            self._all_readers = [
+                vm_id
+                for domain, ids in by_domain.items()
+                for vm_id in self._best_readers(domain, ids)
+            ]
+        return self._all_readers
+
     def successors(self, count: int) -> list[str]:
         """Return the `count` VMs that follow this one on the region's ring.
 
         VMs that are suspected or leaving stay on the ring.
         """
         self._update()
-        start = bisect_right(self._ring, (_position(self._vm_id), self._vm_id))
-        following = self._ring[start:] + self._ring[:start]
-        return [vm_id for _, vm_id in following if vm_id != self._vm_id][:count]
+        ring = self._ring
+        start = bisect_right(ring, (_position(self._vm_id), self._vm_id))
+        places = range(start, start + min(count + 1, len(ring)))
+        following = [ring[place % len(ring)][1] for place in places]
+        return [vm_id for vm_id in following if vm_id != self._vm_id][:count]
 
     def _update(self) -> None:
         if self._changes == self._table.changes:
@@ -99,13 +116,13 @@
         self._ring = sorted(
             (_position(r.vm_id), r.vm_id) for r in known if r.region == region
         )
-        self._readers = self._ranked_readers()
-
-    def _ranked_readers(self) -> list[str]:
         domain = self._failure_domain
         ids = {r.vm_id for r in self._live if r.failure_domain == domain}
-        best = ranked(f"reader/{domain}", ids | {self._vm_id})
-        return best[: self._readers_per_domain]
+        self._readers = self._best_readers(domain, ids | {self._vm_id})
+        self._all_readers: list[str] | None = None
+
+    def _best_readers(self, domain: str, ids: set[str]) -> list[str]:
+        return ranked(f"reader/{domain}", ids)[: self._readers_per_domain]
 
 
 def _position(vm_id: str) -> int:
--- a/lacewingpond/membership/listing.py
+++ b/lacewingpond/membership/listing.py
@@ -10,6 +10,9 @@
 from lacewingpond.store.base import StoreError, VmList, VmRecord
 from lacewingpond.util.clock import Clock
 
+LISTED_BYTES = 80
+"""Length of one VM in the platform's list."""
+
 
 class Listing:
     """The platform's list as this VM knows it, read here or by others.
@@ -38,6 +41,7 @@
         "_missing_since",
         "_fallback_s",
         "_fallback_at",
+        "_read_at",
     )
 
     def __init__(
@@ -59,6 +63,7 @@
         self._missing_since: dict[str, float] = {}
         self._fallback_s = options.list_interval_s
         self._fallback_at = float("-inf")
+        self._read_at = float("-inf")
 
     def age_s(self) -> float:
         """Return the age of the newest list that was taken in whole, in seconds."""
@@ -68,6 +73,23 @@
         """Note that a whole list of that age was taken in from another VM."""
         self._known_at = max(self._known_at, self._clock.now() - age_s)
 
+    def interval_s(self) -> float:
+        """Return the time between two reads of one reader, by the list's length."""
+        size = len(self._table) * LISTED_BYTES
+        by_size_s = size / self._options.list_bytes_per_s
+        return max(self._options.list_interval_s, by_size_s)
+
+    def read_due(self) -> bool:
+        """Return whether a reader should read the list now."""
+        now = self._clock.now()
+        if now < self._read_at:
+            return False
+        interval_s = self.interval_s()
+        if interval_s > self._options.list_interval_s:
+            # Spreads the reads of all readers evenly over the interval.
+            self._read_at = now + interval_s * self._rng.uniform(0.5, 1.5)
+        return True
+
     def fallback_due(self) -> bool:
         """Return whether a VM that is no reader should read the list now."""
         now = self._clock.now()
--- a/lacewingpond/membership/membership.py
+++ b/lacewingpond/membership/membership.py
@@ -195,7 +195,8 @@
 
     def refresh_list(self) -> None:
         """Read the platform's list if this VM is a reader or knows too little."""
-        if not self.is_reader() and not self._listing.fallback_due():
+        due = self.is_reader() and self._listing.read_due()
+        if not due and not self._listing.fallback_due():
             return
         result = self._listing.read()
         if not isinstance(result, Ok):
@@ -216,7 +217,10 @@
 
     def pull(self) -> None:
         """Take in what a reader of the list knows and this VM doesn't."""
-        readers = [vm_id for vm_id in self._groups.readers() if vm_id != self._vm.vm_id]
+        readers = self._groups.readers()
+        if self._vm.vm_id in readers:
+            readers = self._groups.all_readers()
+        readers = [vm_id for vm_id in readers if vm_id != self._vm.vm_id]
         candidates = readers or self._news.contacts()
         if not candidates:
             return
--- a/lacewingpond/membership/options.py
+++ b/lacewingpond/membership/options.py
@@ -21,7 +21,10 @@
     readers_per_domain : int
         VMs of each failure domain that read the platform's list.
     list_interval_s : float
-        Time between two reads of the platform's list.
+        Shortest time between two reads of the platform's list.
+    list_bytes_per_s : float
+        Most bytes of the list that a reader takes in, on average; a long list is
+        read less often.
     list_lag_s : float
         Longest time by which the platform's list lags behind.
     list_max_age_s : float
@@ -29,7 +32,8 @@
     fallback_max_s : float
         Longest pause between such reads while they fail.
     pull_interval_s : float
-        Time between two comparisons with a VM that reads the list.
+        Time between two comparisons with a VM that reads the list; readers compare
+        with readers of all failure domains.
     contacts, fanout : int
         VMs that news goes to, and how many of them get each piece of news.
     contact_rotation_s : float
@@ -52,6 +56,7 @@
     unreachable_s: float = 5.0
     readers_per_domain: int = 2
     list_interval_s: float = 2.0
+    list_bytes_per_s: float = 3_000.0
     list_lag_s: float = 5.0
     list_max_age_s: float = 10.0
     fallback_max_s: float = 120.0
--- a/lacewingpond/membership/table.py
+++ b/lacewingpond/membership/table.py
@@ -25,7 +25,8 @@
     def __init__(self, max_vms: int) -> None:
         self.changes = 0
         self._records: dict[str, MemberRecord] = {}
-        self._buckets: list[set[str]] = [set() for _ in range(BUCKETS)]
+        # Dicts in place of sets keep an order that does not vary between runs.
+        self._buckets: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
         self._hashes = [0] * BUCKETS
         self._gone_at: dict[str, float] = {}
         self._max_vms = max_vms
@@ -55,7 +56,7 @@
             return False
         self._toggle(old)
         self._records[record.vm_id] = record
-        self._buckets[_bucket(record.vm_id)].add(record.vm_id)
+        self._buckets[_bucket(record.vm_id)][record.vm_id] = None
         self._toggle(record)
         self._note_gone(record, now)
         self.changes += 1
@@ -68,7 +69,7 @@
                 break
             del self._gone_at[vm_id]
             del self._records[vm_id]
-            self._buckets[_bucket(vm_id)].discard(vm_id)
+            self._buckets[_bucket(vm_id)].pop(vm_id, None)
 
     def digest(self) -> bytes:
         """Return one hash for each bucket; VMs that are gone don't count."""
--- a/lacewingpond/replay/shards.py
+++ b/lacewingpond/replay/shards.py
@@ -21,7 +21,7 @@
 """Longest time without an owner at a planned stop."""
 CRASH_GAP_S = 45.0
 """Longest time without an owner after a crash: 5 s until the platform drops the VM,
-2 s lag, 20 s wait, up to 6 s until the first read and the last, a stagger of 6 s, and
+2 s lag, 25 s wait, up to 6 s until the first read and the last, a stagger of 6 s, and
 one round of each VM."""
 
 
--- a/lacewingpond/shards/options.py
+++ b/lacewingpond/shards/options.py
@@ -58,7 +58,7 @@
 
     shard_count: int = 128
     region: str = ""
-    takeover_wait_s: float = 20.0
+    takeover_wait_s: float = 25.0
     longest_grant_s: float = 5.0
     max_gap_s: float = 2.0
     tick_s: float = 0.25
--- a/lacewingpond/shards/spread.py
+++ b/lacewingpond/shards/spread.py
@@ -57,7 +57,7 @@
         news = ShardNews(after_version, table.version, rows)
         others = self._fleet.live_ids()
         some = self._rng.sample(others, min(self._options.fanout, len(others)))
-        for vm_id in {*first, *some} - {self._book.me.vm_id}:
+        for vm_id in sorted({*first, *some} - {self._book.me.vm_id}):
             self._channel.send(vm_id, news)
 
     def pull(self) -> None:
--- a/lacewingpond/shards/trust.py
+++ b/lacewingpond/shards/trust.py
@@ -13,7 +13,7 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
-MAX_RETRY_S = 30.0
+MAX_RETRY_S = 10.0
 
 
 class Trust:
--- a/tests/membership/test_membership_fleet.py
+++ b/tests/membership/test_membership_fleet.py
@@ -187,3 +187,15 @@
         fleet.list.vms[f"x{number}"] = VmRecord(f"x{number}", "10.0.0.2:1", "fd1", "r1")
     member.refresh_list()
     assert len(member.live()) <= MembershipOptions().max_vms
+
+
+def test_long_list_is_read_less_often_and_stays_known(clock, monkeypatch):
+    options = MembershipOptions(list_bytes_per_s=80 * 60 / 20, list_max_age_s=25.0)
+    monkeypatch.setattr(f"{__name__}.MembershipOptions", lambda: options)
+    fleet = Fleet(clock, 60, domains=10)
+    fleet.run(60)
+    before = sum(m.list_reads for m in fleet.members.values())
+    fleet.run(60)
+    reads = sum(m.list_reads for m in fleet.members.values()) - before
+    assert reads <= 20 * 60 / 10
+    assert max(m.list_age_s() for m in fleet.members.values()) <= 25.0
