--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -1,8 +1,8 @@
 """All players by scenario."""
 
 from lacewingpond.replay.base import Player
-from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.concurrency import ConcurrencyPlayer
+from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
 from lacewingpond.replay.placement import PlacementPlayer
 from lacewingpond.replay.queues import QueuePlayer
