--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,36 @@
+"""Tests that the pages for operators name what the code can say."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from lacewingpond.ui.application import build
+
+ROOT = Path(__file__).parents[1]
+SOURCES = [path.read_text() for path in (ROOT / "lacewingpond").rglob("*.py")]
+METRIC = re.compile(r'\b(?:incr|gauge|timing)\(\s*f?"([^"{]+)')
+OPERATORS = (ROOT / "docs" / "OPERATORS.md").read_text()
+
+
+def metric_names():
+    found = {name for text in SOURCES for name in METRIC.findall(text)}
+    return sorted(found)
+
+
+@pytest.mark.parametrize("name", metric_names())
+def test_metric_is_listed(name):
+    assert f"`{name}" in OPERATORS
+
+
+def test_every_command_has_an_example():
+    for command in build().all().values():
+        if command.name in ("completions", "help", "list"):
+            continue
+        assert "Example: " in command.help, command.name
+
+
+@pytest.mark.parametrize("page", sorted(ROOT.glob("docs/**/*.md")), ids=str)
+def test_links_lead_somewhere(page):
+    for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+        assert (page.parent / target).exists(), target
