Run keyed requests on the owner of their key

Keyed non-idempotent requests now go to the owner of their claim, which runs them even if the caller or the entry VM goes. Whether this VM may still send is asked once more when the connection is open, just before the first byte.

--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -9,9 +9,11 @@
 from lacewingpond.daemon.surroundings import Surroundings
 from lacewingpond.health.reporter import HealthReporter
 from lacewingpond.http.server import CallerServer
+from lacewingpond.idempotency.service import IdempotencyService
 from lacewingpond.limits.limiter import FleetLimiter
 from lacewingpond.placement.placer import Placer
 from lacewingpond.proxy.dispatcher import Dispatcher
+from lacewingpond.proxy.keyed_runner import KeyedRunner
 from lacewingpond.proxy.pipeline import Pipeline
 from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.queues.fair_queue import FairQueue
@@ -44,6 +46,7 @@
         "client",
         "retries",
         "quarantine",
+        "keyed",
         "_fleet",
         "_clock",
         "_greenlets",
@@ -104,8 +107,28 @@
             clock,
             log,
         )
+        runner = KeyedRunner(dispatcher, clock, log)
+        self.keyed = IdempotencyService.from_options(
+            cfg.idempotency,
+            cfg.vm.id,
+            clock,
+            rng,
+            fleet.channel,
+            fleet.shards,
+            runner,
+            log,
+            metrics,
+        )
         self.pipeline = Pipeline(
-            cfg.proxy, self.limiter, dispatcher, availability, clock, log, metrics
+            cfg.proxy,
+            self.limiter,
+            dispatcher,
+            self.keyed,
+            runner,
+            availability,
+            clock,
+            log,
+            metrics,
         )
         self.server = CallerServer.from_options(
             cfg.http, self.pipeline.handle, log, clock
@@ -113,6 +136,7 @@
         fleet.shards.add_part(self.limiter)
         fleet.shards.add_part(self.health)
         fleet.shards.add_part(self.quarantine)
+        fleet.shards.add_part(self.keyed)
         fleet.holder.on_change(self._on_change)
 
     def start(self) -> None:
--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -30,7 +30,15 @@
 """Answers of a target after which an idempotent request goes to another one."""
 MAX_CRASHES = 2
 """Crashes after which a request is sent to no further target."""
-CALLER_FAULTS = frozenset({SendReason.CALLER_GONE.value, SendReason.CALLER_BODY.value})
+FINAL_REASONS = frozenset(
+    reason.value
+    for reason in (
+        SendReason.CALLER_GONE,
+        SendReason.CALLER_BODY,
+        SendReason.OWNERSHIP_LOST,
+    )
+)
+"""Reasons for which no other target would serve better."""
 
 
 class Delivery:
@@ -220,7 +228,7 @@
             return False
         if self._crashes >= MAX_CRASHES:
             return False
-        if not self._job.body.can_send or self._refused.reason in CALLER_FAULTS:
+        if not self._job.body.can_send or self._refused.reason in FINAL_REASONS:
             return False
         if not may_retry(self._job.match.route, self._job.method, outcome):
             return False
--- a/lacewingpond/proxy/job.py
+++ b/lacewingpond/proxy/job.py
@@ -8,6 +8,7 @@
 from lacewingpond.config.model import Service
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.request import Request
+from lacewingpond.idempotency.keyed_request import KeyedRequest
 from lacewingpond.quarantine.fingerprint import fingerprint
 from lacewingpond.routing.hop_by_hop import headers_to_target
 from lacewingpond.routing.match import RouteMatch
@@ -96,6 +97,8 @@
         When the head of the answer must have come, in monotonic seconds.
     is_disconnected : callable or None
         Tells whether the caller has gone.
+    may_send : callable or None
+        Asked just before the first byte leaves; False stops the request.
     fingerprint : str
         Names the request for the quarantine; empty when its body is not known.
     """
@@ -109,6 +112,7 @@
         "body",
         "deadline",
         "is_disconnected",
+        "may_send",
         "fingerprint",
     )
 
@@ -122,6 +126,7 @@
         body: JobBody,
         deadline: float,
         is_disconnected: Callable[[], bool] | None = None,
+        may_send: Callable[[], bool] | None = None,
         fingerprint: str = "",
     ) -> None:
         self.match = match
@@ -132,6 +137,7 @@
         self.body = body
         self.deadline = deadline
         self.is_disconnected = is_disconnected
+        self.may_send = may_send
         self.fingerprint = fingerprint
 
     @classmethod
@@ -173,6 +179,30 @@
         """Whether it may be sent again after a target may have run it."""
         return self.match.route.is_idempotent(self.method)
 
+    @classmethod
+    def from_keyed(
+        cls,
+        request: KeyedRequest,
+        match: RouteMatch,
+        deadline: float,
+        may_send: Callable[[], bool],
+    ) -> "Job":
+        """Prepare a keyed request that this VM owns; it outlives its caller."""
+        key = request.key.encode("utf-8", "replace")
+        return cls(
+            match=match,
+            workspace=request.workspace,
+            method=request.method,
+            path=request.path,
+            headers=Headers(request.headers),
+            body=KeptBody(request.body),
+            deadline=deadline,
+            may_send=may_send,
+            fingerprint=fingerprint(
+                request.workspace, request.route, request.method, request.path, key
+            ),
+        )
+
     def attempt(self) -> TargetRequest:
         """Return the request for one attempt."""
         return TargetRequest(
@@ -183,6 +213,7 @@
             content_length=self.body.content_length,
             idempotent=self.idempotent,
             is_disconnected=self.is_disconnected,
+            may_send=self.may_send,
         )
 
 
--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -9,12 +9,16 @@
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
+from lacewingpond.idempotency.keyed_request import KeyedRequest
+from lacewingpond.idempotency.reply import Reply
 from lacewingpond.limits.admission import Admission, RefusalReason
 from lacewingpond.proxy.dispatcher import Dispatcher
 from lacewingpond.proxy.job import IDEMPOTENCY_KEY_HEADER, Job
+from lacewingpond.proxy.keyed_replies import to_response
+from lacewingpond.proxy.keyed_runner import KeyedRunner
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
-from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER
+from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER, headers_to_target
 from lacewingpond.routing.keys import KeyTable, presented_key
 from lacewingpond.routing.match import RouteFailure, RouteMatch, RouteMiss
 from lacewingpond.routing.routes import RouteTable
@@ -58,6 +62,14 @@
         ...
 
 
+class KeyedRequests(Protocol):
+    """Runs keyed requests at most once, over all VMs."""
+
+    def submit(self, request: KeyedRequest) -> Reply:
+        """Return the reply to a keyed request; blocks while it runs."""
+        ...
+
+
 class Pipeline:
     """Takes requests from the callers' server and returns their answers.
 
@@ -69,6 +81,10 @@
         Fleet-wide rates.
     dispatcher : Dispatcher
         Sends requests to targets.
+    keyed : KeyedRequests
+        Takes non-idempotent requests with an ``Idempotency-Key``.
+    runner : KeyedRunner
+        Runs those that this VM owns.
     availability : Availability
         Whether this VM may take requests.
     clock : Clock
@@ -81,6 +97,8 @@
         "_options",
         "_limiter",
         "_dispatcher",
+        "_keyed",
+        "_runner",
         "_availability",
         "_clock",
         "_log",
@@ -95,6 +113,8 @@
         options: ProxyOptions,
         limiter: Limiter,
         dispatcher: Dispatcher,
+        keyed: KeyedRequests,
+        runner: KeyedRunner,
         availability: Availability,
         clock: Clock,
         log: DecisionLog,
@@ -103,6 +123,8 @@
         self._options = options
         self._limiter = limiter
         self._dispatcher = dispatcher
+        self._keyed = keyed
+        self._runner = runner
         self._availability = availability
         self._clock = clock
         self._log = log
@@ -112,6 +134,7 @@
     def configure(self, cfg: Config) -> None:
         """Take over a revision of the configuration."""
         self._routes = RouteTable.from_config(cfg)
+        self._runner.configure(self._routes)
         self._keys = KeyTable.from_config(cfg)
         self._workspaces = frozenset(w.name for w in cfg.workspaces)
 
@@ -139,13 +162,44 @@
         refused = self._check_form(req, match) or self._check_rate(match, workspace)
         if refused is not None:
             return Err(refused)
-        job = self._job(req, match, workspace, deadline.ok_value)
-        if job.is_err():
-            return job
         self._log.decision(
             "route", match.route.name, "longest prefix", workspace=workspace
         )
-        return self._dispatcher.dispatch(job.ok_value).map(_to_response)
+        try:
+            return self._forward(req, match, workspace, deadline.ok_value)
+        except RequestBodyError as exc:
+            return Err(Refused.not_run(400, "bad-body", str(exc)))
+
+    def _forward(
+        self, req: Request, match: RouteMatch, workspace: str, deadline: float
+    ) -> Result[Response, Refused]:
+        key = req.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if key is not None and not match.route.is_idempotent(req.method):
+            return self._submit(req, match, workspace, key, deadline)
+        job = Job.from_request(
+            req, match, workspace, deadline, self._options.replay_bytes
+        )
+        return self._dispatcher.dispatch(job).map(_to_response)
+
+    def _submit(
+        self, req: Request, match: RouteMatch, workspace: str, key: str, deadline: float
+    ) -> Result[Response, Refused]:
+        body = _read_at_most(req, self._options.keyed_body_bytes)
+        if body is None:
+            detail = "The body is too long for a request with a key."
+            return Err(Refused.not_run(413, "body-too-large", detail))
+        request = KeyedRequest(
+            workspace=workspace,
+            key=key,
+            route=match.route.name,
+            method=req.method,
+            path=req.path,
+            headers=tuple(headers_to_target(req.headers)),
+            body=body,
+            timeout_s=max(0.0, deadline - self._clock.now()),
+        )
+        answer = to_response(self._keyed.submit(request))
+        return Err(answer) if isinstance(answer, Refused) else Ok(answer)
 
     def _identify(self, req: Request, match: RouteMatch) -> Result[str, Refused]:
         route = match.route
@@ -199,17 +253,6 @@
             admission.retry_after_s,
         )
 
-    def _job(
-        self, req: Request, match: RouteMatch, workspace: str, deadline: float
-    ) -> Result[Job, Refused]:
-        try:
-            job = Job.from_request(
-                req, match, workspace, deadline, self._options.replay_bytes
-            )
-        except RequestBodyError as exc:
-            return Err(Refused.not_run(400, "bad-body", str(exc)))
-        return Ok(job)
-
     def _balancer_check(self) -> Response:
         ready = self._availability.is_ready
         headers = Headers((("Content-Type", "text/plain"),))
@@ -238,5 +281,18 @@
         return self._options.unavailable_retry_s
 
 
+def _read_at_most(req: Request, limit: int) -> bytes | None:
+    """Return the whole body, or None when it is longer than `limit` bytes."""
+    if (req.body.content_length or 0) > limit:
+        return None
+    blocks, size = [], 0
+    for block in req.body:
+        size += len(block)
+        if size > limit:
+            return None
+        blocks.append(block)
+    return b"".join(blocks)
+
+
 def _to_response(answer: TargetResponse) -> Response:
     return Response(answer.status, answer.headers, answer, answer.reason)
--- a/lacewingpond/routing/routes.py
+++ b/lacewingpond/routing/routes.py
@@ -17,10 +17,11 @@
     longest prefix decides; only then the method.
     """
 
-    __slots__ = ("_hosts",)
+    __slots__ = ("_hosts", "_by_name")
 
     def __init__(self) -> None:
         self._hosts: dict[str, PathNode] = {}
+        self._by_name: dict[str, RouteMatch] = {}
 
     @classmethod
     def from_config(cls, cfg: Config) -> "RouteTable":
@@ -33,9 +34,15 @@
             if service is None or segments.is_err():
                 continue
             root = table._hosts.setdefault(route.host.lower(), PathNode())
-            root.add(segments.ok(), RouteMatch(route, service))
+            match = RouteMatch(route, service)
+            root.add(segments.ok(), match)
+            table._by_name[route.name] = match
         return table
 
+    def named(self, name: str) -> RouteMatch | None:
+        """Return the route called `name`, or None."""
+        return self._by_name.get(name)
+
     def match(self, host: str, path: str, method: str) -> Result[RouteMatch, RouteMiss]:
         """Return the route of a request.
 
--- a/lacewingpond/settings/model.py
+++ b/lacewingpond/settings/model.py
@@ -5,6 +5,7 @@
 from lacewingpond.config.options import ConfigOptions
 from lacewingpond.health.options import HealthOptions
 from lacewingpond.http.options import HttpOptions
+from lacewingpond.idempotency.options import IdempotencyOptions
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.membership.options import MembershipOptions
 from lacewingpond.peers.options import PeerOptions
@@ -137,6 +138,7 @@
     config: ConfigOptions = ConfigOptions()
     health: HealthOptions = HealthOptions.for_certainty()
     http: HttpOptions = HttpOptions()
+    idempotency: IdempotencyOptions = IdempotencyOptions()
     limits: LimitOptions = LimitOptions()
     log: LogSettings = LogSettings()
     membership: MembershipOptions = MembershipOptions()
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -103,6 +103,8 @@
         self._deadline = deadline
         self._may_give_up = req.idempotent
         self._is_disconnected = req.is_disconnected if req.idempotent else None
+        if req.may_send is not None and not req.may_send():
+            raise ExchangeError(SendReason.OWNERSHIP_LOST)
         self.sent_at = self._clock.now()
         self._send(req)
         self.sent_at = self._clock.now()
--- a/lacewingpond/targets/errors.py
+++ b/lacewingpond/targets/errors.py
@@ -25,6 +25,8 @@
     """The deadline passed."""
     SILENT_CONNECTION = "silent-connection"
     """The connection has gone silent, while newer ones to the target answer."""
+    OWNERSHIP_LOST = "ownership-lost"
+    """This VM may no longer send the request."""
     CALLER_GONE = "caller-gone"
     CALLER_BODY = "caller-body"
     """The caller's body was cut, malformed or too slow."""
--- a/lacewingpond/targets/request.py
+++ b/lacewingpond/targets/request.py
@@ -26,6 +26,8 @@
         False keeps the request running when its caller goes.
     is_disconnected : callable or None
         Returns True once the caller has gone.
+    may_send : callable or None
+        Asked just before the first byte leaves; False stops the request.
     """
 
     method: str
@@ -35,6 +37,7 @@
     content_length: int | None = None
     idempotent: bool = False
     is_disconnected: Callable[[], bool] | None = None
+    may_send: Callable[[], bool] | None = None
 
     @classmethod
     def from_request(cls, req: Request, idempotent: bool) -> "TargetRequest":
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -12,12 +12,15 @@
 from lacewingpond.health.reporter import HealthReporter
 from lacewingpond.http.options import HttpOptions
 from lacewingpond.http.server import CallerServer
+from lacewingpond.idempotency.options import IdempotencyOptions
+from lacewingpond.idempotency.service import IdempotencyService
 from lacewingpond.limits.limiter import FleetLimiter
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.peers.memory import MemoryNetwork
 from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.placement.placer import Placer
 from lacewingpond.proxy.dispatcher import Dispatcher
+from lacewingpond.proxy.keyed_runner import KeyedRunner
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.pipeline import Pipeline
 from lacewingpond.quarantine.options import QuarantineOptions
@@ -102,8 +105,14 @@
             self.log,
         )
         options = ProxyOptions()
-        parts = (self.limiter, dispatcher, self.switch, self.clock, *told)
-        return Pipeline(options, *parts)
+        runner = KeyedRunner(dispatcher, self.clock, self.log)
+        self.keyed = IdempotencyService.from_options(
+            IdempotencyOptions(), *common[:5], runner, *told
+        )
+        for shard in range(shards.shard_count):
+            self.keyed.adopt(shards.owned(shard), None)
+        parts = (self.limiter, dispatcher, self.keyed, runner, self.switch)
+        return Pipeline(options, *parts, self.clock, *told)
 
     def start(self, *targets, rate=1000.0, **route):
         for options in targets:
@@ -126,11 +135,13 @@
         for part in parts:
             part.configure(cfg)
 
-    def ask(self, method="GET", path="/pay", key=KEY, body=None, **headers):
+    def ask(self, method="GET", path="/pay", key=KEY, body=None, timeout=5, **headers):
         if key:
             headers["Authorization"] = f"Bearer {key}"
         url = f"http://127.0.0.1:{self.server.port}{path}"
-        return self.http.request(method, url, headers=headers, body=body, timeout=5)
+        return self.http.request(
+            method, url, headers=headers, body=body, timeout=timeout
+        )
 
     def runs(self):
         return sum(target.stats.run for target in self.targets)
@@ -261,3 +272,55 @@
     assert bench.ask(path=path, key="").status == 200
     bench.switch.is_ready = False
     assert bench.ask(path=path, key="").status == 503
+
+
+KEYED = {"Idempotency-Key": "commission-7"}
+
+
+def test_repeat_gets_the_answer_of_the_one_run(bench):
+    bench.start({}, {})
+    answers = [bench.ask("POST", body=b"book", **KEYED) for _ in range(3)]
+    assert [(a.status, a.data) for a in answers] == [(200, b"book")] * 3
+    replayed = [a.headers.get("Idempotency-Replayed") for a in answers]
+    assert replayed == [None, "true", "true"]
+    assert bench.runs() == 1
+
+
+def test_same_key_with_another_body_is_refused(bench):
+    bench.start({})
+    assert bench.ask("POST", body=b"one", **KEYED).status == 200
+    answer = bench.ask("POST", body=b"two", **KEYED)
+    assert (answer.status, reason(answer)) == (422, "key-reused")
+    assert bench.runs() == 1
+
+
+def test_keyed_request_outlives_its_caller(bench):
+    bench.start({"work_s": 0.2})
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        bench.ask("POST", body=b"book", timeout=0.05, **KEYED)
+    answer = bench.ask("POST", body=b"book", **KEYED)
+    assert (answer.status, answer.data) == (200, b"book")
+    assert bench.runs() == 1
+
+
+def test_keyed_request_that_no_target_ran_may_run_later(bench):
+    bench.start({"draining": True})
+    answer = bench.ask("POST", body=b"book", **KEYED)
+    assert (answer.status, answer.headers[RUN]) == (503, "not-run")
+    bench.targets[0].configure(TargetOptions(work_s=0.0))
+    assert bench.ask("POST", body=b"book", **KEYED).status == 200
+
+
+def test_crashed_keyed_request_is_unknown_for_good(bench):
+    bench.start({"restart_s": 0.05}, {})
+    for _ in range(3):
+        answer = bench.ask("POST", body=b"book", **{"X-Crash": "1", **KEYED})
+        assert answer.headers[RUN] == "unknown"
+    assert bench.runs() == 1
+
+
+def test_long_body_with_a_key_is_refused_as_not_run(bench):
+    bench.start({})
+    answer = bench.ask("POST", body=b"x" * 300_000, **KEYED)
+    assert (answer.status, answer.headers[RUN]) == (413, "not-run")
+    assert bench.runs() == 0
