Test keyed requests, rates and rolling replacement over real daemons

Repeats through every VM run once; answers survive the planned stop of their owner; after the loss of an owner repeats are refused as unknown and never run again; a rate counts over all VMs; two VMs are replaced one after the other under load without a cut, refused or doubled request.

--- a/lacewingpond/demo/fleet.py
+++ b/lacewingpond/demo/fleet.py
@@ -48,10 +48,10 @@
         Seed of their random choices.
     """
 
-    __slots__ = ("platform", "targets", "daemons", "logs", "_clock", "_rng", "_secret")
+    __slots__ = ("platform", "targets", "daemons", "logs", "clock", "_rng", "_secret")
 
     def __init__(self, clock: Clock, seed: int) -> None:
-        self._clock = clock
+        self.clock = clock
         self._rng = random.Random(seed)
         self._secret = os.urandom(SECRET_BYTES)
         self.platform = StandinPlatform.from_options(PlatformOptions(), clock)
@@ -63,7 +63,7 @@
     def add_target(self, name: str, **options: object) -> StandinTarget:
         """Start a target with the given faults."""
         target = StandinTarget.from_options(
-            TargetOptions(name=name, **options), self._clock
+            TargetOptions(name=name, **options), self.clock
         )
         target.start()
         self.targets[name] = target
@@ -74,7 +74,7 @@
         domain = DOMAINS[len(self.daemons) % len(DOMAINS)]
         self.logs[vm_id] = RecordingDecisionLog()
         around = Surroundings(
-            clock=self._clock,
+            clock=self.clock,
             rng=random.Random(self._rng.random()),
             log=self.logs[vm_id],
             metrics=CountingMetrics(),
@@ -98,11 +98,11 @@
 
     def wait_until(self, condition, timeout_s: float) -> float | None:
         """Return the seconds until `condition` holds; None when it never did."""
-        started = self._clock.now()
-        while self._clock.now() - started <= timeout_s:
+        started = self.clock.now()
+        while self.clock.now() - started <= timeout_s:
             if condition():
-                return self._clock.now() - started
-            self._clock.sleep(0.02)
+                return self.clock.now() - started
+            self.clock.sleep(0.02)
         return None
 
     def owns_all_shards(self) -> bool:
--- a/tests/daemon/test_daemon_fleet.py
+++ b/tests/daemon/test_daemon_fleet.py
@@ -14,6 +14,8 @@
 from lacewingpond.config.keys import digest_of
 from lacewingpond.config.model import Key, Route, Service, Target, Workspace
 from lacewingpond.demo.fleet import LocalFleet
+from lacewingpond.load.plan import LoadPlan, RequestKind, WorkspaceLoad
+from lacewingpond.load.runner import LoadRunner
 from lacewingpond.util.clock import RuntimeClock
 
 KEY = "a-key-of-chitra-ghar"
@@ -50,6 +52,11 @@
     return fleet.wait_until(everywhere, WITHIN_S) is not None
 
 
+def is_ready(fleet, daemon):
+    ready = fleet.wait_until(lambda: daemon.availability.is_ready, WITHIN_S)
+    return ready is not None
+
+
 def ask(fleet, vm_id, pool, method="GET"):
     return ask_at(fleet.daemons[vm_id].caller_address, pool, method)
 
@@ -113,7 +120,114 @@
 def test_daemon_started_during_an_outage_takes_the_snapshot_of_a_peer(fleet):
     pool = urllib3.PoolManager(retries=False)
     fleet.platform.faults.outage = True
-    newcomer = fleet.add_daemon("vm-4")
-    ready = fleet.wait_until(lambda: newcomer.availability.is_ready, WITHIN_S)
-    assert ready is not None
+    assert is_ready(fleet, fleet.add_daemon("vm-4"))
     assert ask(fleet, "vm-4", pool).status == 200
+
+
+def keyed(address, pool, key, body=b"commission"):
+    headers = {**KEYED, "Idempotency-Key": key}
+    return pool.request("POST", f"http://{address}/pay", headers=headers, body=body)
+
+
+def test_repeats_through_every_vm_run_once(fleet):
+    pool = urllib3.PoolManager(retries=False, maxsize=30)
+    addresses = [d.caller_address for d in fleet.daemons.values()]
+    calls = [
+        gevent.spawn(keyed, address, pool, f"key-{number}")
+        for number in range(10)
+        for address in addresses
+    ]
+    gevent.joinall(calls, raise_error=True)
+    assert {call.value.status for call in calls} == {200}
+    assert {call.value.data for call in calls} == {b"commission"}
+    assert set(counts_by_key(fleet).values()) == {1}
+
+
+def counts_by_key(fleet):
+    counts = {}
+    for target in fleet.targets.values():
+        for key, count in target.stats.report().runs_by_idempotency_key.items():
+            counts[key] = counts.get(key, 0) + count
+    return counts
+
+
+def test_answers_survive_a_planned_stop_of_their_owner(fleet):
+    pool = urllib3.PoolManager(retries=False)
+    keys = [f"key-{number}" for number in range(20)]
+    first = fleet.daemons["vm-1"].caller_address
+    for key in keys:
+        assert keyed(first, pool, key).status == 200
+    fleet.daemons.pop("vm-3").stop()
+    for key in keys:
+        answer = keyed(first, pool, key)
+        assert (answer.status, answer.headers["Idempotency-Replayed"]) == (200, "true")
+    assert set(counts_by_key(fleet).values()) == {1}
+
+
+def test_repeat_after_the_owner_is_lost_never_runs_again(fleet):
+    pool = urllib3.PoolManager(retries=False)
+    keys = [f"key-{number}" for number in range(20)]
+    first = fleet.daemons["vm-1"].caller_address
+    for key in keys:
+        assert keyed(first, pool, key).status == 200
+    fleet.daemons.pop("vm-3").close()
+    answers = [keyed(first, pool, key) for key in keys]
+    assert {answer.status for answer in answers} <= {200, 503}
+    refused = [answer for answer in answers if answer.status == 503]
+    assert refused
+    assert {answer.headers["Lacewingpond-Run"] for answer in refused} == {"unknown"}
+    assert set(counts_by_key(fleet).values()) == {1}
+
+
+def test_rate_counts_over_all_vms(fleet):
+    fleet.change("vm-1", PutWorkspace(Workspace("chitra-ghar", 1.0, 12.0)))
+    assert wait_for_revision(fleet, 2)
+    started = fleet.clock.now()
+    pool = urllib3.PoolManager(retries=False, maxsize=30)
+    ran = runs(fleet)
+    calls = [
+        gevent.spawn(ask, fleet, vm_id, pool)
+        for vm_id in ("vm-1", "vm-2", "vm-3")
+        for _ in range(20)
+    ]
+    gevent.joinall(calls, raise_error=True)
+    assert {call.value.status for call in calls} <= {200, 429, 503}
+    admitted = runs(fleet) - ran
+    assert 0 < admitted <= 12.0 + 1.0 * (fleet.clock.now() - started)
+
+
+def test_all_vms_are_replaced_under_load_and_nothing_is_cut(fleet):
+    plan = LoadPlan(
+        daemons=tuple(d.caller_address for d in fleet.daemons.values()),
+        workspaces=(
+            WorkspaceLoad(
+                "chitra-ghar",
+                KEY,
+                30.0,
+                (
+                    RequestKind("/pay"),
+                    RequestKind(
+                        "/pay",
+                        "POST",
+                        body_bytes=100,
+                        idempotency_key=True,
+                        repeat_share=0.5,
+                    ),
+                ),
+                held_sessions=2,
+            ),
+        ),
+        targets=tuple(target.address for target in fleet.targets.values()),
+        balancer_check_path="/-/lacewingpond/ready",
+        duration_s=9.0,
+    )
+    load = gevent.spawn(LoadRunner(plan, fleet.clock, lambda line: None).run)
+    for vm_id, newcomer in (("vm-2", "vm-4"), ("vm-3", "vm-5")):
+        gevent.sleep(0.5)
+        assert fleet.daemons.pop(vm_id).stop() == 0
+        assert is_ready(fleet, fleet.add_daemon(newcomer))
+    report = load.get()
+    assert report.broken == ()
+    tally = report.workspaces[0]
+    assert (tally.errors, tally.refused_unknown, tally.refused_not_run) == (0, 0, 0)
+    assert tally.answered == tally.sent
