--- a/tests/config/test_config_confirm.py
+++ b/tests/config/test_config_confirm.py
@@ -198,3 +198,22 @@
     assert len(held) == len(vm.head().chunks)
     fresh = Vm(memory)
     assert fresh.repository.load(fresh.holder.state, vm.head()).is_ok()
+
+
+def test_late_removal_spares_a_chunk_that_was_brought_back(memory):
+    one, other = Vm(memory), Vm(memory)
+    one.confirm(one.plan(*first_intents()))
+    late = []
+
+    class RemovesLate(ConfigRepository):
+        def delete_chunks(self, stored):
+            late.append(stored)
+
+    one.confirmer._repository = RemovesLate(one.store)
+    one.confirm(one.plan(SetRate("workspace", "shop", 5.0, 20.0)))
+    other.holder.replace(one.holder.state)
+    other.confirm(other.plan(SetRate("workspace", "shop", 10.0, 20.0))).unwrap()
+    one.repository.delete_chunks(late[0])
+    fresh = Vm(memory)
+    state = fresh.repository.load(fresh.holder.state, fresh.head()).unwrap()
+    assert state.cfg.workspaces[0].rate == 10.0
