--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -9,10 +9,13 @@
 from lacewingpond.daemon.surroundings import Surroundings
 from lacewingpond.health.reporter import HealthReporter
 from lacewingpond.http.server import CallerServer
+from lacewingpond.idempotency.service import IdempotencyService
 from lacewingpond.limits.limiter import FleetLimiter
 from lacewingpond.placement.placer import Placer
 from lacewingpond.proxy.dispatcher import Dispatcher
+from lacewingpond.proxy.keyed_runner import KeyedRunner
 from lacewingpond.proxy.pipeline import Pipeline
+from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.settings.model import Settings
@@ -42,6 +45,8 @@
         "queue",
         "client",
         "retries",
+        "quarantine",
+        "keyed",
         "_fleet",
         "_clock",
         "_greenlets",
@@ -80,7 +85,17 @@
         )
         self.queue = FairQueue.from_options(cfg.queues, clock, log, metrics)
         self.client = TargetClient.from_options(cfg.targets, clock, rng, log)
-        self.retries = RetryBudget.from_options(cfg.retries, clock)
+        self.retries = RetryBudget.from_options(cfg.retries)
+        self.quarantine = QuarantineService.from_options(
+            cfg.quarantine,
+            cfg.vm.id,
+            clock,
+            fleet.channel,
+            fleet.shards,
+            fleet.membership,
+            log,
+            metrics,
+        )
         dispatcher = Dispatcher(
             cfg.proxy,
             self.queue,
@@ -88,17 +103,40 @@
             self.client,
             self.health,
             self.retries,
+            self.quarantine,
             clock,
             log,
         )
+        runner = KeyedRunner(dispatcher, clock, log)
+        self.keyed = IdempotencyService.from_options(
+            cfg.idempotency,
+            cfg.vm.id,
+            clock,
+            rng,
+            fleet.channel,
+            fleet.shards,
+            runner,
+            log,
+            metrics,
+        )
         self.pipeline = Pipeline(
-            cfg.proxy, self.limiter, dispatcher, availability, clock, log, metrics
+            cfg.proxy,
+            self.limiter,
+            dispatcher,
+            self.keyed,
+            runner,
+            availability,
+            clock,
+            log,
+            metrics,
         )
         self.server = CallerServer.from_options(
             cfg.http, self.pipeline.handle, log, clock
         )
         fleet.shards.add_part(self.limiter)
         fleet.shards.add_part(self.health)
+        fleet.shards.add_part(self.quarantine)
+        fleet.shards.add_part(self.keyed)
         fleet.holder.on_change(self._on_change)
 
     def start(self) -> None:
@@ -121,6 +159,7 @@
         self._cfg = cfg
         for part in (self.limiter, self.health, self.placer, self.queue):
             part.configure(cfg)
+        self.retries.keep_only(frozenset(service.name for service in cfg.services))
         self._share_budgets()
         # The routes come last, when everything behind them is ready.
         self.pipeline.configure(cfg)
--- a/lacewingpond/proxy/job.py
+++ b/lacewingpond/proxy/job.py
@@ -3,13 +3,19 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+import xxhash
+
 from lacewingpond.config.model import Service
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.request import Request
+from lacewingpond.idempotency.keyed_request import KeyedRequest
+from lacewingpond.quarantine.fingerprint import fingerprint
 from lacewingpond.routing.hop_by_hop import headers_to_target
 from lacewingpond.routing.match import RouteMatch
 from lacewingpond.targets.request import TargetRequest
 
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+
 
 class JobBody(Protocol):
     """A body that can be sent at least once."""
@@ -91,6 +97,10 @@
         When the head of the answer must have come, in monotonic seconds.
     is_disconnected : callable or None
         Tells whether the caller has gone.
+    may_send : callable or None
+        Asked just before the first byte leaves; False stops the request.
+    fingerprint : str
+        Names the request for the quarantine; empty when its body is not known.
     """
 
     __slots__ = (
@@ -102,6 +112,8 @@
         "body",
         "deadline",
         "is_disconnected",
+        "may_send",
+        "fingerprint",
     )
 
     def __init__(
@@ -114,6 +126,8 @@
         body: JobBody,
         deadline: float,
         is_disconnected: Callable[[], bool] | None = None,
+        may_send: Callable[[], bool] | None = None,
+        fingerprint: str = "",
     ) -> None:
         self.match = match
         self.workspace = workspace
@@ -123,6 +137,8 @@
         self.body = body
         self.deadline = deadline
         self.is_disconnected = is_disconnected
+        self.may_send = may_send
+        self.fingerprint = fingerprint
 
     @classmethod
     def from_request(
@@ -140,15 +156,17 @@
         RequestBodyError
             When a short body is cut, malformed or too slow.
         """
+        body = _body_of(req, replay_bytes)
         return cls(
             match=match,
             workspace=workspace,
             method=req.method,
             path=req.path,
             headers=headers_to_target(req.headers),
-            body=_body_of(req, replay_bytes),
+            body=body,
             deadline=deadline,
             is_disconnected=req.is_disconnected,
+            fingerprint=_fingerprint(req, match, workspace, body),
         )
 
     @property
@@ -161,6 +179,30 @@
         """Whether it may be sent again after a target may have run it."""
         return self.match.route.is_idempotent(self.method)
 
+    @classmethod
+    def from_keyed(
+        cls,
+        request: KeyedRequest,
+        match: RouteMatch,
+        deadline: float,
+        may_send: Callable[[], bool],
+    ) -> "Job":
+        """Prepare a keyed request that this VM owns; it outlives its caller."""
+        key = request.key.encode("utf-8", "replace")
+        return cls(
+            match=match,
+            workspace=request.workspace,
+            method=request.method,
+            path=request.path,
+            headers=Headers(request.headers),
+            body=KeptBody(request.body),
+            deadline=deadline,
+            may_send=may_send,
+            fingerprint=fingerprint(
+                request.workspace, request.route, request.method, request.path, key
+            ),
+        )
+
     def attempt(self) -> TargetRequest:
         """Return the request for one attempt."""
         return TargetRequest(
@@ -171,9 +213,21 @@
             content_length=self.body.content_length,
             idempotent=self.idempotent,
             is_disconnected=self.is_disconnected,
+            may_send=self.may_send,
         )
 
 
+def _fingerprint(req: Request, match: RouteMatch, workspace: str, body: JobBody) -> str:
+    key = req.headers.get(IDEMPOTENCY_KEY_HEADER)
+    if key:
+        identity = key.encode("utf-8", "replace")
+    elif isinstance(body, KeptBody):
+        identity = xxhash.xxh3_128_digest(body.data)
+    else:
+        return ""
+    return fingerprint(workspace, match.route.name, req.method, req.path, identity)
+
+
 def _body_of(req: Request, replay_bytes: int) -> JobBody:
     if req.body.is_empty:
         return KeptBody(b"")
--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -1,14 +1,16 @@
 """All players by scenario."""
 
 from lacewingpond.replay.base import Player
+from lacewingpond.replay.concurrency import ConcurrencyPlayer
 from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
 from lacewingpond.replay.placement import PlacementPlayer
-from lacewingpond.replay.shards import ShardPlayer
 from lacewingpond.replay.queues import QueuePlayer
+from lacewingpond.replay.shards import ShardPlayer
 
 PLAYERS: dict[str, Player] = {
     ConfigPlayer.scenario: ConfigPlayer(),
+    ConcurrencyPlayer.scenario: ConcurrencyPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
     PlacementPlayer.scenario: PlacementPlayer(),
     ShardPlayer.scenario: ShardPlayer(),
--- a/lacewingpond/retries/__init__.py
+++ b/lacewingpond/retries/__init__.py
@@ -1,1 +1,1 @@
-"""Bounds on how much retries add to the load."""
+"""Which requests may be sent again, and how many."""
--- a/lacewingpond/settings/model.py
+++ b/lacewingpond/settings/model.py
@@ -5,11 +5,13 @@
 from lacewingpond.config.options import ConfigOptions
 from lacewingpond.health.options import HealthOptions
 from lacewingpond.http.options import HttpOptions
+from lacewingpond.idempotency.options import IdempotencyOptions
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.membership.options import MembershipOptions
 from lacewingpond.peers.options import PeerOptions
 from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.proxy.options import ProxyOptions
+from lacewingpond.quarantine.options import QuarantineOptions
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.retries.options import RetryOptions
 from lacewingpond.shards.options import ShardOptions
@@ -136,6 +138,7 @@
     config: ConfigOptions = ConfigOptions()
     health: HealthOptions = HealthOptions.for_certainty()
     http: HttpOptions = HttpOptions()
+    idempotency: IdempotencyOptions = IdempotencyOptions()
     limits: LimitOptions = LimitOptions()
     log: LogSettings = LogSettings()
     membership: MembershipOptions = MembershipOptions()
@@ -144,6 +147,7 @@
     peers: PeerOptions = PeerOptions()
     placement: PlacementOptions = PlacementOptions()
     proxy: ProxyOptions = ProxyOptions()
+    quarantine: QuarantineOptions = QuarantineOptions()
     queues: QueueOptions = QueueOptions()
     retries: RetryOptions = RetryOptions()
     shards: ShardOptions = ShardOptions()
