--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -5,6 +5,7 @@
 from lacewingpond.bench.health import HealthBench
 from lacewingpond.bench.latency import LatencyBench
 from lacewingpond.bench.membership import MembershipBench
+from lacewingpond.bench.peers import PeerBench
 from lacewingpond.bench.placement import PlacementBench
 from lacewingpond.bench.routing import RoutingBench
 from lacewingpond.bench.shards import ShardBench
@@ -14,6 +15,7 @@
     HealthBench.name: HealthBench(),
     LatencyBench.name: LatencyBench(),
     MembershipBench.name: MembershipBench(),
+    PeerBench.name: PeerBench(),
     PlacementBench.name: PlacementBench(),
     RoutingBench.name: RoutingBench(),
     ShardBench.name: ShardBench(),
--- a/lacewingpond/bench/membership.py
+++ b/lacewingpond/bench/membership.py
@@ -6,6 +6,7 @@
 from result import Ok, Result
 
 from lacewingpond.bench.series import Point, Series
+from lacewingpond.membership.listing import Listing
 from lacewingpond.membership.membership import Membership
 from lacewingpond.membership.messages import (
     MemberNews,
@@ -15,6 +16,7 @@
 )
 from lacewingpond.membership.options import MembershipOptions
 from lacewingpond.membership.record import MemberRecord, MemberStatus
+from lacewingpond.membership.table import MemberTable
 from lacewingpond.peers.base import Handler, Message, PeerError
 from lacewingpond.peers.frames import Frame, FrameKind, encode
 from lacewingpond.store.base import StoreError, VmRecord
@@ -116,13 +118,11 @@
     )
 
 
-def _member(
-    count: int, rng: random.Random, options: MembershipOptions | None = None
-) -> tuple[Membership, EchoChannel]:
+def _member(count: int, rng: random.Random) -> tuple[Membership, EchoChannel]:
     channel = EchoChannel()
     vms = _fleet(count)
     membership = Membership.from_options(
-        options or MembershipOptions(),
+        MembershipOptions(),
         vms[0],
         FixedList(vms),
         channel,
@@ -167,9 +167,11 @@
 
 
 def _read_us(count: int, rng: random.Random) -> float:
-    all_read = MembershipOptions(readers_per_domain=count)
-    membership, _ = _member(count, rng, all_read)
-    return _each_us(membership.refresh_list, rounds=10)
+    options = MembershipOptions()
+    table = MemberTable(options.max_vms)
+    vm_list = FixedList(_fleet(count))
+    listing = Listing(options, vm_list, table, PausedClock(), rng)
+    return _each_us(listing.read, rounds=10)
 
 
 def _change_us(count: int, rng: random.Random) -> float:
--- a/lacewingpond/peers/frames.py
+++ b/lacewingpond/peers/frames.py
@@ -10,6 +10,8 @@
 from lacewingpond.peers.base import Message
 
 RECEIVE_BYTES = 65_536
+FIRST_BUFFER_BYTES = 4_096
+"""A reader's buffer at first; the library's default is a megabyte a connection."""
 
 
 class FrameError(Exception):
@@ -69,6 +71,7 @@
         self._fed = 0
         self._unpacker = msgpack.Unpacker(
             raw=False,
+            read_size=FIRST_BUFFER_BYTES,
             max_buffer_size=max_frame_bytes + RECEIVE_BYTES,
             max_array_len=max_items,
             max_map_len=max_items,
--- a/tests/test_bench_peers.py
+++ b/tests/test_bench_peers.py
@@ -1,6 +1,6 @@
 """Tests of the benchmarks of membership and shards at a few small sizes."""
 
-from lacewingpond.bench import membership, shards
+from lacewingpond.bench import membership, peers, shards
 
 
 def test_membership_costs_stay_constant_where_they_should(monkeypatch):
@@ -21,6 +21,13 @@
     assert ours.points[-1].value < naive.points[-1].value
 
 
+def test_peer_costs_have_a_slope(monkeypatch):
+    monkeypatch.setattr(peers, "SIZES", (1, 10, 100, 1_000))
+    monkeypatch.setattr(peers, "CONNECTIONS", (1, 2, 3, 4))
+    series = peers.PeerBench().run(seed=1)
+    assert [s.fit().slope > 0 for s in series[1:]] == [True, True]
+
+
 def _run(module):
     bench = getattr(module, "MembershipBench", None) or module.ShardBench
     return bench().run(seed=1)
