--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -1,6 +1,7 @@
 """All players by scenario."""
 
 from lacewingpond.replay.base import Player
+from lacewingpond.replay.concurrency import ConcurrencyPlayer
 from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
 from lacewingpond.replay.placement import PlacementPlayer
@@ -9,6 +10,7 @@
 
 PLAYERS: dict[str, Player] = {
     ConfigPlayer.scenario: ConfigPlayer(),
+    ConcurrencyPlayer.scenario: ConcurrencyPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
     PlacementPlayer.scenario: PlacementPlayer(),
     ShardPlayer.scenario: ShardPlayer(),
--- a/lacewingpond/retries/budget.py
+++ b/lacewingpond/retries/budget.py
@@ -1,54 +1,51 @@
-"""A retry budget: retries are a bounded share of the requests.
-
-Source: the retry budgets of Finagle and of "Handling Overload" in Site Reliability
-Engineering (O'Reilly, 2016): a fixed number of retries for each request multiplies
-the load of a service that is failing already.
-"""
+"""Caps retries as a share of the requests of each service."""
 
 from lacewingpond.retries.options import RetryOptions
-from lacewingpond.util.clock import Clock
 
 
 class RetryBudget:
-    """Tokens that requests earn and retries spend.
+    """Earns a part of a retry with each request and spends one with each retry.
+
+    So over any period a service gets at most ``requests * (1 + share)`` plus
+    the reserve, however many attempts fail. It starts with a few retries, so that
+    the first requests of a quiet service survive a failing target too.
 
     Parameters
     ----------
     options : RetryOptions
-        What requests earn.
-    clock : Clock
-        Measures what time earns.
+        Settings.
     """
 
-    __slots__ = ("_options", "_clock", "_saved", "_counted_at")
+    __slots__ = ("_options", "_saved")
 
-    def __init__(self, options: RetryOptions, clock: Clock) -> None:
+    def __init__(self, options: RetryOptions) -> None:
         self._options = options
-        self._clock = clock
-        self._saved = options.max_saved
-        self._counted_at = clock.now()
+        self._saved: dict[str, float] = {}
 
     @classmethod
-    def from_options(cls, options: RetryOptions, clock: Clock) -> "RetryBudget":
-        """Return a full budget."""
-        return cls(options, clock)
-
-    def record_request(self) -> None:
-        """Count a request that is sent for the first time."""
-        self._earn(self._options.share)
-
-    def try_retry(self) -> bool:
-        """Take the right to one retry; False when there is none."""
-        self._earn_by_time()
-        if self._saved < 1.0:
+    def from_options(cls, options: RetryOptions) -> "RetryBudget":
+        """Create a budget with the first retries of each service."""
+        return cls(options)
+
+    def earn(self, service: str) -> None:
+        """Count one first attempt."""
+        if service not in self._saved and self._is_full():
+            return
+        saved = self._saved.get(service, self._options.first) + self._options.share
+        self._saved[service] = min(saved, self._options.reserve)
+
+    def spend(self, service: str) -> bool:
+        """Return whether a retry may be made, and count it."""
+        saved = self._saved.get(service, 0.0)
+        if saved < 1.0:
             return False
-        self._saved -= 1.0
+        self._saved[service] = saved - 1.0
         return True
 
-    def _earn(self, tokens: float) -> None:
-        self._saved = min(self._saved + tokens, self._options.max_saved)
+    def keep_only(self, services: frozenset[str]) -> None:
+        """Forget services that the configuration no longer has."""
+        for service in set(self._saved) - services:
+            del self._saved[service]
 
-    def _earn_by_time(self) -> None:
-        now = self._clock.now()
-        self._earn((now - self._counted_at) * self._options.least_per_s)
-        self._counted_at = now
+    def _is_full(self) -> bool:
+        return len(self._saved) >= self._options.max_services
