--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -9,6 +9,7 @@
 from lacewingpond.bench.placement import PlacementBench
 from lacewingpond.bench.routing import RoutingBench
 from lacewingpond.bench.shards import ShardBench
+from lacewingpond.bench.telemetry import TelemetryBench
 
 BENCHES: dict[str, Bench] = {
     ConfigBench.name: ConfigBench(),
@@ -18,5 +19,6 @@
     PeerBench.name: PeerBench(),
     PlacementBench.name: PlacementBench(),
     RoutingBench.name: RoutingBench(),
+    TelemetryBench.name: TelemetryBench(),
     ShardBench.name: ShardBench(),
 }
