Let operators on a VM that is behind wait for no pause

Planning reads the head and took the pauses that spread the reads of watches, up to 12 s for a large revision. Tests of the stand-in target's flapping and cold start are added.

--- a/lacewingpond/config/store_watch.py
+++ b/lacewingpond/config/store_watch.py
@@ -83,12 +83,12 @@
         self._metrics.incr("config.store_failures")
         self._clock.sleep(self._pause_s())
 
-    def catch_up(self) -> Result[StoredHead, StoreError]:
-        """Read the head once and take it."""
+    def catch_up(self, at_once: bool = True) -> Result[StoredHead, StoreError]:
+        """Read the head and take it, `at_once` or after other VMs had a chance to."""
         read = self._repository.read_head()
         if read.is_ok():
             self._contacts.heard_store()
-            self._take(read.ok_value)
+            self._take(read.ok_value, at_once)
         return read
 
     def _pause_s(self) -> float:
@@ -101,7 +101,7 @@
             return self._republish()
         # A watch may wait long, so after a failure a read first tells that the
         # store is back.
-        if self._failures and self.catch_up().is_err():
+        if self._failures and self.catch_up(at_once=False).is_err():
             return False
         watched = self._repository.store.watch(HEAD_KEY, self._after, self._wait_s())
         if watched.is_err():
@@ -131,7 +131,7 @@
 
     def _take_value(self, value: bytes | None, event: object) -> bool:
         if value is None:
-            return self.catch_up().is_ok()
+            return self.catch_up(at_once=False).is_ok()
         parsed = parse_head(value, event.revision)
         if parsed.is_err():
             self._log.decision(
@@ -140,7 +140,7 @@
             return False
         return self._take(parsed.ok_value)
 
-    def _take(self, stored: StoredHead) -> bool:
+    def _take(self, stored: StoredHead, at_once: bool = False) -> bool:
         held = self._holder.state
         if stored.head.revision < held.revision:
             self._note_older(stored)
@@ -150,10 +150,11 @@
         if stored.head.revision == held.revision:
             self._check_fork(stored, held)
             return True
+        if not at_once:
+            self._let_peers_be_first(stored)
         return self._load(stored)
 
     def _load(self, stored: StoredHead) -> bool:
-        self._let_peers_be_first(stored)
         if self._holder.revision >= stored.head.revision:
             return True
         loaded = self._repository.load(self._holder.state, stored.head)
--- a/lacewingpond/standin/target.py
+++ b/lacewingpond/standin/target.py
@@ -114,6 +114,15 @@
         age_s = self._clock.now() - self._started_at
         return age_s % options.flap_period_s < options.flap_period_s / 2
 
+    def slowness(self) -> float:
+        """Return how many times longer work takes now, after a cold start."""
+        options = self.options
+        age_s = self._clock.now() - self._started_at
+        if age_s >= options.cold_s:
+            return 1.0
+        warmth = age_s / options.cold_s
+        return options.cold_factor + (1.0 - options.cold_factor) * warmth
+
     def load(self) -> float:
         """Return the load that it reports, as a share of its slots."""
         if self.options.load_says >= 0.0:
@@ -282,11 +291,7 @@
         work_s = self._query_number("work", options.work_s)
         if options.work_jitter:
             work_s *= 1.0 + options.work_jitter * (2.0 * self._rng.random() - 1.0)
-        age_s = self._clock.now() - self._started_at
-        if age_s < options.cold_s:
-            warmth = age_s / options.cold_s
-            work_s *= options.cold_factor + (1.0 - options.cold_factor) * warmth
-        return work_s
+        return work_s * self.slowness()
 
     def _event_stream(self, events: int, pause_s: float) -> Iterator[bytes]:
         for number in range(events):
--- a/tests/config/test_config_spread.py
+++ b/tests/config/test_config_spread.py
@@ -324,3 +324,12 @@
     fleet.vms[0].confirm(*first_intents())
     fleet.run(5.0)
     assert fleet.revisions() == {1}
+
+
+def test_operator_on_a_vm_that_is_behind_waits_for_no_pause(fleet_of):
+    vm = fleet_of(1).vms[0]
+    vm.spread.stop()
+    publish(vm, large_state())
+    # A pause on the paused clock would never end here.
+    vm.spread.catch_up().unwrap()
+    assert vm.holder.revision == 1
--- a/tests/standin/test_standin_target.py
+++ b/tests/standin/test_standin_target.py
@@ -118,3 +118,16 @@
     pool = pool_for(target)
     assert pool.request("GET", "/?events=3").data.count(b"data:") == 3
     assert len(pool.request("GET", "/?size=200000").data) == 200_000
+
+
+def test_flapping_and_cold_start_follow_the_clock(clock):
+    options = TargetOptions(
+        gray_share=1.0, flap_period_s=10.0, load_says=0.5, cold_s=10.0, cold_factor=5.0
+    )
+    target = StandinTarget.from_options(options, clock)
+    states = []
+    for _ in range(4):
+        states.append((target.is_gray(), target.slowness()))
+        clock.advance(5.0)
+    assert states == [(True, 5.0), (False, 3.0), (True, 1.0), (False, 1.0)]
+    assert target.load() == 0.5
