Let many VMs stop at once

Leavers asked three takers each, which may all be leaving when a failure domain stops, and gave up a contended write after five tries. They now ask up to 16 and try 20 times with growing random pauses. A test stops seven of eight processes at once over real sockets: all states arrive. A claimer that found the store away counts absences anew, so that holders of states write first. The longest grant is 2 s, as the limits' is 1 s.

--- a/lacewingpond/shards/claimer.py
+++ b/lacewingpond/shards/claimer.py
@@ -149,6 +149,8 @@
     def _claim(self, gone: list[str]) -> None:
         fresh = self._book.read_fresh()
         if not isinstance(fresh, Ok):
+            # Gives VMs that hold states time to write once the store is back.
+            self._absences.clear()
             self._restore_older()
             return
         stored = fresh.ok_value
--- a/lacewingpond/shards/handover.py
+++ b/lacewingpond/shards/handover.py
@@ -1,5 +1,7 @@
 """Hands shards over: stop acting, send the state, write the table once."""
 
+import random
+
 from msgspec import Struct
 from result import Ok
 
@@ -19,8 +21,12 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
-TAKERS_ASKED = 3
+TAKERS_ASKED = 16
+"""Enough to find one that stays when a whole failure domain stops at once."""
 WRITE_ATTEMPTS = 5
+STOP_WRITE_ATTEMPTS = 20
+CONFLICT_PAUSE_S = 0.02
+"""Longest pause after the first conflict; it grows with each further one."""
 
 
 class HandOverReport(Struct, frozen=True):
@@ -58,8 +64,8 @@
         Live VMs.
     channel : PeerChannel
         Carries the states.
-    clock, log : Clock, DecisionLog
-        Time, and a line for each hand-over.
+    clock, rng, log : Clock, random.Random, DecisionLog
+        Time, spread of the attempts, and a line for each hand-over.
     """
 
     __slots__ = (
@@ -71,6 +77,7 @@
         "_fleet",
         "_channel",
         "_clock",
+        "_rng",
         "_log",
     )
 
@@ -84,6 +91,7 @@
         fleet: FleetView,
         channel: PeerChannel,
         clock: Clock,
+        rng: random.Random,
         log: DecisionLog,
     ) -> None:
         self._options = options
@@ -94,6 +102,7 @@
         self._fleet = fleet
         self._channel = channel
         self._clock = clock
+        self._rng = rng
         self._log = log
         channel.register(ShardNote, self._on_note)
 
@@ -185,7 +194,11 @@
         return taker
 
     def _write(self, moves: list[Move]) -> int:
-        for _ in range(WRITE_ATTEMPTS):
+        stopping = self._book.stopping
+        for attempt in range(STOP_WRITE_ATTEMPTS if stopping else WRITE_ATTEMPTS):
+            if stopping and attempt:
+                longest_s = attempt * CONFLICT_PAUSE_S
+                self._clock.sleep(self._rng.uniform(0.0, longest_s))
             fresh = self._book.read_fresh()
             if not isinstance(fresh, Ok):
                 return 0
--- a/lacewingpond/shards/manager.py
+++ b/lacewingpond/shards/manager.py
@@ -82,7 +82,7 @@
         )
         pieces = (self._book, self._trust, self._tables, self._spread)
         self._claimer = Claimer(options, *pieces, fleet, channel, clock, log)
-        self._hand_over = HandOver(options, *pieces, fleet, channel, clock, log)
+        self._hand_over = HandOver(options, *pieces, fleet, channel, clock, rng, log)
         self._started_at = clock.now()
         self._refresh_at = clock.now()
         self._rebalance_at = clock.now() + options.rebalance_s
--- a/lacewingpond/shards/options.py
+++ b/lacewingpond/shards/options.py
@@ -17,7 +17,7 @@
         list's lag, the time in which an owner notices that it is missing, and the
         longer of the longest grant and the dispatch deadline, taken together.
     longest_grant_s : float
-        Longest life of a grant of the limits.
+        Longest life of a grant of the limits (`max_ttl_s` there) and a margin.
     max_gap_s : float
         A gap in the own clock that is longer counts as a pause.
     tick_s, step_s : float
@@ -59,7 +59,7 @@
     shard_count: int = 128
     region: str = ""
     takeover_wait_s: float = 25.0
-    longest_grant_s: float = 5.0
+    longest_grant_s: float = 2.0
     max_gap_s: float = 2.0
     tick_s: float = 0.25
     step_s: float = 1.0
--- a/tests/shards/test_shards_tcp.py
+++ b/tests/shards/test_shards_tcp.py
@@ -5,15 +5,17 @@
 import gevent
 import pytest
 
+from lacewingpond.daemon.addresses import LateAddresses
 from lacewingpond.membership.membership import Membership
 from lacewingpond.membership.options import MembershipOptions
-from lacewingpond.peers.addresses import LateAddresses
 from lacewingpond.peers.options import PeerOptions
 from lacewingpond.peers.tcp import TcpPeerChannel
 from lacewingpond.replay.shard_part import NumberPart, ShardTruth
 from lacewingpond.shards.manager import ShardManager
 from lacewingpond.shards.options import ShardOptions
 from lacewingpond.shards.process import ProcessId
+from lacewingpond.standin.faults import PlatformFaults
+from lacewingpond.standin.faulty import FaultyStore
 from lacewingpond.store.base import VmRecord
 from lacewingpond.store.memory import MemoryStore, MemoryVmList
 from lacewingpond.telemetry.decisions import RecordingDecisionLog
@@ -87,11 +89,13 @@
     return sorted(shard for node in nodes for shard in node.shards.owned_shards())
 
 
-@pytest.fixture
-def fleet():
+@pytest.fixture(params=[3])
+def fleet(request):
     clock = RuntimeClock()
-    store, vm_list, truth = MemoryStore(clock), MemoryVmList(clock), ShardTruth()
-    nodes = [Node(f"vm{n}", "1", store, vm_list, truth) for n in range(3)]
+    # Each call takes a moment, so that writers of the table meet.
+    store = FaultyStore(MemoryStore(clock), clock, PlatformFaults(delay_s=0.002))
+    vm_list, truth = MemoryVmList(clock), ShardTruth()
+    nodes = [Node(f"vm{n}", "1", store, vm_list, truth) for n in range(request.param)]
     yield nodes, store, vm_list, truth
     for node in nodes:
         node.end()
@@ -120,3 +124,21 @@
     nodes.append(Node(row_owner, "2", store, vm_list, truth))
     wait_until(lambda: owned(nodes) == everything)
     assert truth.unclean == len(held)
+
+
+@pytest.mark.parametrize("fleet", [8], indirect=True)
+def test_many_planned_stops_at_once_keep_all_state(fleet):
+    nodes, _, _, truth = fleet
+    everything = list(range(SHARDS))
+    wait_until(lambda: owned(nodes) == everything)
+    for node in nodes:
+        for shard in node.shards.owned_shards():
+            node.part.work(shard)
+    leavers = nodes[1:]
+    for node in leavers:
+        node.members.announce_leaving()
+    stops = [gevent.spawn(node.shards.hand_over_all, 20.0) for node in leavers]
+    gevent.joinall(stops, raise_error=True)
+    wait_until(lambda: owned(nodes[:1]) == everything)
+    assert sum(stop.value.left for stop in stops) == 0
+    assert (truth.lost, truth.unclean) == (0, 0)
