--- a/lacewingpond/idempotency/service.py
+++ b/lacewingpond/idempotency/service.py
@@ -102,7 +102,7 @@
         self._table = ClaimTable(options, clock)
         self._waiting: dict[int, Mailbox] = {}
         self._forward_id = rng.getrandbits(48)
-        self._running = 0
+        self._running: set[Claim] = set()
         self._departed: set[Claim] = set()
 
     @classmethod
@@ -144,7 +144,7 @@
     def release(self, shard: int) -> bytes:
         """Give the shard's claims up; requests that run here still end here."""
         state, running = self._table.release(shard)
-        self._departed.update(running)
+        self._departed.update(self._running.intersection(running))
         return state
 
     def adopt(self, ownership: Ownership, state: bytes | None) -> None:
@@ -197,11 +197,11 @@
         older = self._table.repeat(shard, request)
         if older is not None:
             return older
-        if self._running >= self._options.max_running:
+        if len(self._running) >= self._options.max_running:
             return Reply(ReplyKind.FULL, RunState.NOT_RUN)
         claim = self._table.claim(shard, request)
         if isinstance(claim, Claim):
-            self._running += 1
+            self._running.add(claim)
             gevent.spawn(self._run, ownership, claim, request)
         return claim
 
@@ -215,7 +215,7 @@
             self._log.decision("idempotency", request.route, f"run failed: {exc!r}")
             result = RunResult(RunState.UNKNOWN)
         finally:
-            self._running -= 1
+            self._running.discard(claim)
         self._finish(ownership.shard, claim, _reply_of(result))
 
     def _may_send(self, ownership: Ownership, claim: Claim) -> bool:
--- /dev/null
+++ b/lacewingpond/replay/once.py
@@ -0,0 +1,172 @@
+"""Replays repeated requests with keys through many VMs and their faults."""
+
+import random
+
+import gevent
+
+from lacewingpond.idempotency.keyed_request import KeyedRequest
+from lacewingpond.idempotency.options import IdempotencyOptions
+from lacewingpond.idempotency.run_state import RunState
+from lacewingpond.idempotency.service import IdempotencyService
+from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
+from lacewingpond.replay.base import Measures, Variant
+from lacewingpond.replay.fake_shards import FakeShardTable
+from lacewingpond.replay.faulty_runner import FaultyRunner
+from lacewingpond.replay.local_claims import LocalClaims
+from lacewingpond.replay.once_traces import once_traces
+from lacewingpond.replay.trace import Trace, TraceEvent
+from lacewingpond.replay.vm_clock import VmClock
+from lacewingpond.telemetry.decisions import NullDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import PausedClock
+
+STEP_S = 0.01
+"""Step of the paused clock."""
+QUIET_S = 8.0
+"""Time after the last event in which open requests end."""
+SHARD_COUNT = 32
+REQUEST_TIMEOUT_S = 3.0
+
+
+class OncePlayer:
+    """Plays traces of the scenario ``once``."""
+
+    __slots__ = ()
+
+    scenario = "once"
+
+    def play(self, trace: Trace, variant: Variant) -> Measures:
+        """Replay a trace."""
+        return _OnceRun(trace, variant).measures()
+
+    def generate(self, seed: int) -> tuple[tuple[str, Trace], ...]:
+        """Return the scenario's traces."""
+        return once_traces(seed)
+
+
+class _OnceRun:
+    """One replay."""
+
+    def __init__(self, trace: Trace, variant: Variant) -> None:
+        params = trace.header.params
+        self.variant = variant
+        self.rng = random.Random(trace.header.seed)
+        self.clock = PausedClock()
+        self.vms = tuple(f"vm{number}" for number in range(int(params["vms"])))
+        faults = MemoryOptions(
+            loss=float(params.get("loss", 0.0)),
+            min_delay_s=0.0005,
+            max_delay_s=0.003,
+            waits=True,
+        )
+        self.network = MemoryNetwork(self.clock, self.rng, faults)
+        self.table = FakeShardTable(SHARD_COUNT, self.vms, self.clock)
+        self.runs: dict[str, int] = {}
+        self.submitted: set[str] = set()
+        self.answered: set[str] = set()
+        self.replies = 0
+        self.unknown = 0
+        self.false_not_run = 0
+        self.gone: set[str] = set()
+        self.clocks: dict[str, VmClock] = {}
+        self.services: dict[str, IdempotencyService | LocalClaims] = {}
+        for vm in self.vms:
+            self._start(vm)
+        self._play(trace)
+
+    def measures(self) -> Measures:
+        """Return what came of the replay."""
+        return {
+            "runs_above_one": float(sum(n - 1 for n in self.runs.values() if n > 1)),
+            "not_run_said_of_run": float(self.false_not_run),
+            "keys": float(len(self.submitted)),
+            "keys_answered": len(self.answered) / len(self.submitted),
+            "replies_unknown": self.unknown / max(self.replies, 1),
+        }
+
+    def _start(self, vm: str) -> None:
+        clock = self.clocks[vm] = VmClock(self.clock)
+        runner = FaultyRunner(clock, random.Random(self.rng.random()), self.runs)
+        if self.variant is Variant.NAIVE:
+            self.services[vm] = LocalClaims(runner)
+            return
+        service = self.services[vm] = IdempotencyService.from_options(
+            IdempotencyOptions(),
+            vm,
+            clock,
+            random.Random(self.rng.random()),
+            self.network.channel(vm),
+            self.table.view(vm),
+            runner,
+            NullDecisionLog(),
+            CountingMetrics(),
+        )
+        for shard in self.table.of(vm):
+            service.adopt(self.table.owners[shard], None)
+
+    def _play(self, trace: Trace) -> None:
+        start = self.clock.now()
+        events = list(trace.events)
+        end = events[-1].at + QUIET_S
+        while (now := self.clock.now() - start) < end:
+            while events and events[0].at <= now:
+                self._apply(events.pop(0))
+            self.clock.advance(STEP_S)
+            self.network.run_due()
+
+    def _apply(self, event: TraceEvent) -> None:
+        if event.kind == "request":
+            gevent.spawn(self._request, event)
+        elif event.kind == "crash":
+            self._crash(event.subject)
+        elif event.kind == "take_over":
+            self._move(event.subject, clean=False)
+        elif event.kind == "hand_over":
+            self._move(event.subject, clean=True)
+        elif event.kind == "pause":
+            self.clocks[event.subject].stop()
+            self.network.pause(event.subject)
+        elif event.kind == "resume":
+            self.clocks[event.subject].resume()
+            self.network.resume(event.subject)
+        elif event.kind == "block":
+            self.network.block(event.subject, str(event.fields["receiver"]))
+        elif event.kind == "unblock":
+            self.network.unblock(event.subject, str(event.fields["receiver"]))
+
+    def _crash(self, vm: str) -> None:
+        self.gone.add(vm)
+        self.clocks[vm].stop()
+        self.network.crash(vm)
+
+    def _move(self, old: str, clean: bool) -> None:
+        if self.variant is Variant.NAIVE:
+            return
+        takers = [vm for vm in self.vms if vm != old and self._is_running(vm)]
+        for shard in self.table.of(old):
+            taker = self.rng.choice(takers)
+            state = self.services[old].release(shard) if clean else None
+            ownership = self.table.move(shard, taker, clean)
+            self.services[taker].adopt(ownership, state)
+
+    def _is_running(self, vm: str) -> bool:
+        return vm not in self.gone and self.clocks[vm].is_running
+
+    def _request(self, event: TraceEvent) -> None:
+        vm = str(event.fields["vm"])
+        if not self._is_running(vm):
+            return
+        key = event.subject
+        self.submitted.add(key)
+        request = KeyedRequest(
+            "acme", key, "book", "POST", "/book", timeout_s=REQUEST_TIMEOUT_S
+        )
+        reply = self.services[vm].submit(request)
+        if not self._is_running(vm):
+            return
+        self.replies += 1
+        self.unknown += reply.run is RunState.UNKNOWN
+        if reply.run is RunState.NOT_RUN and self.runs.get(key):
+            self.false_not_run += 1
+        if reply.answer is not None:
+            self.answered.add(key)
--- a/lacewingpond/replay/players.py
+++ b/lacewingpond/replay/players.py
@@ -4,6 +4,7 @@
 from lacewingpond.replay.concurrency import ConcurrencyPlayer
 from lacewingpond.replay.config import ConfigPlayer
 from lacewingpond.replay.health import HealthPlayer
+from lacewingpond.replay.once import OncePlayer
 from lacewingpond.replay.placement import PlacementPlayer
 from lacewingpond.replay.queues import QueuePlayer
 from lacewingpond.replay.rates import RatesPlayer
@@ -13,6 +14,7 @@
     ConfigPlayer.scenario: ConfigPlayer(),
     ConcurrencyPlayer.scenario: ConcurrencyPlayer(),
     HealthPlayer.scenario: HealthPlayer(),
+    OncePlayer.scenario: OncePlayer(),
     PlacementPlayer.scenario: PlacementPlayer(),
     RatesPlayer.scenario: RatesPlayer(),
     ShardPlayer.scenario: ShardPlayer(),
