--- a/lacewingpond/health/judge.py
+++ b/lacewingpond/health/judge.py
@@ -8,7 +8,12 @@
 from lacewingpond.health.messages import TargetRecord, VerdictRow, target_hash
 from lacewingpond.health.options import HealthOptions
 from lacewingpond.health.outcome import Outcome
-from lacewingpond.health.peers_rate import SHORT_HALF_LIFE_S, PeersRate
+from lacewingpond.health.peers_rate import (
+    MAX_RATE,
+    SHORT_HALF_LIFE_S,
+    PeersRate,
+    cautious_rate,
+)
 from lacewingpond.health.sketch import BUCKET_COUNT, quantile_bucket
 from lacewingpond.health.tally import Tally
 from lacewingpond.health.target_health import Phase, TargetHealth
@@ -301,8 +306,8 @@
         other_bad = max(whole.bad - own.bad, 0.0)
         other_total = max(whole.total - own.total, 0.0)
         least = self._options.min_error_rate
-        rate = (other_bad + least * VM_RATE_PRIOR) / (other_total + VM_RATE_PRIOR)
-        return min(rate, 0.95)
+        rate = cautious_rate(other_bad, other_total, least, VM_RATE_PRIOR)
+        return min(rate, MAX_RATE)
 
     def _decide(self, now: float, key: int, target: TargetHealth, min_vms: int) -> bool:
         if target.phase is Phase.EJECTED or not self._is_unhealthy(target, min_vms):
--- a/lacewingpond/health/peers_rate.py
+++ b/lacewingpond/health/peers_rate.py
@@ -1,5 +1,6 @@
 """What is normal for a service: the rates of its targets, side by side."""
 
+import math
 import statistics
 from collections.abc import Iterable
 
@@ -12,6 +13,24 @@
 MAX_RATE = 0.95
 
 
+def cautious_rate(bad: float, total: float, least: float, prior: float) -> float:
+    """Return a rate that is about one standard error below the observed one.
+
+    The greatest of several rates is taken as normal, so chance would raise it.
+
+    Parameters
+    ----------
+    bad, total : float
+        Bad and all outcomes.
+    least : float
+        Rate that is assumed without outcomes.
+    prior : float
+        Outcomes that the assumption counts for.
+    """
+    certain = max(bad - math.sqrt(max(bad, 0.0)), 0.0)
+    return max((certain + least * prior) / (total + prior), least)
+
+
 class PeersRate:
     """Recent shares of bad outcomes by target.
 
@@ -83,7 +102,7 @@
         if own is not None:
             bad -= own.bad
             total -= own.total
-        return (bad + self._least * PRIOR_TOTAL) / (total + PRIOR_TOTAL)
+        return cautious_rate(bad, total, self._least, PRIOR_TOTAL)
 
     def _long_rates(self) -> list[float]:
         return [
--- a/lacewingpond/placement/target_load.py
+++ b/lacewingpond/placement/target_load.py
@@ -4,6 +4,8 @@
 
 LATENCY_WEIGHT = 0.15
 """Weight of one answer in the target's latency."""
+LEAST_SHARE = 0.9
+"""Share of the usual load that is assumed of a target at least."""
 TRUSTED_LATENCY_RATIO = 1.5
 """Latency beside the usual one from which a reported load is not trusted."""
 
@@ -71,6 +73,7 @@
         """
         share = 0.5 ** ((now - self._reported_at) / half_life_s)
         others = usual_others + share * (self._others - usual_others)
+        others = max(others, LEAST_SHARE * usual_others)
         used = (self.in_flight + others) / max(self.target.slots, 1)
         if self.latency_s > TRUSTED_LATENCY_RATIO * usual_s > 0.0:
             used = max(used, self.latency_s / usual_s)
