--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -21,7 +21,6 @@
 from lacewingpond.limits.held_grant import HeldGrant
 from lacewingpond.limits.limit_table import LimitTable
 from lacewingpond.limits.messages import (
-    TOKEN,
     GrantAnswer,
     GrantAsk,
     GrantEnd,
@@ -119,7 +118,7 @@
         self._late: dict[int, PendingAsk] = {}
         self._seq = rng.getrandbits(31)
         self._silent = SilentOwners(options)
-        self._waiters: set[Waiter] = set()
+        self._waiters: dict[int, Waiter] = {}
         self._returns: list[tuple[float, str]] = []
         self._timer: gevent.Greenlet | None = None
         self._housekept_at = clock.now()
@@ -243,11 +242,11 @@
         waiter = Waiter(now + self._options.wait_s)
         for allowance in allowances:
             allowance.waiters.append(waiter)
-        self._waiters.add(waiter)
+        self._waiters[id(waiter)] = waiter
         try:
             return self._wait(waiter, allowances)
         finally:
-            self._waiters.discard(waiter)
+            del self._waiters[id(waiter)]
             self._leave(waiter, allowances)
 
     def _wait(self, waiter: Waiter, allowances: list[Allowance]) -> Admission:
@@ -265,12 +264,9 @@
             waiter.wait()
 
     def _leave(self, waiter: Waiter, allowances: list[Allowance]) -> None:
-        now = self._clock.now()
         for allowance in allowances:
             allowance.waiters.remove(waiter)
             allowance.wake()
-            if not allowance.waiters and 0 < allowance.held(now) < TOKEN:
-                self._give_back(allowance, now, all_of_them=True)
 
     def _refuse(self, allowance: Allowance, now: float) -> Admission:
         reason = RefusalReason.OVER_RATE
@@ -380,8 +376,8 @@
         allowance.add(grant)
         heapq.heappush(self._returns, (return_at, ask.bucket_id))
 
-    def _give_back(self, allowance: Allowance, now: float, all_of_them: bool) -> None:
-        unused = allowance.take_unused(now, all_of_them)
+    def _give_back(self, allowance: Allowance, now: float) -> None:
+        unused = allowance.take_unused(now)
         for shard, ended in unused.items():
             self._return(shard, allowance.bucket.bucket_id, ended)
 
@@ -429,7 +425,7 @@
         now = self._clock.now()
         self._expire_asks(now)
         self._return_unused(now)
-        for waiter in list(self._waiters):
+        for waiter in list(self._waiters.values()):
             waiter.wake()
         if now - self._housekept_at >= HOUSEKEEPING_S:
             self._housekept_at = now
@@ -455,7 +451,7 @@
             _, bucket_id = heapq.heappop(self._returns)
             allowance = self._allowances.get(bucket_id)
             if allowance is not None:
-                self._give_back(allowance, now, all_of_them=False)
+                self._give_back(allowance, now)
 
     def _forget_idle(self, now: float) -> None:
         self._owner.drop_idle()
--- a/lacewingpond/shards/claimer.py
+++ b/lacewingpond/shards/claimer.py
@@ -109,15 +109,14 @@
 
     def _missing_owners(self) -> dict[str, int]:
         """Return the owners that seem to be gone and their newest row versions."""
-        owners: dict[str, int] = {}
-        for row in self._book.table.rows.values():
-            if row.vm_id != self._book.me.vm_id:
-                owners[row.vm_id] = max(owners.get(row.vm_id, 0), row.version)
-        return {
-            vm_id: version
-            for vm_id, version in owners.items()
-            if not self._fleet.is_listed(vm_id)
-        }
+        missing: dict[str, int] = {}
+        for owner, rows in self._book.table.by_owner().items():
+            vm_id = owner.vm_id
+            if vm_id == self._book.me.vm_id or self._fleet.is_listed(vm_id):
+                continue
+            newest = max(row.version for row in rows)
+            missing[vm_id] = max(missing.get(vm_id, 0), newest)
+        return missing
 
     def _is_turn(self) -> bool:
         now = self._clock.now()
@@ -150,6 +149,8 @@
     def _claim(self, gone: list[str]) -> None:
         fresh = self._book.read_fresh()
         if not isinstance(fresh, Ok):
+            # Gives VMs that hold states time to write once the store is back.
+            self._absences.clear()
             self._restore_older()
             return
         stored = fresh.ok_value
