--- a/lacewingpond/config/store_watch.py
+++ b/lacewingpond/config/store_watch.py
@@ -1,4 +1,4 @@
-"""Learns new revisions from the store, and mends a store that came back older."""
+"""Learns new revisions from the store by watching its head."""
 
 import random
 from collections.abc import Callable
@@ -14,8 +14,9 @@
     StoredHead,
     parse_head,
 )
+from lacewingpond.config.republisher import Republisher
 from lacewingpond.config.state import ConfigState
-from lacewingpond.store.base import StoreError, StoreFailure, WatchBatch
+from lacewingpond.store.base import StoreError, WatchBatch, WatchEvent
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.telemetry.metrics import Metrics
 from lacewingpond.util.clock import Clock
@@ -42,7 +43,7 @@
 
     __slots__ = ("_repository", "_holder", "_contacts", "_on_news", "_options")
     __slots__ += ("_clock", "_rng", "_log", "_metrics", "_after", "_failures")
-    __slots__ += ("_republish_at", "_older")
+    __slots__ += ("_republisher",)
 
     def __init__(
         self,
@@ -67,8 +68,9 @@
         self._metrics = metrics
         self._after = 0
         self._failures = 0
-        self._republish_at: float | None = None
-        self._older: StoredHead | None = None
+        self._republisher = Republisher(
+            repository, holder, options, clock, rng, log, metrics
+        )
 
     def step(self) -> None:
         """Wait for one answer of the store, and take what it says.
@@ -97,23 +99,28 @@
         return self._rng.uniform(options.retry_min_s, max(longest, options.retry_min_s))
 
     def _watch(self) -> bool:
-        if self._republish_at is not None and self._republish_at <= self._clock.now():
+        if self._republisher.is_due:
             return self._republish()
         # A watch may wait long, so after a failure a read first tells that the
         # store is back.
         if self._failures and self.catch_up(at_once=False).is_err():
             return False
-        watched = self._repository.store.watch(HEAD_KEY, self._after, self._wait_s())
+        wait_s = self._republisher.wait_s(self._options.watch_timeout_s)
+        watched = self._repository.store.watch(HEAD_KEY, self._after, wait_s)
         if watched.is_err():
             return False
         self._contacts.heard_store()
         return self._take_batch(watched.ok_value)
 
-    def _wait_s(self) -> float:
-        if self._republish_at is None:
-            return self._options.watch_timeout_s
-        left_s = self._republish_at - self._clock.now()
-        return min(max(left_s, 0.0), self._options.watch_timeout_s)
+    def _republish(self) -> bool:
+        """Write to an older store, unless it has caught up meanwhile."""
+        read = self._repository.read_head()
+        if read.is_err():
+            return False
+        self._contacts.heard_store()
+        if read.ok_value.head.revision >= self._holder.revision:
+            return self._take(read.ok_value)
+        return self._republisher.republish(read.ok_value)
 
     def _take_batch(self, batch: WatchBatch) -> bool:
         if batch.revision < self._after:
@@ -124,15 +131,15 @@
             self._after = batch.revision
             return True
         for event in batch.events:
-            if event.key == HEAD_KEY and not self._take_value(event.value, event):
+            if event.key == HEAD_KEY and not self._take_event(event):
                 return False
         self._after = batch.revision
         return True
 
-    def _take_value(self, value: bytes | None, event: object) -> bool:
-        if value is None:
+    def _take_event(self, event: WatchEvent) -> bool:
+        if event.value is None:
             return self.catch_up(at_once=False).is_ok()
-        parsed = parse_head(value, event.revision)
+        parsed = parse_head(event.value, event.revision)
         if parsed.is_err():
             self._log.decision(
                 "config-head", HEAD_KEY, "unreadable", detail=parsed.err_value.detail
@@ -143,10 +150,9 @@
     def _take(self, stored: StoredHead, at_once: bool = False) -> bool:
         held = self._holder.state
         if stored.head.revision < held.revision:
-            self._note_older(stored)
+            self._republisher.note_older(stored.head)
             return True
-        self._republish_at = None
-        self._older = None
+        self._republisher.clear()
         if stored.head.revision == held.revision:
             self._check_fork(stored, held)
             return True
@@ -209,67 +215,3 @@
             stored_plan=stored.head.plan_id,
             held_plan=held.head.plan_id,
         )
-
-    def _note_older(self, stored: StoredHead) -> None:
-        self._older = stored
-        if self._republish_at is not None:
-            return
-        wait_s = self._options.republish_after_s * (1.0 + self._rng.random())
-        self._republish_at = self._clock.now() + wait_s
-        self._metrics.incr("config.store_older")
-        self._log.decision(
-            "config-store-older",
-            str(stored.head.revision),
-            "the store came back older; the newer revision stays in force",
-            held=self._holder.revision,
-        )
-
-    def _republish(self) -> bool:
-        """Write the newer revision to the store again, so that it never reverts."""
-        read = self._repository.read_head()
-        if read.is_err():
-            return False
-        self._republish_at = None
-        self._contacts.heard_store()
-        stored, state = read.ok_value, self._holder.state
-        if stored.head.revision >= state.revision:
-            return self._take(stored)
-        self._report_lost_plans(stored, state)
-        refs = tuple(ref for ref in state.head.chunks)
-        missing = set(refs) - set(stored.head.chunks)
-        written = self._repository.write_chunks(state, tuple(sorted(missing)))
-        if written.is_ok():
-            written = self._repository.write_head(state.head, stored.store_revision)
-        return self._end_republish(written, stored)
-
-    def _report_lost_plans(self, stored: StoredHead, state: ConfigState) -> None:
-        known = set(state.head.history)
-        for confirmed in stored.head.history:
-            if confirmed in known or confirmed.revision > state.revision:
-                continue
-            if state.head.remembers(confirmed.revision):
-                self._metrics.incr("config.forks")
-                self._log.decision(
-                    "config-fork",
-                    str(confirmed.revision),
-                    "a plan accepted by the older store is replaced",
-                    plan=confirmed.plan_id,
-                )
-
-    def _end_republish(
-        self, written: Result[object, StoreError], stored: StoredHead
-    ) -> bool:
-        if written.is_ok():
-            self._metrics.incr("config.republished")
-            self._log.decision(
-                "config-republish",
-                str(self._holder.revision),
-                "written again to a store that came back older",
-                found=stored.head.revision,
-            )
-            return True
-        if written.err_value.failure is StoreFailure.CONFLICT:
-            # Another VM was first; the watch shows what it wrote.
-            return True
-        self._republish_at = self._clock.now() + self._options.republish_after_s
-        return False
