Split the shard manager and the small fleet into smaller modules

The moves to a shard's home, the interrupted store and the clock of a paused process have modules of their own.

--- a/lacewingpond/replay/shard_world.py
+++ b/lacewingpond/replay/shard_world.py
@@ -1,17 +1,17 @@
 """A small fleet on one clock: membership, shards and a faulty platform."""
 
 import random
-from collections.abc import Callable
 
 import gevent
 from msgspec import Struct
-from result import Result
 
 from lacewingpond.membership.membership import Membership
 from lacewingpond.membership.options import MembershipOptions
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.base import Variant
+from lacewingpond.replay.interrupted_store import InterruptedStore
 from lacewingpond.replay.lease_shards import LeaseShards
+from lacewingpond.replay.pausable_clock import PausableClock
 from lacewingpond.replay.shard_part import NumberPart, ShardTruth
 from lacewingpond.shards.handover import HandOverReport
 from lacewingpond.shards.manager import ShardManager
@@ -19,7 +19,7 @@
 from lacewingpond.shards.process import ProcessId
 from lacewingpond.standin.faults import PlatformFaults
 from lacewingpond.standin.faulty import FaultyStore, FaultyVmList
-from lacewingpond.store.base import Entry, StoreError, VmRecord
+from lacewingpond.store.base import VmRecord
 from lacewingpond.store.memory import MemoryStore, MemoryVmList
 from lacewingpond.telemetry.decisions import RecordingDecisionLog
 from lacewingpond.telemetry.metrics import CountingMetrics
@@ -53,74 +53,6 @@
     message_delay_s: float = 0.0
 
 
-class InterruptedStore:
-    """A store during whose calls the calling process may be paused.
-
-    Attributes
-    ----------
-    before, after : dict of str to callable
-        Run once, just before or after the next call of that kind, ``get`` or
-        ``put_if``.
-    """
-
-    __slots__ = ("_store", "before", "after")
-
-    def __init__(self, store: FaultyStore) -> None:
-        self._store = store
-        self.before: dict[str, Callable[[], None]] = {}
-        self.after: dict[str, Callable[[], None]] = {}
-
-    def get(self, key: str) -> Result[Entry | None, StoreError]:
-        """Read one key."""
-        return self._interrupted("get", lambda: self._store.get(key))
-
-    def scan(self, prefix: str) -> Result[tuple[Entry, ...], StoreError]:
-        """Read all keys below a prefix."""
-        return self._store.scan(prefix)
-
-    def put_if(
-        self, key: str, value: bytes, expected_revision: int, lease: str | None = None
-    ) -> Result[int, StoreError]:
-        """Write by compare-and-swap."""
-        return self._interrupted(
-            "put_if", lambda: self._store.put_if(key, value, expected_revision, lease)
-        )
-
-    def _interrupted(self, kind: str, call: Callable[[], Result]) -> Result:
-        self.before.pop(kind, _nothing)()
-        result = call()
-        self.after.pop(kind, _nothing)()
-        return result
-
-
-def _nothing() -> None:
-    """Let the call pass."""
-
-
-class PausableClock:
-    """The clock of one process, whose sleeps last at least as long as its pauses."""
-
-    __slots__ = ("_clock", "_vm")
-
-    def __init__(self, clock: PausedClock, vm: "ShardVm") -> None:
-        self._clock = clock
-        self._vm = vm
-
-    def now(self) -> float:
-        """Return monotonic seconds."""
-        return self._clock.now()
-
-    def wall(self) -> float:
-        """Return seconds since the Unix epoch."""
-        return self._clock.wall()
-
-    def sleep(self, seconds: float) -> None:
-        """Block for `seconds`, and further while the process stands still."""
-        self._clock.sleep(seconds)
-        while self._vm.paused_until > self._clock.now():
-            self._clock.sleep(STEP_S)
-
-
 class ShardVm:
     """One process of the fleet."""
 
--- a/lacewingpond/shards/manager.py
+++ b/lacewingpond/shards/manager.py
@@ -14,8 +14,8 @@
 from lacewingpond.shards.handover import HandOver, HandOverReport
 from lacewingpond.shards.move import Move
 from lacewingpond.shards.options import ShardOptions
-from lacewingpond.shards.placement import home
 from lacewingpond.shards.process import ProcessId
+from lacewingpond.shards.rebalancer import Rebalancer
 from lacewingpond.shards.row import ShardRow
 from lacewingpond.shards.spread import TableSpread
 from lacewingpond.shards.table_store import TableStore
@@ -48,8 +48,7 @@
         "_metrics",
         "_started_at",
         "_refresh_at",
-        "_rebalance_at",
-        "_strays",
+        "_rebalancer",
         "_greenlets",
     )
 
@@ -85,8 +84,9 @@
         self._hand_over = HandOver(options, *pieces, fleet, channel, clock, rng, log)
         self._started_at = clock.now()
         self._refresh_at = clock.now()
-        self._rebalance_at = clock.now() + options.rebalance_s
-        self._strays: set[int] = set()
+        self._rebalancer = Rebalancer(
+            options, self._book, self._hand_over, fleet, clock, rng
+        )
         self._greenlets: list[gevent.Greenlet] = []
 
     @classmethod
@@ -229,7 +229,7 @@
         self._claimer.step()
         self._hand_over.resolve()
         self._book.adopt()
-        self._rebalance()
+        self._rebalancer.step()
 
     def _reclaim(self) -> None:
         """Take the shards of an earlier process on this VM."""
@@ -272,25 +272,6 @@
         elif self._book.table.version > before:
             self._spread.push(before)
 
-    def _rebalance(self) -> None:
-        """Move a few shards to the VMs where they belong."""
-        now = self._clock.now()
-        if now < self._rebalance_at:
-            return
-        pause_s = self._options.rebalance_s * self._rng.uniform(0.5, 1.5)
-        self._rebalance_at = now + pause_s
-        before, self._strays = self._strays, self._find_strays()
-        # Only shards that belonged elsewhere at the last look too.
-        moving = sorted(self._strays & before)[: self._options.rebalance_batch]
-        if moving and not self._hand_over.is_store_away():
-            self._hand_over.run(moving, home_only=True)
-
-    def _find_strays(self) -> set[int]:
-        me = self._book.me.vm_id
-        ids = [v for v in self._fleet.live_ids() if self._fleet.is_reachable(v)]
-        ids.append(me)
-        return {shard for shard in self._book.acting if home(shard, ids) != me}
-
     def _repeat(self, step: Callable[[], None], interval_s: float) -> None:
         while True:
             try:
