Bound what a peer that never reads can hold, and time out calls only while any wait

Answers to a peer that does not read waited without a bound on their bytes, and the write timeout of the options was not used. A handshake reads whole frames in place of single bytes.

--- a/lacewingpond/peers/frames.py
+++ b/lacewingpond/peers/frames.py
@@ -97,6 +97,14 @@
             del self._buffer[:end]
             yield self._unpacked(payload), end
 
+    @property
+    def missing(self) -> int:
+        """Bytes that the next frame still lacks, as far as is known; at least one."""
+        if len(self._buffer) < HEADER.size:
+            return HEADER.size - len(self._buffer)
+        _, length = HEADER.unpack_from(self._buffer)
+        return HEADER.size + length - len(self._buffer)
+
     def _frame_end(self) -> int | None:
         if self._buffer and self._buffer[0] != BIN_32:
             raise FrameError("not a frame")
--- a/lacewingpond/peers/handshake.py
+++ b/lacewingpond/peers/handshake.py
@@ -162,8 +162,8 @@
 
     def next(self, kind: type) -> Struct:
         while True:
-            # Byte by byte, so that frames sent right after stay in the socket.
-            data = self._sock.recv(1)
+            # No more than this frame, so that what follows stays in the socket.
+            data = self._sock.recv(self._reader.missing)
             if not data:
                 raise HandshakeError("closed during the handshake")
             for value, _ in self._reader.feed(data):
--- a/lacewingpond/peers/inbound.py
+++ b/lacewingpond/peers/inbound.py
@@ -1,5 +1,6 @@
 """The connection that another VM opened to this one."""
 
+import errno
 from collections.abc import Callable
 
 from gevent import socket
@@ -22,6 +23,7 @@
 from lacewingpond.peers.traffic import Traffic
 
 MAX_ERROR_CHARS = 200
+UNREAD = "the peer does not read its answers"
 BUSY = "too many messages are being handled"
 
 
@@ -55,6 +57,8 @@
         "_traffic",
         "_on_handler_error",
         "_write_lock",
+        "_unsent_bytes",
+        "_end_reason",
     )
 
     def __init__(
@@ -75,6 +79,8 @@
         self._traffic = traffic
         self._on_handler_error = on_handler_error
         self._write_lock = Semaphore()
+        self._unsent_bytes = 0
+        self._end_reason: str | None = None
 
     def serve(self) -> str:
         """Read frames until the connection ends; return why it ended."""
@@ -84,11 +90,12 @@
             while data := self._sock.recv(RECEIVE_BYTES):
                 for value, size in reader.feed(data):
                     self._take(to_frame(value), size)
-        except TimeoutError:
-            return "idle"
+        except TimeoutError as exc:
+            unread = exc.errno == errno.ETIMEDOUT
+            return UNREAD if unread else self._end_reason or "idle"
         except (OSError, FrameError) as exc:
-            return str(exc)
-        return "closed by the peer"
+            return self._end_reason or str(exc)
+        return self._end_reason or "closed by the peer"
 
     def _take(self, frame: Frame, size: int) -> None:
         if frame.kind not in (FrameKind.CALL, FrameKind.ONE_WAY):
@@ -130,16 +137,25 @@
         self._write("error", encode(Frame(FrameKind.ERROR, frame.number, detail)))
 
     def _write(self, kind: str, data: bytes) -> None:
-        with self._write_lock:
-            try:
+        if self._unsent_bytes + len(data) > self._options.max_unsent_answer_bytes:
+            self.close(UNREAD)
+            return
+        self._unsent_bytes += len(data)
+        try:
+            with self._write_lock:
                 self._sock.sendall(data)
-            except OSError:
-                self.close()
-                return
+        except OSError:
+            self.close("an answer could not be written")
+            return
+        finally:
+            self._unsent_bytes -= len(data)
         self._traffic.sent(kind, len(data))
 
-    def close(self) -> None:
+    def close(self, reason: str = "stopping") -> None:
         """End the connection; the reading greenlet sees its end."""
+        if self._end_reason is not None:
+            return
+        self._end_reason = reason
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/lacewingpond/peers/tcp.py
+++ b/lacewingpond/peers/tcp.py
@@ -21,8 +21,6 @@
 from lacewingpond.util.clock import Clock
 
 MAX_TRACKED_FAILURES = 4_096
-UNACKED_TIMEOUT_MS = 10_000
-"""A connection whose bytes stay unacknowledged for so long is closed."""
 
 
 class TcpPeerChannel:
@@ -50,6 +48,7 @@
         "_pool",
         "_server",
         "_sweeper",
+        "_expiry",
     )
 
     def __init__(
@@ -80,6 +79,7 @@
         self._pool = Pool(options.max_handlers)
         self._server: StreamServer | None = None
         self._sweeper: gevent.Greenlet | None = None
+        self._expiry: gevent.Greenlet | None = None
 
     @classmethod
     def from_options(
@@ -135,7 +135,7 @@
             self._sweeper.kill()
         if self._server is not None:
             self._server.stop(timeout=0)
-        for link in [*self._links.values(), *self._retired]:
+        for link in self._all_links():
             link.end("stopping")
         for link in list(self._inbound):
             link.close()
@@ -166,6 +166,7 @@
         link = self._link(vm_id)
         if link is None:
             return Err(PeerError(PeerFailure.NOT_SENT, "no connection"))
+        self._ensure_expiry()
         return link.call(message, timeout_s)
 
     def send(self, vm_id: str, message: Message) -> bool:
@@ -216,7 +217,7 @@
         timeout_s = self._options.connect_timeout_s
         sock = socket.create_connection((host, int(port)), timeout=timeout_s)
         try:
-            _tune(sock)
+            _tune(sock, self._options.write_timeout_s)
             self._handshake.dial(sock, vm_id)
         except BaseException:
             sock.close()
@@ -240,7 +241,7 @@
     def _accept(self, sock: socket.socket, address: tuple) -> None:
         which = f"{address[0]}:{address[1]}"
         try:
-            _tune(sock)
+            _tune(sock, self._options.write_timeout_s)
             session = self._handshake.accept(sock)
         except (OSError, HandshakeError, FrameError) as exc:
             self._log.decision("peer-closed", which, f"handshake failed: {exc}")
@@ -268,32 +269,44 @@
         self._log.decision("peer-handler-failed", kind, why, sender=vm_id)
 
     def _sweep(self) -> None:
-        flush_at = self._clock.now()
+        """Close idle connections and pass on the counted traffic."""
         while True:
-            self._clock.sleep(self._options.sweep_interval_s)
+            self._clock.sleep(self._options.flush_interval_s)
             now = self._clock.now()
             for link in list(self._links.values()):
-                self._sweep_link(link, now)
-            for link in list(self._retired):
-                link.expire(now)
-                if not link.has_waiting:
-                    link.end("silent")
-            if now >= flush_at:
-                flush_at = now + self._options.flush_interval_s
-                self.traffic.flush(self._metrics)
-
-    def _sweep_link(self, link: OutboundLink, now: float) -> None:
-        if link.expire(now):
+                if link.is_idle(now):
+                    link.end("idle")
+            self.traffic.flush(self._metrics)
+
+    def _ensure_expiry(self) -> None:
+        if self._expiry is None:
+            self._expiry = gevent.spawn(self._expire)
+
+    def _expire(self) -> None:
+        """Time out calls for as long as any call waits."""
+        while any(link.has_waiting for link in self._all_links()):
+            self._clock.sleep(self._options.expiry_interval_s)
+            now = self._clock.now()
+            for link in self._all_links():
+                self._expire_link(link, now)
+        self._expiry = None
+
+    def _expire_link(self, link: OutboundLink, now: float) -> None:
+        if link.expire(now) and self._links.get(link.vm_id) is link:
             # New messages take a new connection; calls in flight may still end here.
             del self._links[link.vm_id]
             self._retired.add(link)
-        elif link.is_idle(now):
-            link.end("idle")
+        if link in self._retired and not link.has_waiting:
+            link.end("silent")
+
+    def _all_links(self) -> list[OutboundLink]:
+        return [*self._links.values(), *self._retired]
 
 
-def _tune(sock: socket.socket) -> None:
+def _tune(sock: socket.socket, write_timeout_s: float) -> None:
+    """Send without delay, and end a connection whose bytes stay unacknowledged."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     if hasattr(socket, "TCP_USER_TIMEOUT"):
-        option = socket.TCP_USER_TIMEOUT
-        sock.setsockopt(socket.IPPROTO_TCP, option, UNACKED_TIMEOUT_MS)
+        timeout_ms = round(write_timeout_s * 1000)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/tests/peers/test_peers_tcp.py
+++ b/tests/peers/test_peers_tcp.py
@@ -260,3 +260,25 @@
         ("peer-closed", "b", "idle")
     ]
     assert isinstance(a.call("b", TcpEcho("x"), 5.0), Ok)
+
+
+@pytest.mark.parametrize(
+    "options, calls",
+    [
+        (PeerOptions(write_timeout_s=0.5), 10),
+        (PeerOptions(max_unsent_answer_bytes=10_000_000), 100),
+    ],
+)
+def test_peer_that_never_reads_is_cut_and_holds_nobody_up(fleet, options, calls):
+    a = fleet.add("a")
+    fleet.add("b", options=options).register(TcpEcho, echo)
+    sock = dial(fleet, "b", sender="deaf")
+    with contextlib.suppress(ConnectionError):
+        for number in range(calls):
+            call = Frame(FrameKind.CALL, number, TcpEcho("x", bytes(700_000)))
+            sock.sendall(encode(call))
+    assert isinstance(a.call("b", TcpEcho("x"), 5.0), Ok)
+    line = wait_for_lines(fleet.logs["b"])[0]
+    ends = ("the peer does not read its answers", "an answer could not be written")
+    assert line[:2] == ("peer-closed", "deaf")
+    assert line[2] in ends
