--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -1,7 +1,9 @@
 """All benchmarks by name."""
 
 from lacewingpond.bench.base import Bench
+from lacewingpond.bench.claims import ClaimBench
 from lacewingpond.bench.config import ConfigBench
+from lacewingpond.bench.grants import GrantBench
 from lacewingpond.bench.health import HealthBench
 from lacewingpond.bench.latency import LatencyBench
 from lacewingpond.bench.membership import MembershipBench
@@ -10,7 +12,9 @@
 from lacewingpond.bench.shards import ShardBench
 
 BENCHES: dict[str, Bench] = {
+    ClaimBench.name: ClaimBench(),
     ConfigBench.name: ConfigBench(),
+    GrantBench.name: GrantBench(),
     HealthBench.name: HealthBench(),
     LatencyBench.name: LatencyBench(),
     MembershipBench.name: MembershipBench(),
--- /dev/null
+++ b/lacewingpond/bench/grants.py
@@ -0,0 +1,284 @@
+"""Costs of the fleet-wide limits as active workspaces and VMs grow."""
+
+import random
+
+import gevent
+
+from lacewingpond.bench.series import Point, Series
+from lacewingpond.config.model import Config, Workspace
+from lacewingpond.limits.bucket import workspace_bucket
+from lacewingpond.limits.limiter import FleetLimiter
+from lacewingpond.limits.messages import GrantAnswer, GrantAsk, GrantReturn
+from lacewingpond.limits.options import LimitOptions
+from lacewingpond.peers.base import Handler, Message
+from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
+from lacewingpond.replay.fake_shards import FakeShardTable
+from lacewingpond.replay.static_limiter import StaticLimiter
+from lacewingpond.telemetry.decisions import NullDecisionLog
+from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.util.clock import PausedClock
+from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
+
+REQUESTS_PER_S = 124.0
+"""Requests a second on each VM."""
+WORKSPACES = (8, 64, 512, 2_048)
+VMS = (5, 10, 20, 40)
+FEW_WORKSPACES = 8
+MEDIUM_FLEET = 10
+WARM_UP_S = 1.0
+MEASURED_S = 2.0
+STEP_S = 0.001
+ROUNDS = 20
+CONFIGURED = (6_000, 12_000, 24_000, 47_000)
+SHARD_COUNT = 128
+
+
+class DirectChannel:
+    """Hands messages to handlers at once; stands for both ends of a link."""
+
+    __slots__ = ("_handlers",)
+
+    def __init__(self) -> None:
+        self._handlers: dict[type[Message], Handler] = {}
+
+    def send(self, vm_id: str, message: Message) -> bool:
+        """Deliver a message, as if from the other VM."""
+        self._handlers[type(message)](vm_id, message)
+        return True
+
+    def register(self, kind: type[Message], handler: Handler) -> None:
+        """Keep a handler."""
+        self._handlers[kind] = handler
+
+
+class Split:
+    """A shard view in which this VM asks itself by messages."""
+
+    __slots__ = ("_table",)
+
+    shard_count = SHARD_COUNT
+
+    def __init__(self, table: FakeShardTable) -> None:
+        self._table = table
+
+    def owner(self, shard: int):  # noqa: ANN201
+        """Return the owner."""
+        return self._table.owners[shard]
+
+    owned = owner
+
+
+class GrantFleet:
+    """A fleet with an even load on all VMs and workspaces."""
+
+    def __init__(self, vm_count: int, workspace_count: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = PausedClock()
+        faults = MemoryOptions(min_delay_s=0.0004, max_delay_s=0.0006)
+        self.network = MemoryNetwork(self.clock, self.rng, faults)
+        self.vms = tuple(f"vm{number}" for number in range(vm_count))
+        self.table = FakeShardTable(SHARD_COUNT, self.vms, self.clock)
+        load = REQUESTS_PER_S * vm_count / workspace_count
+        self.names = tuple(f"workspace-{n:05}" for n in range(workspace_count))
+        self.cfg = config(self.names, load)
+        self.channels = {vm: self.network.channel(vm) for vm in self.vms}
+        self.limiters = {vm: self._limiter(vm) for vm in self.vms}
+
+    def run(self, seconds: float) -> None:
+        """Send requests for a while."""
+        end = self.clock.now() + seconds
+        due = self.clock.now()
+        total = REQUESTS_PER_S * len(self.vms)
+        while self.clock.now() < end:
+            while due <= self.clock.now():
+                bucket_id = workspace_bucket(self.rng.choice(self.names))
+                limiter = self.limiters[self.rng.choice(self.vms)]
+                gevent.spawn(limiter.admit, (bucket_id,))
+                due += self.rng.expovariate(total)
+            self.clock.advance(STEP_S)
+            self.network.run_due()
+
+    def sent(self) -> tuple[int, int]:
+        """Return messages and bytes sent by all VMs."""
+        messages = size = 0
+        for channel in self.channels.values():
+            for kind in (GrantAsk, GrantAnswer, GrantReturn):
+                tally = channel.traffic.by_kind.get(kind.__name__)
+                if tally is not None:
+                    messages += tally.sent
+                    size += tally.sent_bytes
+        return messages, size
+
+    def _limiter(self, vm: str) -> FleetLimiter:
+        limiter = FleetLimiter.from_options(
+            LimitOptions(),
+            vm,
+            self.clock,
+            random.Random(self.rng.random()),
+            self.channels[vm],
+            self.table.view(vm),
+            NullDecisionLog(),
+            CountingMetrics(),
+        )
+        limiter.configure(self.cfg)
+        for shard in self.table.of(vm):
+            limiter.adopt(self.table.owners[shard], None)
+        return limiter
+
+
+class GrantBench:
+    """Messages, bytes, processor time and memory of the limits."""
+
+    name = "grants"
+    summary = "Messages, bytes and processor time of fleet-wide limits."
+
+    def run(self, seed: int) -> tuple[Series, ...]:
+        """Measure."""
+        by_workspaces = [(n, _traffic(MEDIUM_FLEET, n, seed)) for n in WORKSPACES]
+        by_vms = [(n, _traffic(n, FEW_WORKSPACES, seed)) for n in VMS]
+        return (
+            _traffic_series("messages", "workspaces", "messages/s", 0, by_workspaces),
+            _traffic_series("bytes", "workspaces", "bytes/s", 1, by_workspaces),
+            _traffic_series("messages", "VMs", "messages/s", 0, by_vms),
+            _traffic_series("bytes", "VMs", "bytes/s", 1, by_vms),
+            _cost("admission with an ask", "current", _asking_us),
+            _cost("admission with an ask", "static", _static_us),
+            _cost("admission with asks ahead of need", "current", _holding_us),
+            _memory("memory of an active bucket", _active_bytes, WORKSPACES),
+            _memory("memory of the configured limits", _table_bytes, CONFIGURED),
+            _configure_series(),
+        )
+
+
+def config(names: tuple[str, ...], load: float) -> Config:
+    """Return workspaces with twice the load as their rate."""
+    rate = 2.0 * load
+    return Config(1, tuple(Workspace(n, rate, max(2.0 * rate, 2.0)) for n in names))
+
+
+def _traffic(vm_count: int, workspace_count: int, seed: int) -> tuple[float, float]:
+    fleet = GrantFleet(vm_count, workspace_count, seed)
+    fleet.run(WARM_UP_S)
+    messages, size = fleet.sent()
+    fleet.run(MEASURED_S)
+    later_messages, later_size = fleet.sent()
+    scale = MEASURED_S * vm_count
+    return (later_messages - messages) / scale, (later_size - size) / scale
+
+
+def _traffic_series(
+    name: str,
+    size_unit: str,
+    value_unit: str,
+    column: int,
+    rows: list[tuple[int, tuple[float, float]]],
+) -> Series:
+    points = tuple(Point(size, values[column]) for size, values in rows)
+    return Series(f"{name} per daemon", "current", size_unit, value_unit, points)
+
+
+def _single(names: tuple[str, ...]) -> FleetLimiter:
+    clock = PausedClock()
+    table = FakeShardTable(SHARD_COUNT, ("peer",), clock)
+    limiter = FleetLimiter.from_options(
+        LimitOptions(),
+        "vm",
+        clock,
+        random.Random(1),
+        DirectChannel(),
+        Split(table),
+        NullDecisionLog(),
+        CountingMetrics(),
+    )
+    limiter.configure(config(names, 1e6))
+    for shard in range(SHARD_COUNT):
+        limiter.adopt(table.owners[shard], None)
+    return limiter
+
+
+def _names(count: int) -> tuple[str, ...]:
+    return tuple(f"workspace-{number:05}" for number in range(count))
+
+
+def _asking_us(count: int) -> float:
+    names = _names(count)
+    buckets = [(workspace_bucket(name),) for name in names]
+
+    def ask_all() -> None:
+        limiter = _single(names)
+        for bucket_ids in buckets:
+            limiter.admit(bucket_ids)
+
+    made = cpu_seconds(lambda: _single(names))
+    return (cpu_seconds(ask_all) - made) / count * 1e6
+
+
+def _holding_us(count: int) -> float:
+    names = _names(count)
+    buckets = [(workspace_bucket(name),) for name in names]
+    limiter = _single(names)
+
+    def admit_all() -> None:
+        for _ in range(ROUNDS):
+            for bucket_ids in buckets:
+                limiter.admit(bucket_ids)
+
+    return cpu_seconds(admit_all) / (count * ROUNDS) * 1e6
+
+
+def _static_us(count: int) -> float:
+    names = _names(count)
+    buckets = [(workspace_bucket(name),) for name in names]
+    limiter = StaticLimiter(config(names, 1e6), 40, PausedClock())
+
+    def admit_all() -> None:
+        for bucket_ids in buckets:
+            limiter.admit(bucket_ids)
+
+    return cpu_seconds(admit_all) / count * 1e6
+
+
+def _cost(name: str, variant: str, measure) -> Series:  # noqa: ANN001
+    points = tuple(Point(count, measure(count)) for count in WORKSPACES)
+    return Series(name, variant, "workspaces", "us", points)
+
+
+def _memory(name: str, measure, sizes: tuple[int, ...]) -> Series:  # noqa: ANN001
+    points = tuple(Point(count, measure(count) / 1e6) for count in sizes)
+    return Series(name, "current", "workspaces", "MB", points)
+
+
+def _active_bytes(count: int) -> int:
+    names = _names(count)
+    limiter = _single(names)
+
+    def use_all() -> FleetLimiter:
+        for name in names:
+            limiter.admit((workspace_bucket(name),))
+        return limiter
+
+    return retained_bytes(use_all)
+
+
+def _table_bytes(count: int) -> int:
+    cfg = config(_names(count), 1.0)
+
+    def build() -> FleetLimiter:
+        limiter = _single(())
+        limiter.configure(cfg)
+        return limiter
+
+    return retained_bytes(build)
+
+
+def _configure_series() -> Series:
+    points: list[Point] = []
+    for count in CONFIGURED:
+        old = config(_names(count), 1.0)
+        changed = Workspace("workspace-00000", 9.0, 9.0)
+        new = Config(2, (changed, *old.workspaces[1:]))
+        limiter = _single(())
+        limiter.configure(old)
+        seconds = cpu_seconds(lambda limiter=limiter, new=new: limiter.configure(new))
+        points.append(Point(count, seconds * 1e3))
+    return Series("a change", "current", "workspaces", "ms", tuple(points))
--- a/lacewingpond/limits/allowance.py
+++ b/lacewingpond/limits/allowance.py
@@ -10,6 +10,10 @@
 
 MIN_AHEAD_TOKENS = 2.0
 """Expected use below which nothing is asked ahead of need."""
+AHEAD_LIFE_SHARE = 0.6
+"""Share of a grant's life in which its tokens should be used."""
+ASK_WHEN_LACKING = 0.75
+"""Share of the wanted tokens that must lack before more are asked ahead."""
 MAX_ENDED = 16
 """Most reports of ended grants that wait for the next ask to a slice."""
 
@@ -110,12 +114,12 @@
 
     def ahead_wanted(self, now: float) -> int:
         """Return the tokens to ask ahead of need."""
-        expected = self._demand * self.bucket.ttl_s(self._options) / 2.0
+        expected = self._demand * self.bucket.ttl_s(self._options) * AHEAD_LIFE_SHARE
         if expected < MIN_AHEAD_TOKENS:
             return 0
         wanted = int(expected)
         lacking = wanted - self.held(now) - self.in_flight_ahead
-        return lacking if 2 * lacking >= wanted else 0
+        return lacking if lacking >= ASK_WHEN_LACKING * wanted else 0
 
     def next_shard(self, now: float) -> int | None:
         """Return the next slice's shard that is worth asking."""
--- a/lacewingpond/limits/bucket.py
+++ b/lacewingpond/limits/bucket.py
@@ -2,7 +2,6 @@
 
 from msgspec import Struct
 
-from lacewingpond.config.model import Config
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.util.rendezvous import shard_of
 
@@ -77,15 +76,3 @@
 def service_bucket(name: str) -> str:
     """Return the bucket id of a service."""
     return f"s:{name}"
-
-
-def buckets_of(cfg: Config) -> dict[str, Bucket]:
-    """Return all buckets of a configuration by id."""
-    named = [(workspace_bucket(w.name), w.rate, w.burst) for w in cfg.workspaces]
-    named += [(route_bucket(r.name), r.rate, r.burst) for r in cfg.routes]
-    named += [(service_bucket(s.name), s.rate, s.burst) for s in cfg.services]
-    return {
-        bucket_id: Bucket(bucket_id, rate, max(burst, 1.0))
-        for bucket_id, rate, burst in named
-        if rate > 0.0
-    }
--- a/lacewingpond/limits/limit_table.py
+++ b/lacewingpond/limits/limit_table.py
@@ -1,7 +1,8 @@
 """The limits of all buckets by id, over changes of the configuration."""
 
 from lacewingpond.config.model import Config
-from lacewingpond.limits.bucket import Bucket, buckets_of
+from lacewingpond.limits.bucket import Bucket
+from lacewingpond.limits.bucket_index import BucketIndex
 from lacewingpond.limits.limit_history import LimitHistory
 from lacewingpond.limits.options import LimitOptions
 
@@ -20,7 +21,7 @@
     __slots__ = ("buckets", "_changed", "_cache", "_count", "_options", "_configured")
 
     def __init__(self, shard_count: int, options: LimitOptions) -> None:
-        self.buckets: dict[str, Bucket] = {}
+        self.buckets = BucketIndex(Config())
         self._changed: dict[str, LimitHistory] = {}
         self._cache: dict[str, LimitHistory] = {}
         self._count = shard_count
@@ -29,12 +30,12 @@
 
     def configure(self, cfg: Config, now: float) -> None:
         """Take a new configuration."""
-        buckets = buckets_of(cfg)
+        buckets = BucketIndex(cfg)
         old, self.buckets = self.buckets, buckets
         self._cache.clear()
         self._forget(now)
         if self._configured:
-            for bucket_id in _differing(old, buckets):
+            for bucket_id in buckets.differing(old):
                 self._change(bucket_id, old.get(bucket_id), now)
         self._configured = True
 
@@ -73,9 +74,3 @@
         for bucket_id, history in list(self._changed.items()):
             if history.is_forgettable(now):
                 del self._changed[bucket_id]
-
-
-def _differing(old: dict[str, Bucket], new: dict[str, Bucket]) -> list[str]:
-    changed = [bucket_id for bucket_id in new if new[bucket_id] != old.get(bucket_id)]
-    removed = [bucket_id for bucket_id in old if bucket_id not in new]
-    return changed + removed
--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -37,7 +37,7 @@
 from lacewingpond.telemetry.metrics import Metrics
 from lacewingpond.util.clock import Clock
 
-RETURN_SHARE = 0.6
+RETURN_SHARE = 0.75
 """Share of its life after which a grant's unused tokens are given back."""
 HOUSEKEEPING_S = 1.0
 """Period in which idle buckets and slices are forgotten."""
--- a/lacewingpond/replay/local_claims.py
+++ b/lacewingpond/replay/local_claims.py
@@ -21,6 +21,10 @@
         self._runner = runner
         self._replies: dict[str, Reply | None] = {}
 
+    def remember(self, request: KeyedRequest, reply: Reply) -> None:
+        """Keep a reply that is known already."""
+        self._replies[request.name] = reply
+
     def submit(self, request: KeyedRequest) -> Reply:
         """Return the reply of this VM's first attempt, or run the request."""
         if request.name in self._replies:
--- a/lacewingpond/replay/static_limiter.py
+++ b/lacewingpond/replay/static_limiter.py
@@ -2,7 +2,7 @@
 
 from lacewingpond.config.model import Config
 from lacewingpond.limits.admission import ADMITTED, Admission, RefusalReason
-from lacewingpond.limits.bucket import buckets_of
+from lacewingpond.limits.bucket import workspace_bucket
 from lacewingpond.replay.central_bucket import CentralBucket
 from lacewingpond.util.clock import Clock
 
@@ -25,10 +25,12 @@
     def __init__(self, cfg: Config, vm_count: int, clock: Clock) -> None:
         self._clock = clock
         self._buckets = {
-            bucket_id: CentralBucket(
-                bucket.rate / vm_count, max(bucket.burst / vm_count, 1.0), clock.now()
+            workspace_bucket(workspace.name): CentralBucket(
+                workspace.rate / vm_count,
+                max(workspace.burst / vm_count, 1.0),
+                clock.now(),
             )
-            for bucket_id, bucket in buckets_of(cfg).items()
+            for workspace in cfg.workspaces
         }
 
     def admit(self, bucket_ids: tuple[str, ...]) -> Admission:
--- a/tests/limits/test_limits_change.py
+++ b/tests/limits/test_limits_change.py
@@ -7,7 +7,7 @@
 from test_limits_invariant import EPSILON, SETTINGS, SMALL, VMS, FleetMachine
 
 from lacewingpond.config.model import Config, Workspace
-from lacewingpond.limits.bucket import buckets_of
+from lacewingpond.limits.bucket import Bucket
 from lacewingpond.limits.limit_history import LimitHistory
 from lacewingpond.limits.limiter import FleetLimiter
 
@@ -120,7 +120,7 @@
     fleet.advance(1.0)
     bound = ChangingBound(fleet.base.now(), before.rate, before.burst)
     bound.change(fleet.base.now(), after.rate, after.burst)
-    slices = buckets_of(Config(1, (before,)))["w:large"].shards(32, OPTIONS)
+    slices = Bucket("w:large", before.rate, before.burst).shards(32, OPTIONS)
     owners = {fleet.table.owners[shard].vm_id for shard in slices}
     for vm in set(fleet.vms) - owners:
         fleet.limiters[vm].configure(Config(2, (after,)))
