--- a/lacewingpond/bench/grants.py
+++ b/lacewingpond/bench/grants.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from lacewingpond.bench.grant_link import GrantLink
 from lacewingpond.bench.series import Point, Series
 from lacewingpond.config.model import Config, Workspace
 from lacewingpond.limits.bucket import workspace_bucket
@@ -144,6 +145,7 @@
             _cost("admission with an ask", "current", _asking_us),
             _cost("admission with an ask", "static", _static_us),
             _cost("admission with asks ahead of need", "current", _holding_us),
+            _cost("admission with an ask over TCP, both ends", "current", _linked_us),
             _memory("memory of an active bucket", _active_bytes, WORKSPACES),
             _memory("memory of the configured limits", _table_bytes, CONFIGURED),
             _configure_series(),
@@ -213,6 +215,16 @@
     return (cpu_seconds(ask_all) - made) / count * 1e6
 
 
+def _linked_us(count: int) -> float:
+    names = _names(count)
+    link = GrantLink(("first", *names))
+    try:
+        link.admit(("first",))
+        return link.admit(names) / count * 1e6
+    finally:
+        link.close()
+
+
 def _holding_us(count: int) -> float:
     names = _names(count)
     buckets = [(workspace_bucket(name),) for name in names]
