--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -7,9 +7,11 @@
 from lacewingpond.bench.health import HealthBench
 from lacewingpond.bench.latency import LatencyBench
 from lacewingpond.bench.membership import MembershipBench
+from lacewingpond.bench.peers import PeerBench
 from lacewingpond.bench.placement import PlacementBench
 from lacewingpond.bench.routing import RoutingBench
 from lacewingpond.bench.shards import ShardBench
+from lacewingpond.bench.telemetry import TelemetryBench
 
 BENCHES: dict[str, Bench] = {
     ClaimBench.name: ClaimBench(),
@@ -18,7 +20,9 @@
     HealthBench.name: HealthBench(),
     LatencyBench.name: LatencyBench(),
     MembershipBench.name: MembershipBench(),
+    PeerBench.name: PeerBench(),
     PlacementBench.name: PlacementBench(),
     RoutingBench.name: RoutingBench(),
+    TelemetryBench.name: TelemetryBench(),
     ShardBench.name: ShardBench(),
 }
