Shorten the gap of a hand-over

A leaver sent each state in a call of its own and read the table twice more, while nobody owned the shards; a keyed request in that gap is refused. States for one taker now travel together, and the read before the release serves for the write.

--- a/lacewingpond/shards/handover.py
+++ b/lacewingpond/shards/handover.py
@@ -8,14 +8,15 @@
 from lacewingpond.peers.base import PeerChannel
 from lacewingpond.shards.book import ShardBook
 from lacewingpond.shards.fleet import FleetView
-from lacewingpond.shards.messages import ShardNote, ShardNoteAck
+from lacewingpond.shards.messages import ShardNote, ShardNotes, ShardNotesAck
 from lacewingpond.shards.move import Move
 from lacewingpond.shards.notes import HeldNote, encode_states
 from lacewingpond.shards.options import ShardOptions
 from lacewingpond.shards.placement import takers
 from lacewingpond.shards.process import ProcessId
+from lacewingpond.shards.released import ReleasedShard, batches
 from lacewingpond.shards.spread import TableSpread
-from lacewingpond.shards.table_store import TableStore
+from lacewingpond.shards.table_store import StoredTable, TableStore
 from lacewingpond.shards.trust import Trust
 from lacewingpond.store.base import StoreFailure
 from lacewingpond.telemetry.decisions import DecisionLog
@@ -79,6 +80,7 @@
         "_clock",
         "_rng",
         "_log",
+        "_last_read",
     )
 
     def __init__(
@@ -104,11 +106,14 @@
         self._clock = clock
         self._rng = rng
         self._log = log
-        channel.register(ShardNote, self._on_note)
+        self._last_read: StoredTable | None = None
+        channel.register(ShardNotes, self._on_notes)
 
     def is_store_away(self) -> bool:
         """Read the table; return whether that failed."""
-        return not isinstance(self._book.read_fresh(), Ok)
+        fresh = self._book.read_fresh()
+        self._last_read = fresh.ok()
+        return self._last_read is None
 
     def run(self, shards: list[int], home_only: bool = False) -> HandOverReport:
         """Release `shards`, send their states and write the table.
@@ -120,8 +125,14 @@
         home_only : bool
             Ask only the VM where a shard belongs.
         """
+        ids = [v for v in self._fleet.live_ids() if self._fleet.is_reachable(v)]
         asked = 1 if home_only else TAKERS_ASKED
-        moves = [move for shard in shards if (move := self._send(shard, asked))]
+        released = [
+            self._release(shard, takers(shard, ids, asked))
+            for shard in shards
+            if shard in self._book.acting and self._trust.holds()
+        ]
+        moves = self._send_all(released)
         moved = self._write(moves)
         sent = 0 if moved else len(moves)
         return HandOverReport(moved, sent, len(shards) - len(moves))
@@ -156,41 +167,58 @@
             self._book.notes.drop(note.shard)
         return None
 
-    def _send(self, shard: int, asked: int) -> Move | None:
-        # The shard may have been lost during the calls for the ones before it.
-        if shard not in self._book.acting or not self._trust.holds():
-            return None
-        ids = [v for v in self._fleet.live_ids() if self._fleet.is_reachable(v)]
+    def _release(self, shard: int, vm_ids: list[str]) -> ReleasedShard:
         epoch = self._book.acting[shard].epoch
         data = encode_states(self._book.release(shard))
-        for vm_id in takers(shard, ids, asked):
-            taker = self._send_to(vm_id, shard, epoch, data)
-            if taker is not None:
-                self._log.decision("shard-sent", str(shard), "leaving", taker=vm_id)
-                return Move(shard, epoch, taker, True)
-        self._log.decision("shard-left", str(shard), "no VM takes it")
-        return None if self._book.stopping else self._keep(shard, epoch, data)
-
-    def _keep(self, shard: int, epoch: int, data: bytes) -> Move:
+        return ReleasedShard(shard, epoch, data, tuple(vm_ids))
+
+    def _send_all(self, released: list[ReleasedShard]) -> list[Move]:
+        """Send each state to the best taker that accepts it."""
+        moves: list[Move] = []
+        waiting = released
+        while waiting:
+            by_taker: dict[str | None, list[ReleasedShard]] = {}
+            for item in waiting:
+                by_taker.setdefault(item.best_taker, []).append(item)
+            waiting = []
+            for vm_id, items in by_taker.items():
+                if vm_id is None:
+                    moves += self._untaken(items)
+                    continue
+                taker = self._send_to(vm_id, items)
+                if taker is None:
+                    waiting += [item.without_best_taker() for item in items]
+                    continue
+                moves += [Move(i.shard, i.epoch, taker, True) for i in items]
+        return moves
+
+    def _untaken(self, items: list[ReleasedShard]) -> list[Move]:
+        for item in items:
+            self._log.decision("shard-left", str(item.shard), "no VM takes it")
+        if self._book.stopping:
+            return []
+        return [self._keep(item) for item in items]
+
+    def _keep(self, item: ReleasedShard) -> Move:
         """Hand a released shard over to this process itself, in a new epoch."""
         me = self._book.me
-        note = ShardNote(shard, epoch, 0, 1, data)
+        note = ShardNote(item.shard, item.epoch, 0, 1, item.data)
         self._book.notes.add(me.vm_id, note, self._clock.now())
-        return Move(shard, epoch, me, True)
+        return Move(item.shard, item.epoch, me, True)
 
-    def _send_to(
-        self, vm_id: str, shard: int, epoch: int, data: bytes
-    ) -> ProcessId | None:
+    def _send_to(self, vm_id: str, items: list[ReleasedShard]) -> ProcessId | None:
         size = self._options.chunk_bytes
-        pieces = [data[at : at + size] for at in range(0, len(data), size)]
+        notes = [note for item in items for note in item.to_notes(size)]
         taker = None
-        for number, piece in enumerate(pieces):
-            note = ShardNote(shard, epoch, number, len(pieces), piece)
-            result = self._channel.call(vm_id, note, self._options.call_timeout_s)
+        for batch in batches(notes, size):
+            message = ShardNotes(batch)
+            result = self._channel.call(vm_id, message, self._options.call_timeout_s)
             answer = result.ok_value if isinstance(result, Ok) else None
-            if not isinstance(answer, ShardNoteAck) or not answer.accepted:
+            if not isinstance(answer, ShardNotesAck) or not answer.accepted:
                 return None
             taker = ProcessId(vm_id, answer.incarnation)
+        for item in items:
+            self._log.decision("shard-sent", str(item.shard), "released", taker=vm_id)
         return taker
 
     def _write(self, moves: list[Move]) -> int:
@@ -199,10 +227,11 @@
             if stopping and attempt:
                 longest_s = attempt * CONFLICT_PAUSE_S
                 self._clock.sleep(self._rng.uniform(0.0, longest_s))
-            fresh = self._book.read_fresh()
-            if not isinstance(fresh, Ok):
+            # What was read before the release will do; the write tells if not.
+            stored, self._last_read = self._last_read, None
+            stored = stored or self._book.read_fresh().ok()
+            if stored is None:
                 return 0
-            stored = fresh.ok_value
             fitting = stored.table.fitting(moves)
             if not fitting:
                 return sum(stored.table.has(move) for move in moves)
@@ -216,9 +245,9 @@
                 return 0
         return 0
 
-    def _on_note(self, sender: str, message: ShardNote) -> ShardNoteAck:
+    def _on_notes(self, sender: str, message: ShardNotes) -> ShardNotesAck:
         accepted = not self._book.stopping and self._trust.holds()
-        if accepted:
-            now = self._clock.now()
-            accepted = self._book.notes.add(sender, message, now)
-        return ShardNoteAck(accepted, self._book.me.incarnation)
+        now = self._clock.now()
+        for note in message.notes:
+            accepted = accepted and self._book.notes.add(sender, note, now)
+        return ShardNotesAck(accepted, self._book.me.incarnation)
--- a/lacewingpond/shards/messages.py
+++ b/lacewingpond/shards/messages.py
@@ -20,7 +20,7 @@
     version: int
 
 
-class ShardNote(Message):
+class ShardNote(Struct, frozen=True, array_like=True):
     """A piece of the state of a shard whose owner has stopped acting.
 
     Parameters
@@ -40,8 +40,14 @@
     data: bytes
 
 
-class ShardNoteAck(Message):
-    """Whether the receiver holds the piece, and which process it is."""
+class ShardNotes(Message):
+    """Pieces of the states of one or more shards."""
+
+    notes: tuple[ShardNote, ...]
+
+
+class ShardNotesAck(Message):
+    """Whether the receiver holds all the pieces, and which process it is."""
 
     accepted: bool
     incarnation: str
--- a/tests/shards/test_shards_notes.py
+++ b/tests/shards/test_shards_notes.py
@@ -2,7 +2,9 @@
 
 from lacewingpond.shards.messages import ShardNote
 from lacewingpond.shards.notes import HeldNotes, PartState, decode_states, encode_states
+from lacewingpond.shards.released import ReleasedShard, batches
 
+SIZES = (10, 10, 10, 10, 10, 250, 10, 10)
 STATES = (PartState("number", b"x" * 50),)
 
 
@@ -47,3 +49,17 @@
     assert [note.shard for note in notes.waiting(50.0, 2.0)] == [1]
     assert notes.waiting(101.0, 2.0) == []
     assert notes.whole() == ()
+
+
+def test_states_travel_in_pieces_and_groups_of_bounded_size():
+    shards = [
+        ReleasedShard(n, 3, bytes([n]) * size, ()) for n, size in enumerate(SIZES)
+    ]
+    sent = [note for shard in shards for note in shard.to_notes(100)]
+    groups = list(batches(sent, 100))
+    assert all(sum(len(note.data) for note in group) <= 100 for group in groups)
+    assert len(groups) < len(shards)
+    notes = make_notes()
+    for note in reversed([note for group in groups for note in group]):
+        assert notes.add("a", note, now=0.0)
+    assert len(notes.whole()) == len(shards)
