Blame a target whose requests time out on new connections too

A target that let half of its requests time out was excused: another request had usually just been answered on a newer connection, so 40 of 50 timeouts were put down to silent connections and would not have counted against its health. Within an episode of timeouts, one on a connection opened since its start now blames the target.

--- a/lacewingpond/targets/options.py
+++ b/lacewingpond/targets/options.py
@@ -28,6 +28,9 @@
     silent_window_s : float
         How long after a timeout a new connection's answer tells that the old
         connection was silent.
+    timeout_episode_s : float
+        How long after a timeout further ones belong to the same episode. Within
+        one, a timeout on a connection opened since its start blames the target.
     abandoned_body_s : float
         How long the answer to a non-idempotent request is read after its caller
         has gone.
@@ -47,6 +50,7 @@
     caller_check_max_s: float = 5.0
     silent_after_s: float = 1.0
     silent_window_s: float = 5.0
+    timeout_episode_s: float = 60.0
     abandoned_body_s: float = 30.0
     connections_per_target: int = 9
     read_bytes: int = 65_536
--- a/lacewingpond/targets/pool.py
+++ b/lacewingpond/targets/pool.py
@@ -9,6 +9,7 @@
 from lacewingpond.targets.connection import TargetConnection
 from lacewingpond.targets.errors import SendError, SendFailure, SendReason
 from lacewingpond.targets.options import TargetOptions
+from lacewingpond.targets.timeouts import TimeoutEpisode
 from lacewingpond.util.clock import Clock
 
 
@@ -42,6 +43,7 @@
         "_newest_opened_at",
         "_newest_heard_at",
         "_suspects",
+        "_timeouts",
     )
 
     def __init__(
@@ -64,6 +66,7 @@
         self._newest_opened_at = float("-inf")
         self._newest_heard_at = float("-inf")
         self._suspects = 0
+        self._timeouts = TimeoutEpisode(options.timeout_episode_s)
 
     @property
     def size(self) -> int:
@@ -146,6 +149,8 @@
             return 0
         silent = self._suspects
         self._suspects = 0
+        if self._timeouts.blames_target(now):
+            return 0
         self._condemn(self.suspected_at)
         return silent
 
@@ -154,14 +159,19 @@
 
         That is so when a connection opened after `conn` was last heard has answered
         since the request was sent. Without that, unused connections as old as this
-        one are closed, so that the next request opens a new one and shows it.
+        one are closed, so that the next request opens a new one and shows it. When
+        requests time out on new connections too, the target is to blame.
         """
+        now = self._clock.now()
+        self._timeouts.note(conn.opened_at, now)
+        if self._timeouts.blames_target(now):
+            return False
         newer = self._newest_opened_at > conn.last_heard_at
         if newer and self._newest_heard_at >= conn.sent_at:
             self._condemn(self._newest_opened_at)
             return True
         if conn.reused:
-            self.suspected_at = self._clock.now()
+            self.suspected_at = now
             self._suspects += 1
             self._close_unheard(conn.sent_at)
         return False
--- a/tests/targets/test_target_client.py
+++ b/tests/targets/test_target_client.py
@@ -1,5 +1,6 @@
 """Tests of what is known of a request, and of the connections that carry it."""
 
+import random
 import socket
 
 import gevent
@@ -369,6 +370,34 @@
         assert reasons == {SendReason.SILENT_CONNECTION}
 
 
+def test_target_that_leaves_half_of_its_requests_is_blamed_itself():
+    rng = random.Random(3)
+
+    def handler(req):
+        if rng.random() < 0.5:
+            gevent.sleep(0.3)
+        return Response(200, body=b"ok")
+
+    reasons = []
+
+    def caller(client, target):
+        req = plain_request(idempotent=True)
+        for _ in range(25):
+            result = send(client, target, req, timeout_s=0.04)
+            if result.is_ok():
+                body_of(result)
+            else:
+                reasons.append(result.err().reason)
+
+    with caller_server(handler) as server:
+        target = target_of(server)
+        client = target_client()
+        callers = [gevent.spawn(caller, client, target) for _ in range(4)]
+        gevent.joinall(callers, raise_error=True)
+    assert reasons.count(SendReason.DEADLINE) >= 30
+    assert reasons.count(SendReason.SILENT_CONNECTION) <= 4
+
+
 def test_sick_target_is_not_taken_for_silent_connections():
     def serve(sock):
         answering(b"", after=lambda s: gevent.sleep(9))(sock)
