--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -369,7 +369,7 @@
         drift = 1.0 - 2.0 * self._options.max_clock_drift
         ttl_s = answer.ttl_ms / 1000.0 * drift
         expires_at = ask.sent_at + ttl_s
-        if not answer.amount or expires_at <= now:
+        if answer.amount <= 0 or expires_at <= now:
             return
         return_at = ask.sent_at + ttl_s * RETURN_SHARE
         grant = HeldGrant(ask.shard, answer.seq, answer.amount, expires_at, return_at)
--- a/lacewingpond/limits/slice.py
+++ b/lacewingpond/limits/slice.py
@@ -117,6 +117,7 @@
         known = self.grants.get(key)
         if known is not None:
             return Offer(known.amount, known.ttl_s)
+        need = max(need, 0)
         amount = self._amount(need)
         extra = self._ahead(need, ahead) if amount >= need else 0
         ttl_s = ttls[1] if extra else ttls[0]
--- a/lacewingpond/replay/rate_traces.py
+++ b/lacewingpond/replay/rate_traces.py
@@ -31,7 +31,9 @@
         owner = _owner_trace(name, rates, seed + number)
         greedy = _greedy_trace(name, rates, seed + number)
         traces.append((f"rates-owner-dies-{name}.jsonl", owner))
+        lossy = _lossy_trace(name, rates, seed + number)
         traces.append((f"rates-greedy-{name}.jsonl", greedy))
+        traces.append((f"rates-lossy-{name}.jsonl", lossy))
     return tuple(traces)
 
 
@@ -63,6 +65,23 @@
     return Trace(header, _workspaces(name, rates, greedy=1))
 
 
+def _lossy_trace(name: str, rates: tuple[float, ...], seed: int) -> Trace:
+    header = TraceHeader(
+        scenario="rates",
+        title=f"{name}: one message in a hundred is lost, others take up to 5 ms",
+        seed=seed,
+        expect=(STEADY, NO_EXCESS),
+        params={
+            "vms": VMS,
+            "duration_s": 20.0,
+            "first_vm_share": UNEVEN_SHARE,
+            "loss": 0.01,
+            "max_delay_s": 0.005,
+        },
+    )
+    return Trace(header, _workspaces(name, rates, greedy=None))
+
+
 def _workspaces(
     name: str, rates: tuple[float, ...], greedy: int | None
 ) -> tuple[TraceEvent, ...]:
--- a/tests/limits/test_limits_basic.py
+++ b/tests/limits/test_limits_basic.py
@@ -6,7 +6,9 @@
 
 from lacewingpond.config.model import Config, Workspace
 from lacewingpond.limits.admission import RefusalReason
+from lacewingpond.limits.bucket import Bucket
 from lacewingpond.limits.limiter import FleetLimiter
+from lacewingpond.limits.messages import GrantAsk, GrantEnd, GrantReturn
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
@@ -108,3 +110,17 @@
     fleet = Fleet(1, ())
     answer = fleet.limiters["vm0"].admit(("w:none",))
     assert answer.reason is RefusalReason.UNKNOWN_BUCKET
+
+
+def test_senseless_asks_and_answers_change_nothing():
+    fleet = Fleet(2, (Workspace("a", 1.0, 4.0),))
+    shard = Bucket("w:a", 1.0, 4.0).shards(32, LimitOptions())[0]
+    owner = fleet.limiters[fleet.table.owners[shard].vm_id].owner
+    for need, ahead in ((-3, 0), (0, -3), (-1, 9)):
+        answer = owner.ask("vmX", GrantAsk(shard, "w:a", need + 9, need, ahead))
+        assert 0 <= answer.amount <= 1
+    owner.take_back("vmX", GrantReturn(shard, "w:a", (GrantEnd(7, 99),)))
+    (part,) = owner.slices_in_use()
+    assert part.level + part.outstanding <= 4.0
+    assert not owner.ask("vmX", GrantAsk(shard, "w:none", 1, 1)).owned
+    assert not owner.ask("vmX", GrantAsk(999, "w:a", 1, 1)).owned
