Blame silent connections and draining targets for what they are

Cause, found in a read-through: three signals of the parts below were not wired. Timeouts that a newer connection's answer explains now count as silent connections (those of the current period; earlier ones have been reported). A refusal with the service's draining_marker tells health that the target drains, so it is asked no more. A refusal whose body never ends held its request for up to 600 s; now it ends at the request's deadline as unknown (test: 0.2 s deadline, 502). The panel of reporting VMs follows the size of the fleet.

--- a/lacewingpond/config/model.py
+++ b/lacewingpond/config/model.py
@@ -82,6 +82,9 @@
     not_run_marker : str
         Header ``Name: value`` of a complete answer that proves that the target
         did not run the request; empty when the service has none.
+    draining_marker : str
+        Header ``Name: value`` by which an answer with `not_run_marker` also says
+        that the target takes no new work; empty when the service has none.
     rate, burst : float
         Fleet-wide limit of the service in requests a second; 0 means none.
     """
@@ -91,6 +94,7 @@
     floor: float = 0.5
     connections_per_target: int = 360
     not_run_marker: str = ""
+    draining_marker: str = ""
     rate: float = 0.0
     burst: float = 0.0
 
--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -85,6 +85,7 @@
         )
         self.queue = FairQueue.from_options(cfg.queues, clock, log, metrics)
         self.client = TargetClient.from_options(cfg.targets, clock, rng, log)
+        self.client.on_silent = self.health.blame_connections
         self.retries = RetryBudget.from_options(cfg.retries)
         self.quarantine = QuarantineService.from_options(
             cfg.quarantine,
@@ -167,6 +168,7 @@
     def _share_budgets(self) -> None:
         vm_count = len(self._fleet.membership.live()) + 1
         self.placer.set_fleet_size(vm_count)
+        self.health.set_fleet_size(vm_count)
         self.client.apply(self._cfg, vm_count)
 
     def _repeat(self, period_s: float, step) -> None:
--- a/lacewingpond/health/reporter.py
+++ b/lacewingpond/health/reporter.py
@@ -154,6 +154,21 @@
             outcome = Outcome.POISON
         held.record(self._clock.now(), target_id, outcome, latency_s)
 
+    def blame_connections(self, target_id: str, count: int) -> None:
+        """Take back timeouts that silent connections turn out to have caused.
+
+        Only those of the current period; the judge has the earlier ones already.
+
+        Parameters
+        ----------
+        target_id : str
+            The target that answers on newer connections.
+        count : int
+            Timeouts on the older ones.
+        """
+        for held in self._services.values():
+            held.blame_connections(target_id, count)
+
     def verdict(self, service: str, target_id: str) -> Verdict:
         """Return what placement may do with a target."""
         held = self._services.get(service)
--- a/lacewingpond/health/service_health.py
+++ b/lacewingpond/health/service_health.py
@@ -74,6 +74,12 @@
         elif outcome is Outcome.OK:
             self._refused_at.pop(target_id, None)
 
+    def blame_connections(self, target_id: str, count: int) -> None:
+        """Count timeouts of this period as silent connections instead."""
+        tally = self._tallies.get(target_id)
+        if tally is not None:
+            tally.reclassify(Outcome.TIMEOUT, Outcome.SILENT_CONNECTION, count)
+
     def take_records(self) -> tuple[TargetRecord, ...]:
         """Return the outcomes since the last call."""
         tallies, self._tallies = self._tallies, {}
--- a/lacewingpond/health/tally.py
+++ b/lacewingpond/health/tally.py
@@ -35,6 +35,15 @@
             code = bucket_of(latency_s)
         self.counts[code] = self.counts.get(code, 0) + 1
 
+    def reclassify(self, old: Outcome, new: Outcome, count: int) -> None:
+        """Count up to `count` failures of class `old` as `new` instead."""
+        moved = min(count, self.of(old))
+        if moved <= 0:
+            return
+        self.counts[BUCKET_COUNT + old] -= moved
+        code = BUCKET_COUNT + new
+        self.counts[code] = self.counts.get(code, 0) + moved
+
     def merge(self, other: "Tally") -> None:
         """Add the counts of `other`."""
         for code, count in other.counts.items():
--- a/lacewingpond/proxy/attempt.py
+++ b/lacewingpond/proxy/attempt.py
@@ -68,7 +68,8 @@
         """Record an answer that proves that the target did not run the request."""
         self.latency_s = self._clock.now() - self._started
         self.placement.done(self._load(response))
-        self._record(Outcome.SHED)
+        drains = _has_marker(response.headers, self.service.draining_marker)
+        self._record(Outcome.DRAINING if drains else Outcome.SHED)
 
     def answered(self, response: TargetResponse) -> Outcome:
         """Record the head of an answer; the placement lasts until its end."""
@@ -84,11 +85,11 @@
         if end is AnswerEnd.CUT:
             self._record(Outcome.ERROR)
 
-    def is_shed(self, response: TargetResponse) -> bool:
+    def is_shed(self, response: TargetResponse, deadline: float) -> bool:
         """Return whether a complete answer carries the service's marker."""
-        name, _, value = self.service.not_run_marker.partition(":")
-        if not name or response.headers.get(name.strip()) != value.strip():
+        if not _has_marker(response.headers, self.service.not_run_marker):
             return False
+        response.limit_time(deadline)
         for _ in response:
             pass
         return response.end is AnswerEnd.COMPLETE
@@ -104,6 +105,11 @@
         return None if share is None else share * self.placement.target.slots
 
 
+def _has_marker(headers: Headers, marker: str) -> bool:
+    name, _, value = marker.partition(":")
+    return bool(name) and headers.get(name.strip()) == value.strip()
+
+
 def _number(headers: Headers) -> float | None:
     try:
         share = float(headers.get(LOAD_HEADER) or "")
--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -131,7 +131,7 @@
     def _take(
         self, attempt: Attempt, response: TargetResponse
     ) -> TargetResponse | None:
-        if attempt.is_shed(response):
+        if attempt.is_shed(response, self._job.deadline):
             self._note_shed(attempt, response)
             return None
         self.outcome = attempt.answered(response)
--- a/lacewingpond/standin/target.py
+++ b/lacewingpond/standin/target.py
@@ -19,6 +19,7 @@
 LOAD_HEADER = "Lacewingpond-Load"
 NAME_HEADER = "Lacewingpond-Target"
 NOT_RUN_HEADER = "X-Not-Run"
+DRAINING_HEADER = "X-Draining"
 CRASH_HEADER = "X-Crash"
 KEY_HEADERS = ("Authorization", "X-Api-Key", "Lacewingpond-Key")
 DEADLINE_HEADERS = ("Lacewingpond-Deadline-Ms", "X-Deadline", "X-Request-Timeout")
@@ -225,6 +226,8 @@
         self.stats.shed += 1
         bottle.response.status = 503
         bottle.response.set_header(NOT_RUN_HEADER, "1")
+        if self.options.draining:
+            bottle.response.set_header(DRAINING_HEADER, "1")
         bottle.response.set_header("Retry-After", "1")
         self._set_load()
         return b"not run\n"
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -116,6 +116,10 @@
         """Wait for the body from now on, which may outlast the deadline."""
         self._deadline = float("inf")
 
+    def stream_until(self, deadline: float) -> None:
+        """Wait for the body no longer than to `deadline`, in monotonic seconds."""
+        self._deadline = deadline
+
     def abandon(self, seconds: float) -> None:
         """Read on without a caller for at most `seconds`."""
         self._is_disconnected = None
--- a/lacewingpond/targets/response.py
+++ b/lacewingpond/targets/response.py
@@ -84,6 +84,10 @@
             if data:
                 yield data
 
+    def limit_time(self, deadline: float) -> None:
+        """Cut the answer off if its body is not whole by `deadline`."""
+        self._conn.stream_until(deadline)
+
     def close(self) -> None:
         """Let go of the answer, complete or not."""
         if self.end is not None:
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -3,9 +3,11 @@
 import hashlib
 import random
 
+import gevent
 import msgspec
 import pytest
 import urllib3
+from gevent.pywsgi import WSGIServer
 
 from lacewingpond.config.model import Config, Key, Route, Service, Target, Workspace
 from lacewingpond.health.options import HealthOptions
@@ -87,6 +89,8 @@
         )
         self.queue = FairQueue.from_options(QueueOptions(), self.clock, *told)
         client = TargetClient.from_options(ClientOptions(), self.clock, rng, self.log)
+        self.blamed = []
+        client.on_silent = lambda target_id, count: self.blamed.append(target_id)
         self.quarantine = QuarantineService.from_options(
             QuarantineOptions(), "vm-1", self.clock, channel, shards, NoMembers(), *told
         )
@@ -120,12 +124,22 @@
             self.targets.append(StandinTarget.from_options(options, self.clock))
             self.targets[-1].start()
         listed = tuple(Target(f"t{i}", t.address) for i, t in enumerate(self.targets))
+        self.configure(listed, rate, **route)
+
+    def configure(self, listed, rate=1000.0, **route):
         digest = hashlib.sha256(KEY.encode()).hexdigest()
         cfg = Config(
             1,
             (Workspace("sita", rate, rate),),
             (Key("k1", "sita", digest),),
-            (Service("ledger", listed, not_run_marker="X-Not-Run: 1"),),
+            (
+                Service(
+                    "ledger",
+                    listed,
+                    not_run_marker="X-Not-Run: 1",
+                    draining_marker="X-Draining: 1",
+                ),
+            ),
             (
                 Route("pay", "ledger", "/pay", **route),
                 Route("open", "ledger", "/open", open=True),
@@ -252,6 +266,40 @@
     assert (answer.status, answer.headers[RUN]) == (503, "not-run")
 
 
+def test_target_that_says_it_drains_is_asked_no_more(bench):
+    bench.start({"draining": True}, {})
+    assert {bench.ask("POST").status for _ in range(30)} == {200}
+    assert bench.targets[0].stats.arrived <= 3
+
+
+def test_refusal_that_never_ends_is_unknown_at_the_deadline(bench):
+    def hang(environ, start_response):
+        headers = [("X-Not-Run", "1"), ("Content-Length", "10")]
+        write = start_response("503 Service Unavailable", headers)
+        write(b"x")
+        gevent.sleep(5.0)
+        return [b"x" * 9]
+
+    server = WSGIServer(("127.0.0.1", 0), hang, log=None, error_log=None)
+    server.start()
+    target = Target("t0", f"127.0.0.1:{server.server_port}")
+    bench.start()
+    bench.configure((target,))
+    answer = bench.ask("POST", **{"Lacewingpond-Deadline-Ms": "200"})
+    server.stop(timeout=0)
+    assert (answer.status, answer.headers[RUN]) == (502, "unknown")
+
+
+def test_silent_connection_is_blamed_and_not_its_target(bench):
+    bench.start({})
+    assert bench.ask().status == 200
+    bench.targets[0].silence_connections()
+    late = bench.ask("GET", **{"Lacewingpond-Deadline-Ms": "150"})
+    assert (late.status, late.headers[RUN]) == (504, "unknown")
+    assert bench.ask().status == 200
+    assert bench.blamed == ["t0"]
+
+
 def test_dead_target_is_avoided_and_all_dead_is_not_run(bench):
     bench.start({}, {})
     bench.targets[0].stop()
