--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -37,7 +37,7 @@
 from lacewingpond.telemetry.metrics import Metrics
 from lacewingpond.util.clock import Clock
 
-RETURN_SHARE = 0.6
+RETURN_SHARE = 0.75
 """Share of its life after which a grant's unused tokens are given back."""
 HOUSEKEEPING_S = 1.0
 """Period in which idle buckets and slices are forgotten."""
@@ -369,7 +369,7 @@
         drift = 1.0 - 2.0 * self._options.max_clock_drift
         ttl_s = answer.ttl_ms / 1000.0 * drift
         expires_at = ask.sent_at + ttl_s
-        if not answer.amount or expires_at <= now:
+        if answer.amount <= 0 or expires_at <= now:
             return
         return_at = ask.sent_at + ttl_s * RETURN_SHARE
         grant = HeldGrant(ask.shard, answer.seq, answer.amount, expires_at, return_at)
