--- a/lacewingpond/ui/application.py
+++ b/lacewingpond/ui/application.py
@@ -1,60 +1,47 @@
 """The command-line application and its commands."""
 
+import importlib
 import sys
+from collections.abc import Callable
 
 from cleo.application import Application
+from cleo.commands.command import Command
 from cleo.exceptions import CleoError
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
 from lacewingpond import __version__
-from lacewingpond.ui.commands.bench import BenchCommand
-from lacewingpond.ui.commands.check import CheckCommand
-from lacewingpond.ui.commands.confirm import ConfirmCommand
-from lacewingpond.ui.commands.demo import DemoCommand
-from lacewingpond.ui.commands.key import KeyGrantCommand, KeyWithdrawCommand
-from lacewingpond.ui.commands.load import LoadCommand
-from lacewingpond.ui.commands.plan import PlanCommand
-from lacewingpond.ui.commands.replay import ReplayCommand
-from lacewingpond.ui.commands.serve import ServeCommand
-from lacewingpond.ui.commands.show import ShowCommand
-from lacewingpond.ui.commands.standin import (
-    StandinPlatformCommand,
-    StandinTargetCommand,
-)
-from lacewingpond.ui.commands.status import StatusCommand
-from lacewingpond.ui.commands.workspace import (
-    WorkspacePutCommand,
-    WorkspaceRemoveCommand,
-)
 from lacewingpond.util.errors import UserError
 
-COMMANDS = (
-    BenchCommand,
-    CheckCommand,
-    ConfirmCommand,
-    DemoCommand,
-    KeyGrantCommand,
-    KeyWithdrawCommand,
-    LoadCommand,
-    PlanCommand,
-    ReplayCommand,
-    ServeCommand,
-    ShowCommand,
-    StandinPlatformCommand,
-    StandinTargetCommand,
-    StatusCommand,
-    WorkspacePutCommand,
-    WorkspaceRemoveCommand,
-)
+COMMANDS = {
+    "bench": "bench.BenchCommand",
+    "check": "check.CheckCommand",
+    "confirm": "confirm.ConfirmCommand",
+    "demo": "demo.DemoCommand",
+    "key grant": "key.KeyGrantCommand",
+    "key withdraw": "key.KeyWithdrawCommand",
+    "load": "load.LoadCommand",
+    "plan": "plan.PlanCommand",
+    "replay": "replay.ReplayCommand",
+    "serve": "serve.ServeCommand",
+    "show": "show.ShowCommand",
+    "standin platform": "standin.StandinPlatformCommand",
+    "standin target": "standin.StandinTargetCommand",
+    "status": "status.StatusCommand",
+    "workspace put": "workspace.WorkspacePutCommand",
+    "workspace remove": "workspace.WorkspaceRemoveCommand",
+}
+"""Module and class of each command, by its name on the command line."""
 USAGE_STATUS = 2
+INTERRUPTED_STATUS = 130
 
 
 def build() -> Application:
-    """Return the application with all its commands."""
+    """Return the application; a command's module is loaded when it is used."""
     app = Application("lacewingpond", __version__)
     app.auto_exits(False)
     app.catch_exceptions(False)
-    for command in COMMANDS:
-        app.add(command())
+    factories = {name: _factory(place) for name, place in COMMANDS.items()}
+    app.set_command_loader(FactoryCommandLoader(factories))
     return app
 
 
@@ -66,4 +53,14 @@
         print(f"lacewingpond: {exc}", file=sys.stderr)
         return USAGE_STATUS
     except KeyboardInterrupt:
-        return 130
+        return INTERRUPTED_STATUS
+
+
+def _factory(place: str) -> Callable[[], Command]:
+    module, _, name = place.partition(".")
+
+    def load() -> Command:
+        loaded = importlib.import_module(f"lacewingpond.ui.commands.{module}")
+        return getattr(loaded, name)()
+
+    return load
