--- a/tests/limits/test_limits_change.py
+++ b/tests/limits/test_limits_change.py
@@ -137,3 +137,16 @@
 def test_limits_raised_at_once_exceed_the_bound(monkeypatch):
     monkeypatch.setattr(LimitHistory, "is_settled", lambda _self, _now: True)
     assert half_spread_excess() > EPSILON
+
+
+def test_removed_workspace_gets_nothing_more():
+    fleet = ScriptedFleet(FleetLimiter, Config(1, (SMALL,)))
+    fleet.rush("w:small", 1)
+    assert len(fleet.admitted["w:small"]) == SMALL.burst
+    for vm in fleet.vms:
+        fleet.limiters[vm].configure(Config(2, ()))
+    fleet.advance(10.0)
+    fleet.rush("w:small", 1)
+    assert len(fleet.admitted["w:small"]) == SMALL.burst
+    for limiter in fleet.limiters.values():
+        assert not limiter.owner.has_slices()
