--- a/lacewingpond/bench/grants.py
+++ b/lacewingpond/bench/grants.py
@@ -1,6 +1,7 @@
 """Costs of the fleet-wide limits as active workspaces and VMs grow."""
 
 import random
+from collections.abc import Callable
 
 import gevent
 
@@ -15,6 +16,7 @@
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.replay.static_limiter import StaticLimiter
+from lacewingpond.shards.base import Ownership
 from lacewingpond.telemetry.decisions import NullDecisionLog
 from lacewingpond.telemetry.metrics import CountingMetrics
 from lacewingpond.util.clock import PausedClock
@@ -62,7 +64,7 @@
     def __init__(self, table: FakeShardTable) -> None:
         self._table = table
 
-    def owner(self, shard: int):  # noqa: ANN201
+    def owner(self, shard: int) -> Ownership | None:
         """Return the owner."""
         return self._table.owners[shard]
 
@@ -250,12 +252,12 @@
     return cpu_seconds(admit_all) / count * 1e6
 
 
-def _cost(name: str, variant: str, measure) -> Series:  # noqa: ANN001
+def _cost(name: str, variant: str, measure: Callable[[int], float]) -> Series:
     points = tuple(Point(count, measure(count)) for count in WORKSPACES)
     return Series(name, variant, "workspaces", "us", points)
 
 
-def _memory(name: str, measure, sizes: tuple[int, ...]) -> Series:  # noqa: ANN001
+def _memory(name: str, measure: Callable[[int], int], sizes: tuple[int, ...]) -> Series:
     points = tuple(Point(count, measure(count) / 1e6) for count in sizes)
     return Series(name, "current", "workspaces", "MB", points)
 
--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -13,6 +13,7 @@
 from lacewingpond.config.model import Config
 from lacewingpond.limits.admission import ADMITTED, Admission, RefusalReason
 from lacewingpond.limits.allowance import Allowance
+from lacewingpond.limits.ask_book import AskBook
 from lacewingpond.limits.bucket import (
     route_bucket,
     service_bucket,
@@ -82,9 +83,7 @@
         "_table",
         "_owner",
         "_allowances",
-        "_pending",
-        "_late",
-        "_seq",
+        "_asks",
         "_silent",
         "_waiters",
         "_returns",
@@ -114,9 +113,7 @@
         self._table = LimitTable(shards.shard_count, options)
         self._owner = SliceOwner(options, self._table, shards, clock)
         self._allowances: dict[str, Allowance] = {}
-        self._pending: dict[int, PendingAsk] = {}
-        self._late: dict[int, PendingAsk] = {}
-        self._seq = rng.getrandbits(31)
+        self._asks = AskBook(options, rng.getrandbits(31))
         self._silent = SilentOwners(options)
         self._waiters: dict[int, Waiter] = {}
         self._returns: list[tuple[float, str]] = []
@@ -319,28 +316,32 @@
     def _send_ask(
         self, allowance: Allowance, shard: int, vm_id: str, need: int, ahead: int
     ) -> bool:
-        self._seq += 1
+        seq = self._asks.next_seq()
         bucket_id = allowance.bucket.bucket_id
         ended = allowance.take_ended(shard)
-        message = GrantAsk(shard, bucket_id, self._seq, need, ahead, ended)
+        message = GrantAsk(shard, bucket_id, seq, need, ahead, ended)
         ask = PendingAsk(bucket_id, shard, vm_id, self._clock.now(), need, ahead)
         if vm_id == self._vm_id:
             self._apply(allowance, ask, self._owner.ask(vm_id, message))
             return True
-        self._pending[self._seq] = ask
+        self._asks.add(seq, ask)
         allowance.in_flight_need += need
         allowance.in_flight_ahead += ahead
         self._metrics.incr("limits.asks")
         if self._channel.send(vm_id, message):
             return True
-        self._settle(self._seq, allowance)
+        self._settle(seq, ask)
         return False
 
-    def _settle(self, seq: int, allowance: Allowance | None) -> None:
+    def _settle(self, seq: int, ask: PendingAsk) -> None:
+        """Forget an ask that was answered or could not be sent."""
+        if self._asks.close(seq):
+            self._uncount(ask)
+
+    def _uncount(self, ask: PendingAsk) -> None:
         """Stop counting on the answer to an ask."""
-        self._late.pop(seq, None)
-        ask = self._pending.pop(seq, None)
-        if allowance is None or ask is None:
+        allowance = self._allowances.get(ask.bucket_id)
+        if allowance is None:
             return
         allowance.in_flight_need = max(allowance.in_flight_need - ask.need, 0)
         allowance.in_flight_ahead = max(allowance.in_flight_ahead - ask.ahead, 0)
@@ -397,12 +398,12 @@
         self._channel.send(vm_id, self._owner.ask(vm_id, message))
 
     def _on_answer(self, vm_id: str, message: Message) -> None:
-        ask = self._pending.get(message.seq) or self._late.get(message.seq)
+        ask = self._asks.find(message.seq)
         if ask is None or ask.vm_id != vm_id:
             return
         self._silent.answered(vm_id)
+        self._settle(message.seq, ask)
         allowance = self._allowances.get(ask.bucket_id)
-        self._settle(message.seq, allowance)
         if allowance is None:
             return
         self._apply(allowance, ask, message)
@@ -416,7 +417,7 @@
             self._timer = gevent.spawn(self._run_timer)
 
     def _run_timer(self) -> None:
-        while self._allowances or self._pending or self._owner.has_slices():
+        while self._allowances or self._asks or self._owner.has_slices():
             self._clock.sleep(self._options.tick_s)
             self.tick()
 
@@ -432,19 +433,10 @@
             self._forget_idle(now)
 
     def _expire_asks(self, now: float) -> None:
-        late_before = now - self._options.ask_timeout_s
-        for seq in _sent_before(self._pending, late_before):
-            self._miss(seq, now)
-        for seq in _sent_before(self._late, now - self._options.max_ttl_s):
-            del self._late[seq]
-
-    def _miss(self, seq: int, now: float) -> None:
-        ask = self._pending[seq]
-        self._settle(seq, self._allowances.get(ask.bucket_id))
-        # A late answer still brings a grant that can be used.
-        self._late[seq] = ask
-        if self._silent.missed(ask.vm_id, now):
-            self._log.decision("limits-owner", ask.vm_id, "does not answer asks")
+        for ask in self._asks.take_late(now):
+            self._uncount(ask)
+            if self._silent.missed(ask.vm_id, now):
+                self._log.decision("limits-owner", ask.vm_id, "does not answer asks")
 
     def _return_unused(self, now: float) -> None:
         while self._returns and self._returns[0][0] <= now:
@@ -464,13 +456,3 @@
     def _owners(self) -> frozenset[str]:
         owners = map(self._shards.owner, range(self._shards.shard_count))
         return frozenset(owner.vm_id for owner in owners if owner)
-
-
-def _sent_before(asks: dict[int, PendingAsk], moment: float) -> list[int]:
-    """Return the leading asks that were sent by `moment`; asks are in order."""
-    early: list[int] = []
-    for seq, ask in asks.items():
-        if ask.sent_at > moment:
-            break
-        early.append(seq)
-    return early
