Share connection budgets anew only when the fleet's size has changed

Cause: every 2 s each daemon walked all targets; at 26,000 targets that took 14.8 ms of processor time (0.7% of a core, of 4.2% for control).

--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -51,6 +51,7 @@
         "_clock",
         "_greenlets",
         "_cfg",
+        "_vm_count",
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         self._fleet = fleet
         self._clock = around.clock
         self._cfg = Config()
+        self._vm_count = 0
         self._greenlets: list[gevent.Greenlet] = []
         clock, rng, log, metrics = (
             around.clock,
@@ -145,7 +147,7 @@
         self.health.start()
         self._greenlets = [
             gevent.spawn(self._repeat, SWEEP_S, self.client.sweep),
-            gevent.spawn(self._repeat, FLEET_SIZE_S, self._share_budgets),
+            gevent.spawn(self._repeat, FLEET_SIZE_S, self._follow_fleet),
         ]
         self.server.start()
 
@@ -165,8 +167,13 @@
         # The routes come last, when everything behind them is ready.
         self.pipeline.configure(cfg)
 
+    def _follow_fleet(self) -> None:
+        if len(self._fleet.membership.live()) + 1 != self._vm_count:
+            self._share_budgets()
+
     def _share_budgets(self) -> None:
         vm_count = len(self._fleet.membership.live()) + 1
+        self._vm_count = vm_count
         self.placer.set_fleet_size(vm_count)
         self.health.set_fleet_size(vm_count)
         self.client.apply(self._cfg, vm_count)
