Wait for the new owner of a key while its shard is handed over

Ruled out: losing the claim (it moves with the state). A request that provably took no claim now looks for the owner again for at most 0.5 s, then is refused as before.

--- a/lacewingpond/idempotency/service.py
+++ b/lacewingpond/idempotency/service.py
@@ -32,6 +32,8 @@
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.rendezvous import shard_of
 
+OWNER_RETRY_S = 0.02
+"""Pause before the owner of a shard in transfer is looked for again."""
 REPORT_TRIES = 10
 """Times that a former owner tries to report the end of a run."""
 
@@ -131,15 +133,22 @@
         refusal = self._early_refusal(request)
         if refusal is not None:
             return self._counted(refusal, request)
+        # A hand-over leaves a shard without an owner for some milliseconds.
+        give_up_at = self._clock.now() + self._options.owner_wait_s
+        reply = self._submit(request)
+        while reply.kind is ReplyKind.NO_OWNER and self._clock.now() < give_up_at:
+            self._clock.sleep(OWNER_RETRY_S)
+            reply = self._submit(request)
+        return self._counted(reply, request)
+
+    def _submit(self, request: KeyedRequest) -> Reply:
         shard = shard_of(request.name, self._shards.shard_count)
         owner = self._shards.owner(shard)
         if owner is None:
-            reply = Reply(ReplyKind.NO_OWNER, RunState.UNKNOWN)
-        elif owner.vm_id == self._vm_id:
-            reply = self._submit_here(shard, request)
-        else:
-            reply = self._submit_there(shard, owner.vm_id, request)
-        return self._counted(reply, request)
+            return Reply(ReplyKind.NO_OWNER, RunState.UNKNOWN)
+        if owner.vm_id == self._vm_id:
+            return self._submit_here(shard, request)
+        return self._submit_there(shard, owner.vm_id, request)
 
     def release(self, shard: int) -> bytes:
         """Give the shard's claims up; requests that run here still end here."""
--- a/tests/idempotency/test_idempotency_service.py
+++ b/tests/idempotency/test_idempotency_service.py
@@ -197,6 +197,29 @@
     assert fleet.target.runs == ([key] if run is RunState.NOT_RUN else [])
 
 
+def test_request_during_a_hand_over_waits_for_the_new_owner():
+    fleet = Fleet()
+    key = fleet.key()
+    entry, new = fleet.others(key)
+    shard = fleet.shard(key)
+    state = fleet.services[fleet.owner(key)].release(shard)
+    call = fleet.submit(entry, key)
+    fleet.run(0.1)
+    assert not call.ready()
+    fleet.services[new].adopt(fleet.table.move(shard, new, True), state)
+    fleet.run(1.0)
+    assert call.value.run is RunState.RAN
+    assert fleet.target.runs == [key]
+
+
+def test_request_for_a_shard_without_an_owner_is_refused_soon():
+    fleet = Fleet()
+    key = fleet.key()
+    fleet.services[fleet.owner(key)].release(fleet.shard(key))
+    reply = fleet.reply(fleet.others(key)[0], key, seconds=0.7)
+    assert (reply.kind, reply.run) == (ReplyKind.NO_OWNER, RunState.UNKNOWN)
+
+
 def test_hand_over_keeps_answers_and_running_requests():
     fleet = Fleet()
     done, key = fleet.key(1.0), fleet.key()
