Let a target that lagged be tried again

A target whose latency was above 1.5 times the usual got no work as long as another was at hand, so nothing could show that it had recovered. Its lag now fades with a half-life of 2 s. One long answer, such as a stream, counts for no more than 4 times the usual latency. Costs that are nearly equal no longer decide by rounding.

--- a/lacewingpond/placement/placer.py
+++ b/lacewingpond/placement/placer.py
@@ -17,6 +17,8 @@
 from lacewingpond.telemetry.metrics import Metrics
 from lacewingpond.util.clock import Clock
 
+EQUAL_COST = 0.01
+"""Difference of two costs below which the target drawn first is taken."""
 REFRESH_S = 0.1
 """Time for which a service's verdicts are kept, in seconds."""
 
@@ -170,7 +172,7 @@
         for _ in range(self._options.choices - 1):
             index = self._draw(candidates, passed_over=first)
             other = known.load(candidates[index].target.target_id)
-            if self._cost(known, other) < self._cost(known, load):
+            if self._cost(known, other) < self._cost(known, load) - EQUAL_COST:
                 load = other
         return load
 
--- a/lacewingpond/placement/service_targets.py
+++ b/lacewingpond/placement/service_targets.py
@@ -6,7 +6,9 @@
 from lacewingpond.placement.target_load import TargetLoad
 
 USUAL_WEIGHT = 0.02
-"""Weight of one answer in what is usual for the service."""
+"""Least weight of one answer in what is usual for the service."""
+
+MAX_LATENCY_RATIO = 4.0
 
 
 class ServiceTargets:
@@ -28,6 +30,7 @@
         "least_slots",
         "usual_others",
         "usual_s",
+        "_answers",
         "_loads",
         "_options",
         "_vm_id",
@@ -47,6 +50,7 @@
         self._loads: dict[str, TargetLoad] = {}
         self.usual_others = 0.0
         self.usual_s = 0.0
+        self._answers = 0
         self.configure(service)
 
     def configure(self, service: Service) -> None:
@@ -71,12 +75,18 @@
     def report(
         self, now: float, target: TargetLoad, load: float, latency_s: float
     ) -> None:
-        """Learn from the load and the latency of one answer."""
+        """Learn from the load and the latency of one answer.
+
+        A single long answer, such as a stream, says nothing of the target, so it
+        counts for no more than `MAX_LATENCY_RATIO` times the usual latency.
+        """
+        if self.usual_s:
+            latency_s = min(latency_s, MAX_LATENCY_RATIO * self.usual_s)
         others = target.report(now, load, latency_s)
+        self._answers += 1
+        weight = max(USUAL_WEIGHT, 1.0 / self._answers)
         self.usual_others += USUAL_WEIGHT * (others - self.usual_others)
-        if not self.usual_s:
-            self.usual_s = latency_s
-        self.usual_s += USUAL_WEIGHT * (latency_s - self.usual_s)
+        self.usual_s += weight * (latency_s - self.usual_s)
 
     def connection_share(self, fleet_size: int) -> int:
         """Return the connections that this VM may hold to one target."""
--- a/lacewingpond/placement/target_load.py
+++ b/lacewingpond/placement/target_load.py
@@ -9,6 +9,8 @@
 TRUSTED_LATENCY_RATIO = 1.5
 """Latency beside the usual one from which a reported load is not trusted."""
 
+LAG_HALF_LIFE_S = 2.0
+
 
 class TargetLoad:
     """Local requests in flight, the load last reported, and recent latency.
@@ -75,6 +77,15 @@
         others = usual_others + share * (self._others - usual_others)
         others = max(others, LEAST_SHARE * usual_others)
         used = (self.in_flight + others) / max(self.target.slots, 1)
-        if self.latency_s > TRUSTED_LATENCY_RATIO * usual_s > 0.0:
-            used = max(used, self.latency_s / usual_s)
-        return used
+        return max(used, self._lag(now, usual_s))
+
+    def _lag(self, now: float, usual_s: float) -> float:
+        """Return by how much the latency exceeds the usual one, or 0.
+
+        The lag fades, so that a target that gets no work is tried again.
+        """
+        if not usual_s:
+            return 0.0
+        fading = 0.5 ** ((now - self._reported_at) / LAG_HALF_LIFE_S)
+        ratio = 1.0 + (self.latency_s / usual_s - 1.0) * fading
+        return ratio if ratio > TRUSTED_LATENCY_RATIO else 0.0
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -95,6 +95,33 @@
     assert bench.chosen(200)["t0"] > 50
 
 
+def answer(bench, target_id, seconds):
+    others = frozenset(f"t{i}" for i in range(3)) - {target_id}
+    placement = bench.placer.pick("s", others).unwrap()
+    bench.clock.advance(seconds)
+    placement.done(1.0)
+
+
+def test_one_long_answer_does_not_mark_a_target(clock):
+    bench = Bench(clock, Service("s", targets(2)))
+    for _ in range(10):
+        answer(bench, "t0", 0.05)
+        answer(bench, "t1", 0.05)
+    answer(bench, "t0", 60.0)
+    clock.advance(5.0)
+    assert bench.chosen(200)["t0"] > 50
+
+
+def test_a_target_that_lags_is_avoided_for_a_while(clock):
+    bench = Bench(clock, Service("s", targets(3)))
+    for _ in range(10):
+        for target_id, seconds in (("t0", 0.2), ("t1", 0.05), ("t2", 0.05)):
+            answer(bench, target_id, seconds)
+    assert bench.chosen(300)["t0"] == 0
+    clock.advance(10.0)
+    assert bench.chosen(300)["t0"] > 50
+
+
 def test_same_failure_domain_is_preferred(clock):
     near, far = targets(2), Target("far", "10.0.1.1:80", "b")
     bench = Bench(clock, Service("s", (*near, far)))
