--- a/lacewingpond/health/reporter.py
+++ b/lacewingpond/health/reporter.py
@@ -218,19 +218,24 @@
     def _configure_service(self, name: str, service: Service) -> None:
         held = self._services.get(name)
         if held is None:
-            alone = self._build_judge(service, alone=True)
-            self._services[name] = ServiceHealth(service, alone, self._clock.now())
+            self._services[name] = ServiceHealth(
+                service, self._build_alone, self._clock.now()
+            )
         elif held.service != service:
             held.configure(service)
         judge = self._judges.get(name)
         if judge is not None:
             judge.configure(service)
 
-    def _build_judge(self, service: Service, alone: bool) -> ServiceJudge:
-        options = self._options
-        if not alone:
-            return ServiceJudge(service, options, self._clock, self._log, self._metrics)
-        options = msgspec.structs.replace(options, threshold=options.alone_threshold)
+    def _build_judge(self, service: Service) -> ServiceJudge:
+        return ServiceJudge(
+            service, self._options, self._clock, self._log, self._metrics
+        )
+
+    def _build_alone(self, service: Service) -> ServiceJudge:
+        options = msgspec.structs.replace(
+            self._options, threshold=self._options.alone_threshold
+        )
         return ServiceJudge(
             service,
             options,
@@ -251,6 +256,7 @@
     ) -> None:
         if now - held.used_at > IDLE_S:
             held.heard_at = now
+            held.forget_alone()
             return
         records = held.take_records()
         held.alone.observe(self._vm_id, records)
@@ -277,7 +283,7 @@
         return score(name, self._vm_id) < share * HASH_RANGE
 
     def _judged(self, held: ServiceHealth, now: float, target_id: str) -> Verdict:
-        own = held.alone.verdict(target_id) or HEALTHY
+        own = held.alone_verdict(target_id) or HEALTHY
         if self._is_lapsed(held, now):
             return own
         heard = held.heard(target_id) or HEALTHY
@@ -300,7 +306,7 @@
             self._judges.pop(name, None)
             return None
         if name not in self._judges:
-            self._judges[name] = self._build_judge(held.service, alone=False)
+            self._judges[name] = self._build_judge(held.service)
         return self._judges[name]
 
     def _judged_in(self, shard: int) -> list[str]:
--- a/lacewingpond/health/service_health.py
+++ b/lacewingpond/health/service_health.py
@@ -1,5 +1,7 @@
 """What one VM holds about the targets of one service."""
 
+from collections.abc import Callable
+
 from lacewingpond.config.model import Service
 from lacewingpond.health.judge import ServiceJudge
 from lacewingpond.health.messages import TargetRecord, VerdictRow, target_hash
@@ -19,13 +21,17 @@
     ----------
     service : Service
         The service and its targets.
-    alone : ServiceJudge
-        Judges by this VM's outcomes only.
+    build_alone : callable
+        Builds a judge by this VM's outcomes only; called at the first outcome,
+        as most services may have no traffic here.
+    now : float
+        Seconds of the clock.
     """
 
     __slots__ = (
         "service",
-        "alone",
+        "_build_alone",
+        "_alone",
         "heard_at",
         "judge_id",
         "used_at",
@@ -37,12 +43,18 @@
         "_drained_at",
     )
 
-    def __init__(self, service: Service, alone: ServiceJudge, now: float) -> None:
+    def __init__(
+        self,
+        service: Service,
+        build_alone: Callable[[Service], ServiceJudge],
+        now: float,
+    ) -> None:
         self.service = service
-        self.alone = alone
+        self._build_alone = build_alone
+        self._alone: ServiceJudge | None = None
         self.heard_at = now
         self.judge_id = ""
-        self.used_at = now
+        self.used_at = float("-inf")
         self.unsent = UnsentOutcomes(now)
         self._tallies: dict[str, Tally] = {}
         self._rows: tuple[VerdictRow, ...] = ()
@@ -53,7 +65,8 @@
     def configure(self, service: Service) -> None:
         """Take over the service's targets."""
         self.service = service
-        self.alone.configure(service)
+        if self._alone is not None:
+            self._alone.configure(service)
         known = {target.target_id for target in service.targets}
         for gone in [name for name in self._tallies if name not in known]:
             del self._tallies[gone]
@@ -61,6 +74,21 @@
             for gone in [name for name in held if name not in known]:
                 del held[gone]
 
+    @property
+    def alone(self) -> ServiceJudge:
+        """The judge by this VM's outcomes only."""
+        if self._alone is None:
+            self._alone = self._build_alone(self.service)
+        return self._alone
+
+    def alone_verdict(self, target_id: str) -> Verdict | None:
+        """Return this VM's own verdict, or None without outcomes."""
+        return self._alone.verdict(target_id) if self._alone is not None else None
+
+    def forget_alone(self) -> None:
+        """Drop this VM's own judge; a new one is built when it is needed."""
+        self._alone = None
+
     def record(
         self, now: float, target_id: str, outcome: Outcome, latency_s: float
     ) -> None:
--- a/tests/health/test_health_reporter.py
+++ b/tests/health/test_health_reporter.py
@@ -133,3 +133,12 @@
     assert fleet.vms[6].verdict("ledger", "t3").state is VerdictState.DRAINING
     fleet.run(2, healthy)
     assert fleet.states("t3") == {VerdictState.DRAINING}
+
+
+def test_a_service_without_traffic_costs_no_judge(fleet):
+    fleet.clock.advance(5.0)
+    for vm in fleet.vms:
+        vm.tick()
+    assert all(vm._services["ledger"]._alone is None for vm in fleet.vms)
+    assert not any(vm._judges for vm in fleet.vms)
+    assert not any(vm.is_alone("ledger") for vm in fleet.vms)
