--- a/lacewingpond/placement/target_load.py
+++ b/lacewingpond/placement/target_load.py
@@ -9,7 +9,7 @@
 TRUSTED_LATENCY_RATIO = 1.5
 """Latency beside the usual one from which a reported load is not trusted."""
 
-LAG_HALF_LIFE_S = 2.0
+LAG_HALF_LIFE_S = 5.0
 
 
 class TargetLoad:
