--- a/lacewingpond/settings/load.py
+++ b/lacewingpond/settings/load.py
@@ -17,6 +17,7 @@
 PROFILES = {
     "certainty": HealthOptions.for_certainty(),
     "speed": HealthOptions.for_speed(),
+    "large-fleet": HealthOptions.for_large_fleet(),
 }
 LOG_LEVELS = ("decisions", "changes", "none")
 MIN_SECRET_BYTES = 16
--- a/lacewingpond/settings/model.py
+++ b/lacewingpond/settings/model.py
@@ -126,7 +126,8 @@
         What VMs prove to each other, and operators to VMs.
     profile : str
         ``certainty`` weighs false ejections and wrongful refusals most, ``speed``
-        detection time and the worst-served workspace. The keys of ``health``
+        detection time and the worst-served workspace, ``large-fleet`` the bytes
+        that hundreds of VMs send to one judge. The keys of ``health``
         replace those of the profile.
     """
 
