Let no late refusal say not-run of a key that ran meanwhile

Change: the owner refuses repeats alike for 1 s after a refusal, and an entry VM that waited as long passes it on as unknown.

--- a/lacewingpond/idempotency/claim_table.py
+++ b/lacewingpond/idempotency/claim_table.py
@@ -1,5 +1,7 @@
 """The claims of the shards that this VM owns."""
 
+from collections import deque
+
 import msgspec
 
 from lacewingpond.idempotency.claim import Claim, Listener
@@ -7,6 +9,7 @@
 from lacewingpond.idempotency.key_date import key_date
 from lacewingpond.idempotency.keyed_request import KeyedRequest
 from lacewingpond.idempotency.options import IdempotencyOptions
+from lacewingpond.idempotency.refused_claim import RefusedClaim
 from lacewingpond.idempotency.reply import Reply, ReplyKind
 from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.shards.base import Ownership
@@ -28,12 +31,14 @@
     """
 
     __slots__ = ("_options", "_clock", "_shards", "_blind_until", "count", "kept_bytes")
+    __slots__ += ("_refused",)
 
     def __init__(self, options: IdempotencyOptions, clock: Clock) -> None:
         self._options = options
         self._clock = clock
         self._shards: dict[int, dict[str, Claim]] = {}
         self._blind_until: dict[int, float] = {}
+        self._refused: deque[RefusedClaim] = deque()
         self.count = 0
         self.kept_bytes = 0
 
@@ -65,13 +70,18 @@
     def repeat(self, shard: int, request: KeyedRequest) -> Claim | Reply | None:
         """Return the older claim on the key, or why this is not a repeat of it."""
         self._expire(shard)
+        self._free_refused()
         claim = self.find(shard, request.name)
         if claim is None or claim.fingerprint == request.fingerprint():
             return claim
         return Reply(ReplyKind.MISMATCH, RunState.NOT_RUN)
 
     def finish(self, shard: int, claim: Claim, reply: Reply) -> tuple[Listener, ...]:
-        """Keep what came of a run; a request that did not run frees its claim.
+        """Keep what came of a run.
+
+        A request that did not run frees its claim, but only after
+        `not_run_hold_s`: until then its repeats are refused in the same way, so
+        that no late "not run" is untrue when it arrives.
 
         Returns
         -------
@@ -82,8 +92,7 @@
         if self.find(shard, claim.name) is not claim:
             return listeners
         if reply.run is RunState.NOT_RUN:
-            del self._shards[shard][claim.name]
-            self.count -= 1
+            self._free_later(shard, claim)
             return listeners
         if claim.kept_bytes > self._options.max_answer_bytes:
             claim.reply = _without_answer(reply)
@@ -130,6 +139,22 @@
         self._shards[shard][claim.name] = claim
         self.count += 1
         self.kept_bytes += claim.kept_bytes
+        if state.reply is not None and state.reply.run is RunState.NOT_RUN:
+            self._free_later(shard, claim)
+
+    def _free_later(self, shard: int, claim: Claim) -> None:
+        until = self._clock.now() + self._options.not_run_hold_s
+        self._refused.append(RefusedClaim(shard, claim, until))
+
+    def _free_refused(self) -> None:
+        """Free the claims of requests that were refused long enough ago."""
+        now = self._clock.now()
+        while self._refused and self._refused[0].until <= now:
+            refused = self._refused.popleft()
+            claims = self._shards.get(refused.shard, {})
+            if claims.get(refused.claim.name) is refused.claim:
+                del claims[refused.claim.name]
+                self.count -= 1
 
     def _refusal(self, shard: int, key: str) -> Reply | None:
         made_at = key_date(key)
--- a/lacewingpond/idempotency/options.py
+++ b/lacewingpond/idempotency/options.py
@@ -26,6 +26,9 @@
         Most bytes of answers that one VM keeps.
     max_handover_bytes : int
         Most bytes of answers that go along with one shard.
+    not_run_hold_s : float
+        Time for which a key stays refused after its request did not run, and
+        after which such a refusal is no longer passed on, in seconds.
     owner_wait_s : float
         Longest wait for an owner while a shard is handed over, in seconds.
     ack_timeout_s : float
@@ -45,6 +48,7 @@
     max_answer_bytes: int = 65_536
     max_kept_bytes: int = 8_000_000
     max_handover_bytes: int = 200_000
+    not_run_hold_s: float = 1.0
     owner_wait_s: float = 0.5
     ack_timeout_s: float = 1.0
     poll_s: float = 1.0
--- a/lacewingpond/idempotency/service.py
+++ b/lacewingpond/idempotency/service.py
@@ -262,6 +262,15 @@
         return isinstance(status, ForwardStatus) and status.owned
 
     def _submit_there(self, shard: int, vm_id: str, request: KeyedRequest) -> Reply:
+        asked_at = self._clock.now()
+        reply = self._forward(shard, vm_id, request)
+        is_late = self._clock.now() - asked_at >= self._options.not_run_hold_s
+        if reply.run is RunState.NOT_RUN and is_late:
+            # The owner may have freed the key and run a repeat meanwhile.
+            return msgspec.structs.replace(reply, run=RunState.UNKNOWN)
+        return reply
+
+    def _forward(self, shard: int, vm_id: str, request: KeyedRequest) -> Reply:
         self._forward_id += 1
         forward_id = self._forward_id
         mailbox = self._waiting[forward_id] = Mailbox()
--- a/tests/idempotency/test_idempotency_service.py
+++ b/tests/idempotency/test_idempotency_service.py
@@ -212,6 +212,32 @@
     assert fleet.target.runs == [key]
 
 
+def test_not_run_is_still_true_when_it_reaches_its_caller():
+    fleet = Fleet()
+    key = fleet.key()
+    entry, other = fleet.others(key)
+    fleet.target.results.append(RunResult(RunState.NOT_RUN))
+    fleet.network.block(fleet.owner(key), entry)
+    late = fleet.submit(entry, key)
+    fleet.run(0.1)
+    fleet.network.unblock(fleet.owner(key), entry)
+    fleet.run(0.5)
+    fleet.submit(other, key)
+    fleet.run(0.6)
+    assert late.value.run is not RunState.NOT_RUN or not fleet.target.runs
+
+
+def test_repeat_soon_after_a_refusal_is_refused_alike():
+    fleet = Fleet()
+    key = fleet.key()
+    entry, other = fleet.others(key)
+    fleet.target.results.append(RunResult(RunState.NOT_RUN))
+    assert fleet.reply(entry, key, seconds=0.6).run is RunState.NOT_RUN
+    assert fleet.reply(other, key, seconds=0.1).run is RunState.NOT_RUN
+    fleet.run(1.0)
+    assert fleet.reply(other, key).run is RunState.RAN
+
+
 def test_request_for_a_shard_without_an_owner_is_refused_soon():
     fleet = Fleet()
     key = fleet.key()
