--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -51,6 +51,7 @@
         "_clock",
         "_greenlets",
         "_cfg",
+        "_vm_count",
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         self._fleet = fleet
         self._clock = around.clock
         self._cfg = Config()
+        self._vm_count = 0
         self._greenlets: list[gevent.Greenlet] = []
         clock, rng, log, metrics = (
             around.clock,
@@ -85,6 +87,7 @@
         )
         self.queue = FairQueue.from_options(cfg.queues, clock, log, metrics)
         self.client = TargetClient.from_options(cfg.targets, clock, rng, log)
+        self.client.on_silent = self.health.blame_connections
         self.retries = RetryBudget.from_options(cfg.retries)
         self.quarantine = QuarantineService.from_options(
             cfg.quarantine,
@@ -144,7 +147,7 @@
         self.health.start()
         self._greenlets = [
             gevent.spawn(self._repeat, SWEEP_S, self.client.sweep),
-            gevent.spawn(self._repeat, FLEET_SIZE_S, self._share_budgets),
+            gevent.spawn(self._repeat, FLEET_SIZE_S, self._follow_fleet),
         ]
         self.server.start()
 
@@ -164,9 +167,15 @@
         # The routes come last, when everything behind them is ready.
         self.pipeline.configure(cfg)
 
+    def _follow_fleet(self) -> None:
+        if len(self._fleet.membership.live()) + 1 != self._vm_count:
+            self._share_budgets()
+
     def _share_budgets(self) -> None:
         vm_count = len(self._fleet.membership.live()) + 1
+        self._vm_count = vm_count
         self.placer.set_fleet_size(vm_count)
+        self.health.set_fleet_size(vm_count)
         self.client.apply(self._cfg, vm_count)
 
     def _repeat(self, period_s: float, step) -> None:
--- a/lacewingpond/limits/bucket.py
+++ b/lacewingpond/limits/bucket.py
@@ -2,14 +2,11 @@
 
 from msgspec import Struct
 
-from lacewingpond.config.model import Config
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.util.rendezvous import shard_of
 
 TTL_SHARE = 0.25
 """Life of a prefetched grant as a share of the time that a full bucket lasts."""
-SMALL_SLICE_TOKENS = 4.0
-"""Slices with a smaller burst also grant parts of a token."""
 
 
 class Bucket(Struct, frozen=True):
@@ -32,12 +29,11 @@
     def slice_count(self, options: LimitOptions) -> int:
         """Return into how many slices the bucket is split.
 
-        Two slices are the least for a burst of two tokens, so that one
-        unreachable owner never stops a workspace.
+        A slice that is full loses its refill while another one is empty, so a
+        slice holds several tokens and a small bucket is one slice.
         """
-        least = 2 if self.burst >= 2.0 else 1
         wanted = int(self.burst / options.tokens_per_slice)
-        return min(max(wanted, least), options.max_slices)
+        return min(max(wanted, 1), options.max_slices)
 
     def shards(self, shard_count: int, options: LimitOptions) -> tuple[int, ...]:
         """Return the shards that hold the bucket's slices."""
@@ -80,15 +76,3 @@
 def service_bucket(name: str) -> str:
     """Return the bucket id of a service."""
     return f"s:{name}"
-
-
-def buckets_of(cfg: Config) -> dict[str, Bucket]:
-    """Return all buckets of a configuration by id."""
-    named = [(workspace_bucket(w.name), w.rate, w.burst) for w in cfg.workspaces]
-    named += [(route_bucket(r.name), r.rate, r.burst) for r in cfg.routes]
-    named += [(service_bucket(s.name), s.rate, s.burst) for s in cfg.services]
-    return {
-        bucket_id: Bucket(bucket_id, rate, max(burst, 1.0))
-        for bucket_id, rate, burst in named
-        if rate > 0.0
-    }
