Split the limiter into modules with one job each

Cause: limits/limiter.py held admission, waiting, asks, returns and the table of allowances in 458 lines. Change: Asker sends asks and takes answers, Returner gives unused tokens back, WaitingRequests lets requests wait, AllowanceTable keeps the allowances, AdmissionLog counts and logs results; FleetLimiter composes them and keeps its interface. The deliberately wrong limiter of the invariant test replaces the method that moved to Asker; its assertions are the same.

--- a/tests/limits/test_limits_invariant.py
+++ b/tests/limits/test_limits_invariant.py
@@ -13,6 +13,7 @@
 from scripted_fleet import ScriptedFleet
 
 from lacewingpond.config.model import Config, Workspace
+from lacewingpond.limits.asker import Asker
 from lacewingpond.limits.limiter import FleetLimiter
 from lacewingpond.limits.slice import Slice
 from lacewingpond.limits.windows import worst_excess
@@ -32,7 +33,7 @@
 EPSILON = 1e-6
 
 
-class ReceiptExpiryLimiter(FleetLimiter):
+class ReceiptExpiryAsker(Asker):
     """Wrong on purpose: counts the life of a grant from its receipt."""
 
     __slots__ = ()
@@ -42,6 +43,16 @@
         super()._hold(allowance, ask, answer, now)
 
 
+class ReceiptExpiryLimiter(FleetLimiter):
+    """A limiter that holds its grants too long."""
+
+    __slots__ = ()
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._asker.__class__ = ReceiptExpiryAsker
+
+
 class QuietMachine(RuleBasedStateMachine):
     """A fleet whose only fault is slow answers."""
 
