Move the pipeline's protocols to modules of their own

Cause: proxy/pipeline.py held three interfaces beside the class that uses them. Change: Limiter, Availability and KeyedRequests each have a module; nothing else in the pipeline changes. Checked: pytest tests/proxy tests/daemon tests/test_docs.py pass.

--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -1,7 +1,5 @@
 """Decides what becomes of each request, from its route to its answer."""
 
-from typing import Protocol
-
 from result import Err, Ok, Result
 
 from lacewingpond.config.model import Config
@@ -10,12 +8,14 @@
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
 from lacewingpond.idempotency.keyed_request import KeyedRequest
-from lacewingpond.idempotency.reply import Reply
-from lacewingpond.limits.admission import Admission, RefusalReason
+from lacewingpond.limits.admission import RefusalReason
+from lacewingpond.proxy.availability import Availability
 from lacewingpond.proxy.dispatcher import Dispatcher
 from lacewingpond.proxy.job import IDEMPOTENCY_KEY_HEADER, Job
 from lacewingpond.proxy.keyed_replies import to_response
+from lacewingpond.proxy.keyed_requests import KeyedRequests
 from lacewingpond.proxy.keyed_runner import KeyedRunner
+from lacewingpond.proxy.limiter import Limiter
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
 from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER, headers_to_target
@@ -34,42 +34,6 @@
 }
 
 
-class Limiter(Protocol):
-    """Admits requests within the fleet-wide rates."""
-
-    def bucket_ids(
-        self, workspace: str, route: str, service: str = ""
-    ) -> tuple[str, ...]:
-        """Return the limits that a request must pass."""
-        ...
-
-    def admit(self, bucket_ids: tuple[str, ...]) -> Admission:
-        """Take a token of each limit, or none."""
-        ...
-
-
-class Availability(Protocol):
-    """Whether this VM may take requests."""
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether the balancer should send requests here."""
-        ...
-
-    @property
-    def is_isolated(self) -> bool:
-        """Whether this VM hears neither the store nor any other VM."""
-        ...
-
-
-class KeyedRequests(Protocol):
-    """Runs keyed requests at most once, over all VMs."""
-
-    def submit(self, request: KeyedRequest) -> Reply:
-        """Return the reply to a keyed request; blocks while it runs."""
-        ...
-
-
 class Pipeline:
     """Takes requests from the callers' server and returns their answers.
 
