Name the limits' parts plainly and state their units

Cause: names and docstrings of the limits needed explaining. Change: AskBook is SentAsks; hopeless is is_out_of_reach; Slice.ask takes its two lives as named seconds in place of a tuple; the retry time of a slice with too many grants is a named constant; docstrings say units.

--- a/lacewingpond/limits/admission.py
+++ b/lacewingpond/limits/admission.py
@@ -1,4 +1,4 @@
-"""The answer to the question whether a request may run."""
+"""Result of the admission of a request."""
 
 from enum import Enum
 
--- a/lacewingpond/limits/allowance.py
+++ b/lacewingpond/limits/allowance.py
@@ -131,7 +131,7 @@
         return None
 
     def avoid(self, shard: int, until: float, unreachable: bool = False) -> None:
-        """Leave a slice alone for a while."""
+        """Don't ask a slice before `until`, in monotonic seconds."""
         self._avoid[shard] = until
         if unreachable:
             self._unreachable.add(shard)
@@ -139,15 +139,15 @@
             self._unreachable.discard(shard)
 
     def retry_at(self) -> float:
-        """Return when the first slice is worth asking again."""
+        """Return when the first slice may be asked again, in monotonic seconds."""
         return min(self._avoid.get(shard, 0.0) for shard in self.shards)
 
     def has_unreachable(self, now: float) -> bool:
-        """Return whether a slice is left alone because it can't be reached."""
+        """Return whether a slice is not asked because it can't be reached."""
         return any(self._avoid.get(shard, 0.0) > now for shard in self._unreachable)
 
-    def hopeless(self, deadline: float) -> bool:
-        """Return whether no token can come before `deadline`."""
+    def is_out_of_reach(self, deadline: float) -> bool:
+        """Return whether no token can come before `deadline`, in monotonic seconds."""
         return not self.in_flight_need and self.retry_at() >= deadline
 
     def take_ended(self, shard: int) -> tuple[GrantEnd, ...]:
@@ -170,7 +170,7 @@
         return quiet and not self.waiters and not self.held(now)
 
     def wake(self) -> None:
-        """Let all waiting requests look again."""
+        """Let all waiting requests check for tokens."""
         for waiter in self.waiters:
             waiter.wake()
 
--- a/lacewingpond/limits/asker.py
+++ b/lacewingpond/limits/asker.py
@@ -2,12 +2,12 @@
 
 from lacewingpond.limits.allowance import Allowance
 from lacewingpond.limits.allowance_table import AllowanceTable
-from lacewingpond.limits.ask_book import AskBook
 from lacewingpond.limits.held_grant import HeldGrant
 from lacewingpond.limits.messages import GrantAnswer, GrantAsk
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.limits.pending_ask import PendingAsk
 from lacewingpond.limits.returner import Returner
+from lacewingpond.limits.sent_asks import SentAsks
 from lacewingpond.limits.silent_owners import SilentOwners
 from lacewingpond.limits.slice_owner import SliceOwner
 from lacewingpond.peers.base import Message, PeerChannel
@@ -80,7 +80,7 @@
         self._returner = returner
         self._log = log
         self._metrics = metrics
-        self._asks = AskBook(options, first_seq)
+        self._asks = SentAsks(options, first_seq)
         self._silent = SilentOwners(options)
 
     def has_unanswered(self) -> bool:
--- a/lacewingpond/limits/bucket_index.py
+++ b/lacewingpond/limits/bucket_index.py
@@ -1,4 +1,4 @@
-"""Finds buckets in a configuration without a record for each."""
+"""Finds the buckets of a configuration by id."""
 
 from collections.abc import Iterator
 
--- a/lacewingpond/limits/held_grant.py
+++ b/lacewingpond/limits/held_grant.py
@@ -15,7 +15,7 @@
     expires_at : float
         Monotonic time in seconds, counted from when the ask was sent.
     return_at : float
-        Time from which unused tokens are better given back.
+        Monotonic time in seconds from which unused tokens are returned.
     """
 
     __slots__ = ("shard", "seq", "amount", "expires_at", "return_at")
--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -189,7 +189,7 @@
     def _is_exhausted(self, allowance: Allowance, now: float) -> bool:
         if allowance.has_token(None, now):
             return False
-        return allowance.hopeless(now + self._options.wait_s)
+        return allowance.is_out_of_reach(now + self._options.wait_s)
 
     def _refuse_unknown(self, bucket_id: str) -> Admission:
         return self._admissions.refused(
--- a/lacewingpond/limits/ask_book.py
+++ b/lacewingpond/limits/sent_asks.py
@@ -4,7 +4,7 @@
 from lacewingpond.limits.pending_ask import PendingAsk
 
 
-class AskBook:
+class SentAsks:
     """Numbers asks, and keeps those that wait for their answer or missed it.
 
     An ask that got no answer in time counts as late. Its answer may still bring
--- a/lacewingpond/limits/silent_owners.py
+++ b/lacewingpond/limits/silent_owners.py
@@ -39,7 +39,7 @@
         self._until.pop(vm_id, None)
 
     def silent_until(self, vm_id: str) -> float:
-        """Return the time until which `vm_id` is not asked."""
+        """Return the monotonic time, in seconds, until which `vm_id` is not asked."""
         return self._until.get(vm_id, float("-inf"))
 
     def keep_only(self, vm_ids: frozenset[str]) -> None:
--- a/lacewingpond/limits/slice.py
+++ b/lacewingpond/limits/slice.py
@@ -15,7 +15,7 @@
 
 
 class SliceLimit(Struct, frozen=True):
-    """Rate and burst of one slice in tokens."""
+    """Rate of one slice in tokens a second, and its burst in tokens."""
 
     rate: float
     burst: float
@@ -84,7 +84,7 @@
         self._slot = now
 
     def advance(self, now: float) -> None:
-        """Expire grants and refill up to `now`, in the order of time."""
+        """Expire grants and refill up to `now`, the owner's monotonic seconds."""
         while self._expiry and self._expiry[0][0] <= now:
             expires_at, key = heapq.heappop(self._expiry)
             grant = self.grants.get(key)
@@ -101,7 +101,12 @@
         self.level = max(min(self.level, self._room()), 0.0)
 
     def ask(
-        self, key: tuple[str, int], need: int, ahead: int, ttls: tuple[float, float]
+        self,
+        key: tuple[str, int],
+        need: int,
+        ahead: int,
+        need_ttl_s: float,
+        ahead_ttl_s: float,
     ) -> Offer:
         """Grant tokens; `advance` must have been called.
 
@@ -111,7 +116,7 @@
             Holder's VM id and number of its ask; a repeat gets the same grant.
         need, ahead : int
             Tokens for waiting requests, and further ones.
-        ttls : tuple of float
+        need_ttl_s, ahead_ttl_s : float
             Life of a grant without and with tokens ahead of need, in seconds.
         """
         known = self.grants.get(key)
@@ -120,7 +125,7 @@
         need = max(need, 0)
         amount = self._amount(need)
         extra = self._ahead(need, ahead) if amount >= need else 0
-        ttl_s = ttls[1] if extra else ttls[0]
+        ttl_s = ahead_ttl_s if extra else need_ttl_s
         self._grant(key, amount + extra, ttl_s)
         dry_s = self._dry_s(need - amount) if amount < need else 0.0
         return Offer(amount + extra, ttl_s, dry_s)
@@ -140,7 +145,7 @@
         return not self.grants and self.level >= self.limit.burst
 
     def restore(self, key: tuple[str, int], grant: SliceGrant) -> None:
-        """Add a grant that a former owner made."""
+        """Add a grant, such as one that a former owner made."""
         self.grants[key] = grant
         self.outstanding += grant.amount
         heapq.heappush(self._expiry, (grant.expires_at, key))
--- a/lacewingpond/limits/slice_owner.py
+++ b/lacewingpond/limits/slice_owner.py
@@ -12,6 +12,8 @@
 
 FULL = float("-inf")
 """Start of the refill of slices that begin full."""
+FULL_SLICE_RETRY_MS = 100
+"""Time for which a slice that keeps the most grants is not asked again."""
 
 
 class SliceOwner:
@@ -52,9 +54,14 @@
         part.advance(now)
         part.end(vm_id, ask.ended)
         if len(part.grants) >= self._options.max_grants_per_slice:
-            return GrantAnswer(seq=ask.seq, amount=0, dry_ms=100)
-        ttls = (self._options.demand_ttl_s, self._prefetch_ttl_s(ask.bucket_id))
-        offer = part.ask((vm_id, ask.seq), ask.need, ask.ahead, ttls)
+            return GrantAnswer(seq=ask.seq, amount=0, dry_ms=FULL_SLICE_RETRY_MS)
+        offer = part.ask(
+            (vm_id, ask.seq),
+            ask.need,
+            ask.ahead,
+            self._options.demand_ttl_s,
+            self._prefetch_ttl_s(ask.bucket_id),
+        )
         return GrantAnswer(
             seq=ask.seq,
             amount=offer.amount,
--- a/lacewingpond/limits/waiter.py
+++ b/lacewingpond/limits/waiter.py
@@ -4,7 +4,7 @@
 
 
 class Waiter:
-    """Blocks one request until something changed for it.
+    """Blocks one request until its tokens may have changed.
 
     Parameters
     ----------
@@ -24,5 +24,5 @@
         self._event.clear()
 
     def wake(self) -> None:
-        """Let the request look again."""
+        """Let the request check for tokens."""
         self._event.set()
--- a/lacewingpond/limits/waiting_requests.py
+++ b/lacewingpond/limits/waiting_requests.py
@@ -43,7 +43,7 @@
         self._waiters: dict[int, Waiter] = {}
 
     def wake_all(self) -> None:
-        """Let all waiting requests look again."""
+        """Let all waiting requests check for tokens."""
         for waiter in list(self._waiters.values()):
             waiter.wake()
 
@@ -82,7 +82,7 @@
             if not lacking:
                 return self.take(allowances, now)
             for allowance in lacking:
-                if now >= waiter.deadline or allowance.hopeless(waiter.deadline):
+                if now >= waiter.deadline or allowance.is_out_of_reach(waiter.deadline):
                     return self._admissions.refused_without_token(allowance, now)
             waiter.wait()
 
--- a/lacewingpond/limits/windows.py
+++ b/lacewingpond/limits/windows.py
@@ -23,7 +23,7 @@
     worst = float("-inf")
     least_before = float("inf")
     for number, time in enumerate(times):
-        line = number - rate * time
-        least_before = min(least_before, line)
-        worst = max(worst, line + 1.0 - least_before - burst)
+        surplus = number - rate * time
+        least_before = min(least_before, surplus)
+        worst = max(worst, surplus + 1.0 - least_before - burst)
     return worst
