Wait for no body behind a 304 that names a transfer coding

Cause: RFC 9110 lets a 304 carry Transfer-Encoding, and FinalAnswer then waited for a chunk that never comes, past the request's deadline. Before: the new test in tests/proxy got 502 answer-cut, after the target had closed; with a target that keeps the connection the wait lasts body_idle_s. After: the 304 is passed on at once (pytest tests/proxy tests/targets: green).

--- a/lacewingpond/targets/wire.py
+++ b/lacewingpond/targets/wire.py
@@ -72,6 +72,8 @@
         self.chunk_left = None
         self.length = int(lengths[0]) if lengths else None
         if self._method == "HEAD" or self.status in _BODILESS:
+            # A coding only tells how the body of another answer would be framed.
+            self.chunked = False
             self.length = 0
         endless = not self.chunked and self.length is None
         self.will_close = endless or self._check_close()
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -8,6 +8,7 @@
 import pytest
 import urllib3
 from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 from lacewingpond.config.model import Config, Key, Route, Service, Target, Workspace
 from lacewingpond.health.options import HealthOptions
@@ -372,3 +373,18 @@
     answer = bench.ask("POST", body=b"x" * 300_000, **KEYED)
     assert (answer.status, answer.headers[RUN]) == (413, "not-run")
     assert bench.runs() == 0
+
+
+def test_304_with_a_transfer_coding_has_no_body_to_wait_for(bench):
+    def unchanged(sock, _address):
+        sock.recv(65_536)
+        sock.sendall(b"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n")
+        gevent.sleep(2.0)
+
+    server = StreamServer(("127.0.0.1", 0), unchanged)
+    server.start()
+    bench.start()
+    bench.configure((Target("t0", f"127.0.0.1:{server.server_port}"),))
+    answer = bench.ask(**{"Lacewingpond-Deadline-Ms": "500"})
+    server.stop(timeout=0)
+    assert answer.status == 304
