Tell keyed requests of different hosts apart

Cause: the digest that a repeat is compared with left the host out, so that the same key and body, sent to the same path of another host (another route and service), got the stored answer of the first host's request. Before: the new test in tests/proxy got 200 with the other host's answer. After: it is refused as key-reused; a repeat to the same host, in any case and with or without a port, is still a repeat.

--- a/lacewingpond/idempotency/keyed_request.py
+++ b/lacewingpond/idempotency/keyed_request.py
@@ -21,6 +21,8 @@
         The whole body.
     timeout_s : float
         Time that the caller waits, in seconds.
+    host : str
+        Lower-case host without its port.
     """
 
     workspace: str
@@ -31,6 +33,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     timeout_s: float = 10.0
+    host: str = ""
 
     @property
     def name(self) -> str:
@@ -38,8 +41,8 @@
         return f"{self.workspace}\x00{self.key}"
 
     def fingerprint(self) -> bytes:
-        """Return a digest of method, path and body."""
+        """Return a digest of method, host, path and body."""
         digest = xxhash.xxh3_128()
-        digest.update(f"{self.method}\x00{self.path}\x00".encode())
+        digest.update(f"{self.method}\x00{self.host}\x00{self.path}\x00".encode())
         digest.update(self.body)
         return digest.digest()
--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -197,6 +197,7 @@
             headers=tuple(headers_to_target(req.headers)),
             body=body,
             timeout_s=max(0.0, deadline - self._clock.now()),
+            host=req.host,
         )
         answer = to_response(self._keyed.submit(request))
         return Err(answer) if isinstance(answer, Refused) else Ok(answer)
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -388,3 +388,13 @@
     answer = bench.ask(**{"Lacewingpond-Deadline-Ms": "500"})
     server.stop(timeout=0)
     assert answer.status == 304
+
+
+def test_key_used_on_another_host_gets_no_answer_of_the_first(bench):
+    bench.start({})
+    assert bench.ask("POST", body=b"book", **KEYED, Host="a.example:80").status == 200
+    other = bench.ask("POST", body=b"book", **KEYED, Host="b.example")
+    assert (other.status, reason(other)) == (422, "key-reused")
+    again = bench.ask("POST", body=b"book", **KEYED, Host="A.example")
+    assert again.headers["Idempotency-Replayed"] == "true"
+    assert bench.runs() == 1
