Let the owner of a key check a request against its own routes

Cause: the owner looked the route up by its name only. When its revision of the configuration was not the entry VM's, it ran requests of workspaces that the route no longer admits, or for another host, path or method than the route now has, and so perhaps at another service. After: all are refused, not run, and the claim is freed.

--- a/lacewingpond/proxy/keyed_runner.py
+++ b/lacewingpond/proxy/keyed_runner.py
@@ -9,6 +9,7 @@
 from lacewingpond.idempotency.runner import RunResult
 from lacewingpond.proxy.dispatcher import Dispatcher
 from lacewingpond.proxy.job import Job
+from lacewingpond.routing.match import RouteMatch
 from lacewingpond.routing.routes import RouteTable
 from lacewingpond.targets.errors import AnswerCutError
 from lacewingpond.targets.response import TargetResponse
@@ -46,7 +47,7 @@
 
     def run(self, request: KeyedRequest, may_send: Callable[[], bool]) -> RunResult:
         """Run `request` once; see `Runner`."""
-        match = self._routes.named(request.route)
+        match = self._match(request)
         if match is None:
             self._log.decision("refuse", request.route, "no route here", run="not-run")
             return RunResult(RunState.NOT_RUN)
@@ -63,6 +64,13 @@
             return RunResult(RunState.NOT_RUN)
         return RunResult(RunState.UNKNOWN)
 
+    def _match(self, request: KeyedRequest) -> RouteMatch | None:
+        """Return the route, unless this VM's revision would not let the request in."""
+        found = self._routes.match(request.host, request.path, request.method).ok()
+        if found is None or found.route.name != request.route:
+            return None
+        return found if found.admits(request.workspace) else None
+
     def _collect(self, request: KeyedRequest, response: TargetResponse) -> RunResult:
         blocks, size = [], 0
         try:
--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -203,8 +203,7 @@
         return Err(answer) if isinstance(answer, Refused) else Ok(answer)
 
     def _identify(self, req: Request, match: RouteMatch) -> Result[str, Refused]:
-        route = match.route
-        if route.open:
+        if match.route.open:
             return Ok("")
         if self._availability.is_isolated:
             detail = "This VM can't check keys now."
@@ -215,7 +214,7 @@
         key = self._keys.find(presented)
         if key is None or key.workspace not in self._workspaces:
             return Err(Refused.not_run(401, "bad-key", "The key is not known."))
-        if route.workspaces and key.workspace not in route.workspaces:
+        if not match.admits(key.workspace):
             detail = "The key's workspace may not use this route."
             return Err(Refused.not_run(403, "wrong-workspace", detail))
         return Ok(key.workspace)
--- a/lacewingpond/routing/match.py
+++ b/lacewingpond/routing/match.py
@@ -13,6 +13,14 @@
     route: Route
     service: Service
 
+    def admits(self, workspace: str) -> bool:
+        """Return whether a workspace may use the route; empty is one without a key."""
+        if self.route.open:
+            return True
+        if not workspace:
+            return False
+        return not self.route.workspaces or workspace in self.route.workspaces
+
 
 class RouteFailure(Enum):
     """Why a request has no route."""
--- a/lacewingpond/routing/routes.py
+++ b/lacewingpond/routing/routes.py
@@ -17,11 +17,10 @@
     longest prefix decides; only then the method.
     """
 
-    __slots__ = ("_hosts", "_by_name")
+    __slots__ = ("_hosts",)
 
     def __init__(self) -> None:
         self._hosts: dict[str, PathNode] = {}
-        self._by_name: dict[str, RouteMatch] = {}
 
     @classmethod
     def from_config(cls, cfg: Config) -> "RouteTable":
@@ -34,15 +33,9 @@
             if service is None or segments.is_err():
                 continue
             root = table._hosts.setdefault(route.host.lower(), PathNode())
-            match = RouteMatch(route, service)
-            root.add(segments.ok(), match)
-            table._by_name[route.name] = match
+            root.add(segments.ok(), RouteMatch(route, service))
         return table
 
-    def named(self, name: str) -> RouteMatch | None:
-        """Return the route called `name`, or None."""
-        return self._by_name.get(name)
-
     def match(self, host: str, path: str, method: str) -> Result[RouteMatch, RouteMiss]:
         """Return the route of a request.
 
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -32,6 +32,7 @@
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.retries.options import RetryOptions
+from lacewingpond.routing.routes import RouteTable
 from lacewingpond.shards.fixed import FixedShards
 from lacewingpond.standin.options import TargetOptions
 from lacewingpond.standin.target import StandinTarget
@@ -110,7 +111,7 @@
             self.log,
         )
         options = ProxyOptions()
-        runner = KeyedRunner(dispatcher, self.clock, self.log)
+        runner = self.runner = KeyedRunner(dispatcher, self.clock, self.log)
         self.keyed = IdempotencyService.from_options(
             IdempotencyOptions(), *common[:5], runner, *told
         )
@@ -124,12 +125,20 @@
             options = TargetOptions(**{"work_s": 0.0, **options})
             self.targets.append(StandinTarget.from_options(options, self.clock))
             self.targets[-1].start()
-        listed = tuple(Target(f"t{i}", t.address) for i, t in enumerate(self.targets))
-        self.configure(listed, rate, **route)
+        self.configure(self.listed(), rate, **route)
+
+    def listed(self):
+        return tuple(Target(f"t{i}", t.address) for i, t in enumerate(self.targets))
 
     def configure(self, listed, rate=1000.0, **route):
+        cfg = self.config(listed, rate, **route)
+        parts = (self.limiter, self.health, self.placer, self.queue, self.pipeline)
+        for part in parts:
+            part.configure(cfg)
+
+    def config(self, listed, rate=1000.0, **route):
         digest = hashlib.sha256(KEY.encode()).hexdigest()
-        cfg = Config(
+        return Config(
             1,
             (Workspace("sita", rate, rate),),
             (Key("k1", "sita", digest),),
@@ -146,9 +155,6 @@
                 Route("open", "ledger", "/open", open=True),
             ),
         )
-        parts = (self.limiter, self.health, self.placer, self.queue, self.pipeline)
-        for part in parts:
-            part.configure(cfg)
 
     def ask(self, method="GET", path="/pay", key=KEY, body=None, timeout=5, **headers):
         if key:
@@ -398,3 +404,21 @@
     again = bench.ask("POST", body=b"book", **KEYED, Host="A.example")
     assert again.headers["Idempotency-Replayed"] == "true"
     assert bench.runs() == 1
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"workspaces": ("other",)},
+        {"host": "elsewhere.example"},
+        {"methods": ("GET",)},
+    ],
+)
+def test_owner_runs_nothing_that_its_own_route_forbids(bench, changed):
+    bench.start({})
+    bench.runner.configure(
+        RouteTable.from_config(bench.config(bench.listed(), **changed))
+    )
+    answer = bench.ask("POST", body=b"book", **KEYED)
+    assert (answer.status, answer.headers[RUN]) == (503, "not-run")
+    assert bench.runs() == 0
