Check a key again after a body that came slowly

Cause: a short body is read whole before the request is sent, and the key was checked only before that. A caller who trickles its body could so run a request as long after the withdrawal of its key as the body timeouts allow. Before: the new test in tests/proxy, with a key withdrawn amid the body, ran (200). After: 401, not run, with and without an Idempotency-Key.

--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -179,6 +179,9 @@
         job = Job.from_request(
             req, match, workspace, deadline, self._options.replay_bytes
         )
+        refused = self._recheck(req, match, workspace)
+        if refused is not None:
+            return Err(refused)
         return self._dispatcher.dispatch(job).map(_to_response)
 
     def _submit(
@@ -188,6 +191,9 @@
         if body is None:
             detail = "The body is too long for a request with a key."
             return Err(Refused.not_run(413, "body-too-large", detail))
+        refused = self._recheck(req, match, workspace)
+        if refused is not None:
+            return Err(refused)
         request = KeyedRequest(
             workspace=workspace,
             key=key,
@@ -219,6 +225,22 @@
             return Err(Refused.not_run(403, "wrong-workspace", detail))
         return Ok(key.workspace)
 
+    def _recheck(
+        self, req: Request, match: RouteMatch, workspace: str
+    ) -> Refused | None:
+        """Check the key again after a body, which may have come slowly."""
+        if req.body.bytes_read == 0:
+            return None
+        current = self._routes.match(req.host, req.path, req.method).ok()
+        same_route = current is not None and current.route.name == match.route.name
+        identified = self._identify(req, current if same_route else match)
+        if identified.is_err():
+            return identified.err_value
+        if same_route and identified.ok_value == workspace:
+            return None
+        detail = "The route or the key was changed while the body came."
+        return Refused.not_run(503, "route-changed", detail, self._retry_s)
+
     def _deadline(self, req: Request, match: RouteMatch) -> Result[float, Refused]:
         text = req.headers.get(DEADLINE_HEADER)
         if text is None:
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -130,18 +130,21 @@
     def listed(self):
         return tuple(Target(f"t{i}", t.address) for i, t in enumerate(self.targets))
 
+    def withdraw_key(self):
+        self.configure(self.listed(), granted=False)
+
     def configure(self, listed, rate=1000.0, **route):
         cfg = self.config(listed, rate, **route)
         parts = (self.limiter, self.health, self.placer, self.queue, self.pipeline)
         for part in parts:
             part.configure(cfg)
 
-    def config(self, listed, rate=1000.0, **route):
+    def config(self, listed, rate=1000.0, granted=True, **route):
         digest = hashlib.sha256(KEY.encode()).hexdigest()
         return Config(
             1,
             (Workspace("sita", rate, rate),),
-            (Key("k1", "sita", digest),),
+            (Key("k1", "sita", digest),) if granted else (),
             (
                 Service(
                     "ledger",
@@ -422,3 +425,20 @@
     answer = bench.ask("POST", body=b"book", **KEYED)
     assert (answer.status, answer.headers[RUN]) == (503, "not-run")
     assert bench.runs() == 0
+
+
+def test_key_withdrawn_while_its_body_comes_slowly_runs_nothing(bench):
+    bench.start({})
+
+    def body():
+        yield b"bo"
+        gevent.sleep(0.1)
+        bench.withdraw_key()
+        yield b"ok"
+
+    for headers in ({}, KEYED):
+        bench.start()
+        slow = {"Content-Length": "4", **headers}
+        answer = bench.ask("POST", body=body(), **slow)
+        assert (answer.status, answer.headers[RUN]) == (401, "not-run")
+    assert bench.runs() == 0
