Refuse a request with several idempotency keys

Cause: only the first value named the claim, but all went to the target, so a repeat whose values came in another order, or joined, was another claim. Before: the new test in tests/proxy ran (200) under the first key.

--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -253,9 +253,13 @@
 
     def _check_form(self, req: Request, match: RouteMatch) -> Refused | None:
         route = match.route
-        if not route.require_idempotency_key or route.is_idempotent(req.method):
+        if route.is_idempotent(req.method):
             return None
-        if req.headers.get(IDEMPOTENCY_KEY_HEADER):
+        keys = set(req.headers.get_all(IDEMPOTENCY_KEY_HEADER))
+        if len(keys) > 1:
+            detail = f"The header {IDEMPOTENCY_KEY_HEADER} came with several values."
+            return Refused.not_run(400, "idempotency-keys-differ", detail)
+        if not route.require_idempotency_key or any(keys):
             return None
         detail = f"The route needs the header {IDEMPOTENCY_KEY_HEADER}."
         return Refused.not_run(400, "idempotency-key-missing", detail)
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -442,3 +442,14 @@
         answer = bench.ask("POST", body=body(), **slow)
         assert (answer.status, answer.headers[RUN]) == (401, "not-run")
     assert bench.runs() == 0
+
+
+def test_two_idempotency_keys_are_refused(bench):
+    bench.start({})
+    keys = urllib3.HTTPHeaderDict({"Authorization": f"Bearer {KEY}"})
+    keys.add("Idempotency-Key", "one")
+    keys.add("Idempotency-Key", "two")
+    url = f"http://127.0.0.1:{bench.server.port}/pay"
+    answer = bench.http.request("POST", url, headers=keys, body=b"book")
+    assert (answer.status, answer.headers[RUN]) == (400, "not-run")
+    assert bench.runs() == 0
