Refuse a request that shows its key to the target elsewhere

Cause: X-Api-Key and a bearer token are stripped, but the same key in the query, in a cookie or in another field beside them went on to the target. Before: the four cases of the new test in tests/proxy were passed on (200). After: 400 key-exposed, not run; nothing is changed silently, and no log line has the key.

--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -19,7 +19,7 @@
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
 from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER, headers_to_target
-from lacewingpond.routing.keys import KeyTable, presented_key
+from lacewingpond.routing.keys import KeyTable, presented_key, shows_key
 from lacewingpond.routing.match import RouteFailure, RouteMatch, RouteMiss
 from lacewingpond.routing.routes import RouteTable
 from lacewingpond.targets.response import TargetResponse
@@ -253,6 +253,10 @@
 
     def _check_form(self, req: Request, match: RouteMatch) -> Refused | None:
         route = match.route
+        key = presented_key(req.headers)
+        if key and shows_key(key, req.path, req.headers):
+            detail = "The key stands in the path or in a field that a target sees."
+            return Refused.not_run(400, "key-exposed", detail)
         if route.is_idempotent(req.method):
             return None
         keys = set(req.headers.get_all(IDEMPOTENCY_KEY_HEADER))
--- a/lacewingpond/routing/keys.py
+++ b/lacewingpond/routing/keys.py
@@ -2,12 +2,16 @@
 
 import hashlib
 import hmac
+from urllib.parse import unquote_plus
 
 from lacewingpond.config.model import Config, Key
 from lacewingpond.http.headers import Headers
+from lacewingpond.routing.hop_by_hop import headers_to_target
 
 KEY_HEADER = "X-Api-Key"
 MAX_KEY_CHARS = 512
+MIN_SOUGHT_KEY_CHARS = 8
+"""Shorter keys are not looked for, because they occur in ordinary text."""
 _BEARER = "bearer"
 
 
@@ -54,3 +58,24 @@
         return None
     key = presented.pop()
     return key if 0 < len(key) <= MAX_KEY_CHARS else None
+
+
+def shows_key(key: str, path: str, headers: Headers) -> bool:
+    """Return whether a key would reach a target outside of the fields for keys.
+
+    Parameters
+    ----------
+    key : str
+        The key that came with the request.
+    path : str
+        Raw path with its query.
+    headers : Headers
+        All fields as sent.
+    """
+    if len(key) < MIN_SOUGHT_KEY_CHARS:
+        return False
+    if key in path or "%" in path and key in unquote_plus(path, "latin-1"):
+        return True
+    if sum(key in value for _, value in headers) < 2:
+        return False
+    return any(key in value for _, value in headers_to_target(headers))
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -453,3 +453,21 @@
     answer = bench.http.request("POST", url, headers=keys, body=b"book")
     assert (answer.status, answer.headers[RUN]) == (400, "not-run")
     assert bench.runs() == 0
+
+
+@pytest.mark.parametrize(
+    "shown",
+    [
+        {"path": f"/pay?api_key={KEY}"},
+        {"path": f"/pay?api_key={KEY.replace('-', '%2D')}"},
+        {"Cookie": f"session={KEY}"},
+        {"X-Auth-Token": KEY},
+    ],
+)
+def test_key_that_is_also_sent_elsewhere_reaches_no_target(bench, shown):
+    bench.start({})
+    answer = bench.ask(**{"X-Api-Key": KEY, **shown})
+    assert (answer.status, reason(answer)) == (400, "key-exposed")
+    assert answer.headers[RUN] == "not-run"
+    assert bench.runs() == 0
+    assert not any(KEY in str(line) for line in bench.log.lines)
