Tell callers of open routes apart by their credentials

Cause: an open route has no workspace, so two callers with the same idempotency key, path and body shared one claim, and the second got the first one's answer. Before: both cases of the new test in tests/proxy replayed it (200). After: 422 key-reused. Its run state is unknown there, because the same caller may have come back with a renewed cookie. Callers without Authorization and Cookie can't be told apart and still share a claim, as docs/design/idempotency.md says. pytest tests/proxy tests/idempotency tests/replay/test_replay_once.py: green.

--- a/lacewingpond/idempotency/claim_table.py
+++ b/lacewingpond/idempotency/claim_table.py
@@ -68,7 +68,9 @@
         claim = self.find(shard, request.name)
         if claim is None or claim.fingerprint == request.fingerprint():
             return claim
-        return Reply(ReplyKind.MISMATCH, RunState.NOT_RUN)
+        # On an open route it may be the same caller with a renewed cookie.
+        run = RunState.NOT_RUN if request.workspace else RunState.UNKNOWN
+        return Reply(ReplyKind.MISMATCH, run)
 
     def finish(self, shard: int, claim: Claim, reply: Reply) -> tuple[Listener, ...]:
         """Keep what came of a run; a request that did not run frees its claim.
--- a/lacewingpond/idempotency/keyed_request.py
+++ b/lacewingpond/idempotency/keyed_request.py
@@ -3,6 +3,8 @@
 import xxhash
 from msgspec import Struct
 
+CREDENTIAL_FIELDS = frozenset({"authorization", "cookie"})
+
 
 class KeyedRequest(Struct, frozen=True, array_like=True):
     """A request as the owner of its key runs it.
@@ -41,8 +43,17 @@
         return f"{self.workspace}\x00{self.key}"
 
     def fingerprint(self) -> bytes:
-        """Return a digest of method, host, path and body."""
+        """Return a digest of method, host, path and body.
+
+        Without a workspace, the caller's credentials at the target count too.
+        """
         digest = xxhash.xxh3_128()
         digest.update(f"{self.method}\x00{self.host}\x00{self.path}\x00".encode())
+        if not self.workspace:
+            digest.update(f"{self._credentials()}\x00".encode())
         digest.update(self.body)
         return digest.digest()
+
+    def _credentials(self) -> list[str]:
+        """Return what tells the callers of an open route apart."""
+        return [v for name, v in self.headers if name.lower() in CREDENTIAL_FIELDS]
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -471,3 +471,15 @@
     assert answer.headers[RUN] == "not-run"
     assert bench.runs() == 0
     assert not any(KEY in str(line) for line in bench.log.lines)
+
+
+@pytest.mark.parametrize("field", ["Authorization", "Cookie"])
+def test_open_route_gives_no_answer_to_another_caller(bench, field):
+    bench.start({})
+    asked = {"method": "POST", "path": "/open", "key": "", "body": b"book"}
+    assert bench.ask(**asked, **KEYED, **{field: "Basic c2l0YQ"}).status == 200
+    other = bench.ask(**asked, **KEYED, **{field: "Basic cmFt"})
+    assert (other.status, other.headers[RUN]) == (422, "unknown")
+    again = bench.ask(**asked, **KEYED, **{field: "Basic c2l0YQ"})
+    assert again.headers["Idempotency-Replayed"] == "true"
+    assert bench.runs() == 1
