Let held event streams go from the limit of requests in work

Cause: a slot of a service's queue lasted until the end of the answer. The limit begins at 12 and is raised only when an answer ends, so that 12 held event streams shut the service off on their VM. Before: the new test in tests/proxy (12 held streams, three targets) got 503. An answer of type text/event-stream gives its slot back at its head; its placement at the target and its connection still count until it ends. pytest tests/proxy tests/queues: green.

--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -28,6 +28,7 @@
 
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 """Answers of a target after which an idempotent request goes to another one."""
+EVENT_STREAM = "text/event-stream"
 MAX_CRASHES = 2
 """Crashes after which a request is sent to no further target."""
 FINAL_REASONS = frozenset(
@@ -155,6 +156,9 @@
             elif end is AnswerEnd.CUT:
                 self._note_crash(attempt)
 
+        if _is_event_stream(response):
+            # It lasts for hours and costs its target little; the limit is of work.
+            slot.release(outcome, attempt.latency_s)
         if response.end is not None:
             on_end(response.end)
         else:
@@ -258,6 +262,11 @@
         )
 
 
+def _is_event_stream(response: TargetResponse) -> bool:
+    media_type = (response.headers.get("Content-Type") or "").partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM
+
+
 def _server_error(response: TargetResponse) -> Refused:
     return Refused.unknown(
         502, "target-error", f"A target answered with status {response.status}."
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -483,3 +483,36 @@
     again = bench.ask(**asked, **KEYED, **{field: "Basic c2l0YQ"})
     assert again.headers["Idempotency-Replayed"] == "true"
     assert bench.runs() == 1
+
+
+def test_held_event_streams_leave_room_for_other_requests(bench):
+    def serve(environ, start_response):
+        if environ["PATH_INFO"] != "/pay/events":
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+        write = start_response("200 OK", [("Content-Type", "text/event-stream")])
+        write(b"data: 1\n\n")
+        gevent.sleep(60.0)
+        return [b"data: 2\n\n"]
+
+    servers = [
+        WSGIServer(("127.0.0.1", 0), serve, log=None, error_log=None) for _ in range(3)
+    ]
+    for server in servers:
+        server.start()
+    addresses = [f"127.0.0.1:{server.server_port}" for server in servers]
+    bench.configure(tuple(Target(address, address) for address in addresses))
+    url = f"http://127.0.0.1:{bench.server.port}/pay/events"
+    held = [
+        bench.http.request(
+            "GET", url, headers={"X-Api-Key": KEY}, preload_content=False
+        )
+        for _ in range(int(QueueOptions().first_limit))
+    ]
+    answer = bench.ask(**{"Lacewingpond-Deadline-Ms": "500"})
+    for stream in held:
+        stream.close()
+    for server in servers:
+        server.stop(timeout=0)
+    assert {stream.status for stream in held} == {200}
+    assert (answer.status, answer.data) == (200, b"ok")
