--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -19,7 +19,7 @@
 from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
 from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER, headers_to_target
-from lacewingpond.routing.keys import KeyTable, presented_key
+from lacewingpond.routing.keys import KeyTable, presented_key, shows_key
 from lacewingpond.routing.match import RouteFailure, RouteMatch, RouteMiss
 from lacewingpond.routing.routes import RouteTable
 from lacewingpond.targets.response import TargetResponse
@@ -143,6 +143,9 @@
         job = Job.from_request(
             req, match, workspace, deadline, self._options.replay_bytes
         )
+        refused = self._recheck(req, match, workspace)
+        if refused is not None:
+            return Err(refused)
         return self._dispatcher.dispatch(job).map(_to_response)
 
     def _submit(
@@ -152,6 +155,9 @@
         if body is None:
             detail = "The body is too long for a request with a key."
             return Err(Refused.not_run(413, "body-too-large", detail))
+        refused = self._recheck(req, match, workspace)
+        if refused is not None:
+            return Err(refused)
         request = KeyedRequest(
             workspace=workspace,
             key=key,
@@ -161,13 +167,13 @@
             headers=tuple(headers_to_target(req.headers)),
             body=body,
             timeout_s=max(0.0, deadline - self._clock.now()),
+            host=req.host,
         )
         answer = to_response(self._keyed.submit(request))
         return Err(answer) if isinstance(answer, Refused) else Ok(answer)
 
     def _identify(self, req: Request, match: RouteMatch) -> Result[str, Refused]:
-        route = match.route
-        if route.open:
+        if match.route.open:
             return Ok("")
         if self._availability.is_isolated:
             detail = "This VM can't check keys now."
@@ -178,11 +184,27 @@
         key = self._keys.find(presented)
         if key is None or key.workspace not in self._workspaces:
             return Err(Refused.not_run(401, "bad-key", "The key is not known."))
-        if route.workspaces and key.workspace not in route.workspaces:
+        if not match.admits(key.workspace):
             detail = "The key's workspace may not use this route."
             return Err(Refused.not_run(403, "wrong-workspace", detail))
         return Ok(key.workspace)
 
+    def _recheck(
+        self, req: Request, match: RouteMatch, workspace: str
+    ) -> Refused | None:
+        """Check the key again after a body, which may have come slowly."""
+        if req.body.bytes_read == 0:
+            return None
+        current = self._routes.match(req.host, req.path, req.method).ok()
+        same_route = current is not None and current.route.name == match.route.name
+        identified = self._identify(req, current if same_route else match)
+        if identified.is_err():
+            return identified.err_value
+        if same_route and identified.ok_value == workspace:
+            return None
+        detail = "The route or the key was changed while the body came."
+        return Refused.not_run(503, "route-changed", detail, self._retry_s)
+
     def _deadline(self, req: Request, match: RouteMatch) -> Result[float, Refused]:
         text = req.headers.get(DEADLINE_HEADER)
         if text is None:
@@ -195,9 +217,17 @@
 
     def _check_form(self, req: Request, match: RouteMatch) -> Refused | None:
         route = match.route
-        if not route.require_idempotency_key or route.is_idempotent(req.method):
+        key = presented_key(req.headers)
+        if key and shows_key(key, req.path, req.headers):
+            detail = "The key stands in the path or in a field that a target sees."
+            return Refused.not_run(400, "key-exposed", detail)
+        if route.is_idempotent(req.method):
             return None
-        if req.headers.get(IDEMPOTENCY_KEY_HEADER):
+        keys = set(req.headers.get_all(IDEMPOTENCY_KEY_HEADER))
+        if len(keys) > 1:
+            detail = f"The header {IDEMPOTENCY_KEY_HEADER} came with several values."
+            return Refused.not_run(400, "idempotency-keys-differ", detail)
+        if not route.require_idempotency_key or any(keys):
             return None
         detail = f"The route needs the header {IDEMPOTENCY_KEY_HEADER}."
         return Refused.not_run(400, "idempotency-key-missing", detail)
