--- a/tests/replay/test_replay_rates.py
+++ b/tests/replay/test_replay_rates.py
@@ -17,7 +17,10 @@
         assert (TRACES / name).read_bytes() == trace.to_bytes()
 
 
-@pytest.mark.parametrize("name", ["rates-single-slice-chitra", "rates-greedy-imbaraga"])
+@pytest.mark.parametrize(
+    "name",
+    ["rates-owner-dies-chitra", "rates-single-slice-chitra", "rates-greedy-imbaraga"],
+)
 def test_bounds_hold(name):
     trace = Trace.from_file(TRACES / f"{name}.jsonl")
     rows = {row.measure: row for row in replay(name, trace)}
@@ -26,6 +29,20 @@
     assert rows["refused_within_rate_steady"].naive > 0.01
 
 
+@pytest.mark.parametrize(
+    ("seed", "name"),
+    [
+        (2, "rates-owner-dies-imbaraga"),
+        (2, "rates-single-slice-imbaraga"),
+        (3, "rates-single-slice-chitra"),
+    ],
+)
+def test_bounds_hold_on_further_seeds(seed, name):
+    trace = dict(RatesPlayer().generate(seed))[f"{name}.jsonl"]
+    broken = [row.measure for row in replay(name, trace) if not row.held]
+    assert broken == []
+
+
 def test_excess_is_that_of_the_worst_window():
     times = [0.0, 0.0, 0.0, 5.0, 5.1]
     assert worst_excess(times, rate=1.0, burst=2.0) == pytest.approx(1.0)
