--- a/tests/replay/test_replay_rates.py
+++ b/tests/replay/test_replay_rates.py
@@ -35,6 +35,7 @@
         (2, "rates-owner-dies-imbaraga"),
         (2, "rates-single-slice-imbaraga"),
         (3, "rates-single-slice-chitra"),
+        (4, "rates-greedy-imbaraga"),
     ],
 )
 def test_bounds_hold_on_further_seeds(seed, name):
