Measure what the parts of a daemon spend on one changed item

Cause: all parts rebuild their tables at each change, and only the cost of the configuration's own state was measured.

Change: the benchmark config-parts; TrafficParts._on_change is now the public take_change, which it calls.

--- a/lacewingpond/bench/benches.py
+++ b/lacewingpond/bench/benches.py
@@ -3,6 +3,7 @@
 from lacewingpond.bench.base import Bench
 from lacewingpond.bench.claims import ClaimBench
 from lacewingpond.bench.config import ConfigBench
+from lacewingpond.bench.config_parts import ConfigPartsBench
 from lacewingpond.bench.grants import GrantBench
 from lacewingpond.bench.health import HealthBench
 from lacewingpond.bench.latency import LatencyBench
@@ -16,6 +17,7 @@
 BENCHES: dict[str, Bench] = {
     ClaimBench.name: ClaimBench(),
     ConfigBench.name: ConfigBench(),
+    ConfigPartsBench.name: ConfigPartsBench(),
     GrantBench.name: GrantBench(),
     HealthBench.name: HealthBench(),
     LatencyBench.name: LatencyBench(),
--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -140,7 +140,7 @@
         fleet.shards.add_part(self.health)
         fleet.shards.add_part(self.quarantine)
         fleet.shards.add_part(self.keyed)
-        fleet.holder.on_change(self._on_change)
+        fleet.holder.on_change(self.take_change)
 
     def start(self) -> None:
         """Listen to callers."""
@@ -158,7 +158,8 @@
         self.health.stop()
         self.client.close()
 
-    def _on_change(self, cfg: Config, changes: Changes) -> None:
+    def take_change(self, cfg: Config, changes: Changes) -> None:
+        """Take over a revision of the configuration."""
         self._cfg = cfg
         for part in (self.limiter, self.health, self.placer, self.queue):
             part.configure(cfg)
