Leave parts alone that use nothing of what a change touched

Cause: at each change of the configuration all parts built all their tables again, in one piece.

Change: TrafficParts.take_change hands the touched kinds on. Routes are built again for routes and services, keys for keys, the names of workspaces for workspaces; the limiter takes all but keys, the queue workspaces and services, and health, placement, retries and connection budgets services only. When a part fails, the kinds stay due and the next change brings them to all parts that use them, as it did before.

--- a/lacewingpond/config/changes.py
+++ b/lacewingpond/config/changes.py
@@ -41,6 +41,11 @@
             return True
         return any(ref.kind == kind.value for ref in self.removed)
 
+    @property
+    def kinds(self) -> frozenset[Kind]:
+        """Kinds of which any item is put or removed."""
+        return frozenset(kind for kind in Kind if self.touches(kind))
+
     @property
     def size(self) -> int:
         """Number of items put or removed."""
--- a/lacewingpond/config/kinds.py
+++ b/lacewingpond/config/kinds.py
@@ -28,6 +28,8 @@
         return _TYPES[self]
 
 
+ALL_KINDS = frozenset(Kind)
+
 _TYPES: dict[Kind, type[Item]] = {
     Kind.WORKSPACE: Workspace,
     Kind.KEY: Key,
--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -3,6 +3,7 @@
 import gevent
 
 from lacewingpond.config.changes import Changes
+from lacewingpond.config.kinds import ALL_KINDS, Kind
 from lacewingpond.config.model import Config
 from lacewingpond.daemon.availability import DaemonAvailability
 from lacewingpond.daemon.fleet import FleetParts
@@ -23,6 +24,8 @@
 
 SWEEP_S = 5.0
 FLEET_SIZE_S = 2.0
+LIMITED_KINDS = frozenset((Kind.WORKSPACE, Kind.SERVICE, Kind.ROUTE))
+QUEUED_KINDS = frozenset((Kind.WORKSPACE, Kind.SERVICE))
 
 
 class TrafficParts:
@@ -52,6 +55,7 @@
         "_greenlets",
         "_cfg",
         "_vm_count",
+        "_untaken",
     )
 
     def __init__(
@@ -65,6 +69,7 @@
         self._clock = around.clock
         self._cfg = Config()
         self._vm_count = 0
+        self._untaken = ALL_KINDS
         self._greenlets: list[gevent.Greenlet] = []
         clock, rng, log, metrics = (
             around.clock,
@@ -159,14 +164,36 @@
         self.client.close()
 
     def take_change(self, cfg: Config, changes: Changes) -> None:
-        """Take over a revision of the configuration."""
+        """Take over a revision of the configuration.
+
+        Parameters
+        ----------
+        cfg : Config
+            The revision.
+        changes : Changes
+            What differs from the revision before; parts that use none of it are
+            left as they are.
+        """
         self._cfg = cfg
-        for part in (self.limiter, self.health, self.placer, self.queue):
-            part.configure(cfg)
+        # Kinds stay here when a part fails, so that the next revision brings them
+        # to all parts again, whatever it changes itself.
+        self._untaken |= changes.kinds
+        touched = self._untaken
+        if touched & LIMITED_KINDS:
+            self.limiter.configure(cfg)
+        if touched & QUEUED_KINDS:
+            self.queue.configure(cfg)
+        if Kind.SERVICE in touched:
+            self._take_services(cfg)
+        # The routes come last, when everything behind them is ready.
+        self.pipeline.configure(cfg, touched)
+        self._untaken = frozenset()
+
+    def _take_services(self, cfg: Config) -> None:
+        self.health.configure(cfg)
+        self.placer.configure(cfg)
         self.retries.keep_only(frozenset(service.name for service in cfg.services))
         self._share_budgets()
-        # The routes come last, when everything behind them is ready.
-        self.pipeline.configure(cfg)
 
     def _follow_fleet(self) -> None:
         if len(self._fleet.membership.live()) + 1 != self._vm_count:
--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from lacewingpond.config.kinds import ALL_KINDS, Kind
 from lacewingpond.config.model import Config
 from lacewingpond.http.errors import RequestBodyError
 from lacewingpond.http.headers import Headers
@@ -131,12 +132,23 @@
         self._metrics = metrics
         self.configure(Config())
 
-    def configure(self, cfg: Config) -> None:
-        """Take over a revision of the configuration."""
-        self._routes = RouteTable.from_config(cfg)
-        self._runner.configure(self._routes)
-        self._keys = KeyTable.from_config(cfg)
-        self._workspaces = frozenset(w.name for w in cfg.workspaces)
+    def configure(self, cfg: Config, touched: frozenset[Kind] = ALL_KINDS) -> None:
+        """Take over a revision of the configuration.
+
+        Parameters
+        ----------
+        cfg : Config
+            The revision.
+        touched : frozenset of Kind
+            Kinds of items that differ from the revision taken over before.
+        """
+        if touched & {Kind.ROUTE, Kind.SERVICE}:
+            self._routes = RouteTable.from_config(cfg)
+            self._runner.configure(self._routes)
+        if Kind.KEY in touched:
+            self._keys = KeyTable.from_config(cfg)
+        if Kind.WORKSPACE in touched:
+            self._workspaces = frozenset(w.name for w in cfg.workspaces)
 
     def handle(self, req: Request) -> Response:
         """Answer one request."""
