Blame no target for a caller that leaves a stream

Cause: an answer broken off because its caller had gone, or because the time to read on without one was over, ended as CUT. It counted as an error of the target and as a crash for the quarantine, so that callers who leave streams could eject sound targets and have the same request of others refused. Before: both cases of the new test in tests/proxy recorded Outcome.ERROR and a crash. After: such an answer ends as ABANDONED, with neither.

--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -153,7 +153,7 @@
             slot.release(outcome, attempt.latency_s)
             if end is AnswerEnd.COMPLETE:
                 self._note_completed()
-            elif end is AnswerEnd.CUT:
+            elif response.cut_reason is SendReason.BROKEN:
                 self._note_crash(attempt)
 
         if _is_event_stream(response):
--- a/lacewingpond/targets/response.py
+++ b/lacewingpond/targets/response.py
@@ -42,6 +42,8 @@
         How it ended; None while it lasts.
     on_end : callable or None
         Called once with the `AnswerEnd`.
+    cut_reason : SendReason or None
+        What broke it off, if anything did.
     """
 
     __slots__ = (
@@ -50,11 +52,13 @@
         "headers",
         "end",
         "on_end",
+        "cut_reason",
         "_raw",
         "_conn",
         "_pool",
         "_options",
         "_idempotent",
+        "_abandoned",
     )
 
     def __init__(
@@ -70,11 +74,13 @@
         self.headers = headers_to_caller(Headers(raw.headers.iteritems()))
         self.end: AnswerEnd | None = None
         self.on_end: Callable[[AnswerEnd], None] | None = None
+        self.cut_reason: SendReason | None = None
         self._raw = raw
         self._conn = conn
         self._pool = pool
         self._options = options
         self._idempotent = idempotent
+        self._abandoned = False
         if raw.length_remaining == 0:
             self._read()
 
@@ -102,16 +108,25 @@
         try:
             data = self._raw.read1(self._options.read_bytes, decode_content=False)
         except ExchangeError as exc:
-            self._finish(AnswerEnd.CUT)
+            self._break_off(exc.reason)
             raise AnswerCutError(exc.reason, exc.detail) from exc
         except Exception as exc:
-            self._finish(AnswerEnd.CUT)
+            self._break_off(SendReason.BROKEN)
             raise AnswerCutError(SendReason.BROKEN, str(exc)) from exc
         if not data:
             self._finish(AnswerEnd.COMPLETE)
         return data
 
+    def _break_off(self, reason: SendReason) -> None:
+        self.cut_reason = reason
+        # What ends for want of a caller says nothing about the target.
+        unwanted = reason is SendReason.CALLER_GONE or (
+            self._abandoned and reason is SendReason.DEADLINE
+        )
+        self._finish(AnswerEnd.ABANDONED if unwanted else AnswerEnd.CUT)
+
     def _read_abandoned(self) -> None:
+        self._abandoned = True
         self._conn.abandon(self._options.abandoned_body_s)
         self._conn.reusable = False
         try:
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -2,16 +2,19 @@
 
 import hashlib
 import random
+from types import SimpleNamespace as Recorder
 
 import gevent
 import msgspec
 import pytest
 import urllib3
+from gevent import socket
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
 from lacewingpond.config.model import Config, Key, Route, Service, Target, Workspace
 from lacewingpond.health.options import HealthOptions
+from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.reporter import HealthReporter
 from lacewingpond.http.options import HttpOptions
 from lacewingpond.http.server import CallerServer
@@ -90,7 +93,9 @@
             PlacementOptions(), "vm-1", "a", self.clock, rng, self.health, *told
         )
         self.queue = FairQueue.from_options(QueueOptions(), self.clock, *told)
-        client = TargetClient.from_options(ClientOptions(), self.clock, rng, self.log)
+        client = TargetClient.from_options(
+            ClientOptions(abandoned_body_s=0.5), self.clock, rng, self.log
+        )
         self.blamed = []
         client.on_silent = lambda target_id, count: self.blamed.append(target_id)
         self.quarantine = QuarantineService.from_options(
@@ -516,3 +521,34 @@
         server.stop(timeout=0)
     assert {stream.status for stream in held} == {200}
     assert (answer.status, answer.data) == (200, b"ok")
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_caller_that_leaves_a_stream_is_not_blamed_on_the_target(bench, method):
+    def serve(environ, start_response):
+        write = start_response("200 OK", [("Content-Type", "text/event-stream")])
+        # Only writing shows that the caller of a non-idempotent request has gone.
+        for _ in range(1 if method == "GET" else 8):
+            write(b"data: 1\n\n")
+            gevent.sleep(0.05)
+        gevent.sleep(60.0)
+        return [b"data: 2\n\n"]
+
+    server = WSGIServer(("127.0.0.1", 0), serve, log=None, error_log=None)
+    server.start()
+    target = Target("t0", f"127.0.0.1:{server.server_port}")
+    bench.configure((target,))
+    outcomes, crashes = [], []
+    dispatcher = bench.pipeline._dispatcher
+    dispatcher.health = Recorder(record=lambda *told: outcomes.append(told[2]))
+    dispatcher.quarantine = Recorder(
+        quarantined_s=lambda _: 0.0, note_crashed=lambda *told: crashes.append(told)
+    )
+    with socket.create_connection(("127.0.0.1", bench.server.port)) as sock:
+        head = f"{method} /pay HTTP/1.1\r\nHost: a\r\nX-Api-Key: {KEY}\r\n\r\n"
+        sock.sendall(head.encode())
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200")
+    while dispatcher.client.connections(target):
+        gevent.sleep(0.01)
+    server.stop(timeout=0)
+    assert (outcomes, crashes) == ([Outcome.OK], [])
