Blame no target for a request that the library won't send

Cause: urllib3 raises ValueError for a field whose value is its own mark for a field to leave out. That counted as a protocol error of the target, before any byte had left, and the request went on to the next target: one caller could have had every target of a service ejected. Before: the new test in tests/proxy got 502 protocol, and the target was blamed. After: 400 caller-head, not run, at the first target, with no blame. pytest tests/proxy tests/targets: green.

--- a/lacewingpond/proxy/attempt.py
+++ b/lacewingpond/proxy/attempt.py
@@ -18,6 +18,7 @@
     SendReason.SILENT_CONNECTION: Outcome.SILENT_CONNECTION,
     SendReason.CALLER_GONE: Outcome.CANCELLED,
     SendReason.CALLER_BODY: Outcome.CANCELLED,
+    SendReason.CALLER_HEAD: Outcome.CANCELLED,
     SendReason.BROKEN: Outcome.ERROR,
     SendReason.PROTOCOL: Outcome.ERROR,
 }
--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -36,6 +36,7 @@
     for reason in (
         SendReason.CALLER_GONE,
         SendReason.CALLER_BODY,
+        SendReason.CALLER_HEAD,
         SendReason.OWNERSHIP_LOST,
     )
 )
@@ -287,6 +288,6 @@
 def _status(error: SendError) -> int:
     if error.reason in (SendReason.DEADLINE, SendReason.SILENT_CONNECTION):
         return 504
-    if error.reason is SendReason.CALLER_BODY:
+    if error.reason in (SendReason.CALLER_BODY, SendReason.CALLER_HEAD):
         return 400
     return 503 if error.reason is SendReason.BUDGET else 502
--- a/lacewingpond/targets/client.py
+++ b/lacewingpond/targets/client.py
@@ -187,6 +187,9 @@
                 "silent-connections", target.target_id, "newer connections answer"
             )
         sent = conn.bytes_sent > 0
+        if isinstance(exc, ValueError) and not sent:
+            # The library refused the head; the target has seen nothing of it.
+            reason = SendReason.CALLER_HEAD
         failure = SendFailure.UNKNOWN if sent else SendFailure.NOT_SENT
         return SendError(failure, reason, str(exc), conn.reused)
 
--- a/lacewingpond/targets/errors.py
+++ b/lacewingpond/targets/errors.py
@@ -30,6 +30,8 @@
     CALLER_GONE = "caller-gone"
     CALLER_BODY = "caller-body"
     """The caller's body was cut, malformed or too slow."""
+    CALLER_HEAD = "caller-head"
+    """The head of the caller's request can't be sent."""
     BROKEN = "broken"
     """The connection was closed or reset before a whole answer had come."""
     PROTOCOL = "protocol"
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -552,3 +552,23 @@
         gevent.sleep(0.01)
     server.stop(timeout=0)
     assert (outcomes, crashes) == ([Outcome.OK], [])
+
+
+@pytest.mark.parametrize(
+    ("value", "status", "outcome"),
+    [
+        ("@@@SKIP_HEADER@@@", b"400", Outcome.CANCELLED),
+        ("caf\xe9\t\x80", b"200", Outcome.OK),
+        ("", b"200", Outcome.OK),
+    ],
+)
+def test_odd_header_value_blames_no_target(bench, value, status, outcome):
+    bench.start({})
+    outcomes = []
+    health = Recorder(record=lambda *told: outcomes.append(told[2]))
+    bench.pipeline._dispatcher.health = health
+    fields = f"Host: a\r\nX-Api-Key: {KEY}\r\nX-Note: {value}\r\n"
+    with socket.create_connection(("127.0.0.1", bench.server.port)) as sock:
+        sock.sendall(f"POST /pay HTTP/1.1\r\n{fields}\r\n".encode("latin-1"))
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 " + status)
+    assert outcomes == [outcome]
