Wait at a planned stop for keyed requests run for other VMs

Cause: a stop waited for the callers of its own VM only. The owner of a key also runs requests that came in at other VMs; it exited while targets worked on them, and their callers got owner-silent, unknown. After: none; stop() waits within its grace until each has ended and its end was told to the new owner, and counts what is left as cut. pytest tests/daemon tests/idempotency tests/proxy: green.

--- a/lacewingpond/daemon/daemon.py
+++ b/lacewingpond/daemon/daemon.py
@@ -10,6 +10,8 @@
 from lacewingpond.daemon.traffic import TrafficParts
 from lacewingpond.settings.model import Settings
 
+FINISH_POLL_S = 0.02
+
 
 class Daemon:
     """One entry daemon.
@@ -92,9 +94,11 @@
         self._around.clock.sleep(stop.balancer_notice_s)
         self.fleet.membership.announce_leaving()
         self.traffic.server.stop_accepting()
+        deadline = self._around.clock.now() + stop.grace_s
         hand_over = gevent.spawn(self.fleet.shards.hand_over_all, stop.grace_s)
         cut = self.traffic.server.drain(stop.grace_s)
         hand_over.join()
+        cut += self._finish_keyed(deadline)
         self.close()
         self._log("planned stop", "ended", cut=cut)
         return cut
@@ -105,5 +109,12 @@
         self.traffic.stop()
         self.fleet.stop()
 
+    def _finish_keyed(self, deadline: float) -> int:
+        """Wait for what runs here for callers of other VMs; return what is cut."""
+        clock, keyed = self._around.clock, self.traffic.keyed
+        while keyed.running and clock.now() < deadline:
+            clock.sleep(FINISH_POLL_S)
+        return keyed.running
+
     def _log(self, what: str, why: str, **fields: object) -> None:
         self._around.log.decision(what, self.vm_id, why, **fields)
--- a/lacewingpond/idempotency/service.py
+++ b/lacewingpond/idempotency/service.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import gevent
 import msgspec
@@ -151,6 +152,11 @@
         """Take the shard's claims over."""
         self._table.adopt(ownership, state)
 
+    @property
+    def running(self) -> int:
+        """Requests that run here or whose end the new owner has not been told."""
+        return len(self._running)
+
     @property
     def table(self) -> ClaimTable:
         """The claims that this VM keeps."""
@@ -210,13 +216,19 @@
             return self._may_send(ownership, claim)
 
         try:
-            result = self._runner.run(request, may_send)
-        except Exception as exc:
-            self._log.decision("idempotency", request.route, f"run failed: {exc!r}")
-            result = RunResult(RunState.UNKNOWN)
+            result = self._run_once(request, may_send)
+            self._finish(ownership.shard, claim, _reply_of(result))
         finally:
             self._running.discard(claim)
-        self._finish(ownership.shard, claim, _reply_of(result))
+
+    def _run_once(
+        self, request: KeyedRequest, may_send: Callable[[], bool]
+    ) -> RunResult:
+        try:
+            return self._runner.run(request, may_send)
+        except Exception as exc:
+            self._log.decision("idempotency", request.route, f"run failed: {exc!r}")
+            return RunResult(RunState.UNKNOWN)
 
     def _may_send(self, ownership: Ownership, claim: Claim) -> bool:
         # The new owner holds a handed-over claim as running and never runs it,
--- a/tests/daemon/test_daemon_fleet.py
+++ b/tests/daemon/test_daemon_fleet.py
@@ -16,6 +16,7 @@
 from lacewingpond.demo.fleet import LocalFleet
 from lacewingpond.load.plan import LoadPlan, RequestKind, WorkspaceLoad
 from lacewingpond.load.runner import LoadRunner
+from lacewingpond.standin.options import TargetOptions
 from lacewingpond.util.clock import RuntimeClock
 
 KEY = "a-key-of-chitra-ghar"
@@ -231,3 +232,19 @@
     tally = report.workspaces[0]
     assert (tally.errors, tally.refused_unknown, tally.refused_not_run) == (0, 0, 0)
     assert tally.answered == tally.sent
+
+
+def test_planned_stop_of_an_owner_ends_what_it_runs_for_other_vms(fleet):
+    for target in fleet.targets.values():
+        target.configure(TargetOptions(work_s=3.0))
+    pool = urllib3.PoolManager(retries=False, maxsize=10)
+    first = fleet.daemons["vm-1"].caller_address
+    calls = [gevent.spawn(keyed, first, pool, f"key-{n}") for n in range(8)]
+    gevent.sleep(0.3)
+    stopped = fleet.daemons.pop("vm-3")
+    assert stopped.traffic.keyed.running > 0
+    assert stopped.stop() == 0
+    assert stopped.traffic.keyed.running == 0
+    gevent.joinall(calls, raise_error=True)
+    assert {call.value.status for call in calls} == {200}
+    assert set(counts_by_key(fleet).values()) == {1}
