--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -36,6 +36,7 @@
     for reason in (
         SendReason.CALLER_GONE,
         SendReason.CALLER_BODY,
+        SendReason.CALLER_HEAD,
         SendReason.OWNERSHIP_LOST,
     )
 )
@@ -153,7 +154,7 @@
             slot.release(outcome, attempt.latency_s)
             if end is AnswerEnd.COMPLETE:
                 self._note_completed()
-            elif end is AnswerEnd.CUT:
+            elif response.cut_reason is SendReason.BROKEN:
                 self._note_crash(attempt)
 
         if _is_event_stream(response):
@@ -287,6 +288,6 @@
 def _status(error: SendError) -> int:
     if error.reason in (SendReason.DEADLINE, SendReason.SILENT_CONNECTION):
         return 504
-    if error.reason is SendReason.CALLER_BODY:
+    if error.reason in (SendReason.CALLER_BODY, SendReason.CALLER_HEAD):
         return 400
     return 503 if error.reason is SendReason.BUDGET else 502
