Name the queues' parts plainly

Cause: Line, its enlisting and several docstrings needed explaining. Change: Line is WorkspaceQueue; private methods say what they do; docstrings use the field's terms and state units.

--- a/lacewingpond/queues/fair_queue.py
+++ b/lacewingpond/queues/fair_queue.py
@@ -20,7 +20,7 @@
 
 
 class FairQueue:
-    """Lets requests through to services, fairly by workspace.
+    """Gives slots of services to requests, fairly by workspace.
 
     Parameters
     ----------
@@ -29,7 +29,7 @@
     clock : Clock
         Time source.
     log, metrics : DecisionLog, Metrics
-        Where refusals are told.
+        Take refusals.
     """
 
     __slots__ = (
@@ -61,7 +61,7 @@
         return cls(options, clock, log, metrics)
 
     def configure(self, cfg: Config) -> None:
-        """Take over the services of a revision; waiting requests stay in line."""
+        """Apply the services of a revision; waiting requests stay queued."""
         self._rates = {w.name: w.rate for w in cfg.workspaces if w.rate > 0.0}
         wanted = {service.name for service in cfg.services}
         for gone in [name for name in self._queues if name not in wanted]:
@@ -102,7 +102,7 @@
         if ticket.result is None:
             self._wait(queue, ticket)
         if ticket.result.is_err():
-            self._tell(service, workspace, ticket.result.err_value)
+            self._report(service, workspace, ticket.result.err_value)
         return ticket.result
 
     def waiting(self, service: str) -> int:
@@ -134,7 +134,7 @@
     def _close(self, queue: ServiceQueue) -> None:
         queue.refuse_all(QueueReason.UNKNOWN_SERVICE)
 
-    def _tell(self, service: str, workspace: str, refusal: QueueRefusal) -> None:
+    def _report(self, service: str, workspace: str, refusal: QueueRefusal) -> None:
         self._metrics.incr(f"queue.refused.{refusal.reason.value}")
         self._log.decision(
             "queue",
--- a/lacewingpond/queues/limit.py
+++ b/lacewingpond/queues/limit.py
@@ -1,15 +1,16 @@
-"""How many requests of a service one VM has in work at once."""
+"""Limit of the requests of one service that a VM has in flight."""
 
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.queues.options import QueueOptions
 
 USUAL_WEIGHT = 0.01
-"""Weight of one answer in the usual latency."""
+"""Weight of one answer in the moving average of the latency."""
 CONGESTED = frozenset({Outcome.SHED, Outcome.TIMEOUT})
+"""Outcomes that lower the limit."""
 
 
 class AdaptiveLimit:
-    """Additive increase while targets keep up, multiplicative decrease else.
+    """Additive increase while targets keep up, else multiplicative decrease.
 
     Source: Chiu and Jain, "Analysis of the increase and decrease algorithms for
     congestion avoidance in computer networks", Computer Networks and ISDN
@@ -42,7 +43,7 @@
     def settle(
         self, now: float, outcome: Outcome, latency_s: float, in_work: int
     ) -> None:
-        """Learn from one request.
+        """Adapt the limit to the result of one request.
 
         Parameters
         ----------
--- a/lacewingpond/queues/limit_base.py
+++ b/lacewingpond/queues/limit_base.py
@@ -21,5 +21,5 @@
     def settle(
         self, now: float, outcome: Outcome, latency_s: float, in_work: int
     ) -> None:
-        """Learn from one request that ended at `now` seconds."""
+        """Adapt to a request that ended at `now`; all times in seconds."""
         ...
--- a/lacewingpond/queues/refusal.py
+++ b/lacewingpond/queues/refusal.py
@@ -1,4 +1,4 @@
-"""Why a request got no slot; it has not been sent."""
+"""Refusal of a request that got no slot and was not sent."""
 
 from enum import Enum
 
--- a/lacewingpond/queues/service_queue.py
+++ b/lacewingpond/queues/service_queue.py
@@ -10,6 +10,7 @@
 from lacewingpond.util.clock import Clock
 
 MIN_RETRY_AFTER_S = 0.1
+"""Shortest time after which a refused request is told to retry."""
 
 
 class ServiceQueue:
@@ -64,7 +65,7 @@
         return self._in_work
 
     def offer(self, workspace: str, deadline: float) -> Ticket:
-        """Take in a request; its ticket is settled now or later."""
+        """Queue a request that must finish by `deadline`, in seconds of the clock."""
         now = self._clock.now()
         ticket = Ticket(workspace, deadline, now)
         if deadline <= now:
--- a/lacewingpond/queues/slot.py
+++ b/lacewingpond/queues/slot.py
@@ -25,7 +25,7 @@
         self._on_release: Callable[[Outcome, float], None] | None = on_release
 
     def release(self, outcome: Outcome, latency_s: float) -> None:
-        """Let the next request in; further calls do nothing."""
+        """Give the slot back; `latency_s` in seconds. Further calls do nothing."""
         if self._on_release is None:
             return
         on_release, self._on_release = self._on_release, None
--- a/lacewingpond/queues/ticket.py
+++ b/lacewingpond/queues/ticket.py
@@ -8,16 +8,16 @@
 
 
 class Ticket:
-    """A request that waits, and what came of its wait.
+    """A request that waits for a slot, and the result.
 
     Parameters
     ----------
     workspace : str
-        Whose request it is.
+        Workspace of the request.
     deadline : float
         When it must have finished, in seconds of the clock.
     arrived : float
-        When it came, in seconds of the clock.
+        When it arrived, in seconds of the clock.
     """
 
     __slots__ = ("workspace", "deadline", "arrived", "result", "_settled")
@@ -34,7 +34,7 @@
         self._settle(Ok(slot))
 
     def refuse(self, refusal: QueueRefusal) -> None:
-        """Turn the request away."""
+        """Refuse the request."""
         self._settle(Err(refusal))
 
     def wait(self) -> Result[Slot, QueueRefusal]:
--- a/lacewingpond/queues/line.py
+++ b/lacewingpond/queues/workspace_queue.py
@@ -5,15 +5,15 @@
 from lacewingpond.queues.ticket import Ticket
 
 
-class Line:
+class WorkspaceQueue:
     """Tickets of one workspace, earliest deadline first.
 
     Parameters
     ----------
     weight : float
-        Share of the service that the workspace gets beside others.
+        Weight of the workspace against the others, above 0.
     start : float
-        Virtual time at which its next ticket is due.
+        Virtual time, in turns of a workspace of weight 1, of its next ticket.
     """
 
     __slots__ = ("weight", "start", "tickets")
@@ -28,7 +28,7 @@
         bisect.insort(self.tickets, ticket, key=_deadline)
 
     def ahead_of(self, deadline: float) -> int:
-        """Return how many tickets have the same or an earlier deadline."""
+        """Return how many tickets have a deadline of at most `deadline` seconds."""
         return bisect.bisect_right(self.tickets, deadline, key=_deadline)
 
 
