Call the spreading of membership changes gossip

Cause: News, soft view, signs of life and chance are not the field's terms. Change: News is Gossip; docstrings say probe, acknowledgement, eventually consistent and random numbers, and state units.

--- a/lacewingpond/membership/base.py
+++ b/lacewingpond/membership/base.py
@@ -6,7 +6,7 @@
 
 
 class MembershipView(Protocol):
-    """A soft view of the fleet; it may be wrong at any time."""
+    """An eventually consistent view of the fleet; it may be wrong at any time."""
 
     def live(self) -> tuple[VmRecord, ...]:
         """Return the other VMs that are listed, not leaving and seem to answer."""
--- a/lacewingpond/membership/gossip.py
+++ b/lacewingpond/membership/gossip.py
@@ -9,10 +9,10 @@
 from lacewingpond.peers.base import PeerChannel
 from lacewingpond.util.clock import Clock
 
-RECORDS_PER_MESSAGE = 64
+MAX_RECORDS_PER_MESSAGE = 64
 
 
-class News:
+class Gossip:
     """Pushes records to a few contacts, which change slowly.
 
     Parameters
@@ -22,9 +22,9 @@
     groups : Groups
         Where contacts are drawn from.
     channel : PeerChannel
-        Carries the news.
+        Carries the records.
     clock, rng : Clock, random.Random
-        Time and chance of the rotation.
+        Time, and random choice of the contacts.
     """
 
     __slots__ = (
@@ -60,8 +60,8 @@
         contacts = [vm_id for vm_id in self.contacts() if vm_id != heard_from]
         count = min(self._options.fanout, len(contacts))
         receivers = self._rng.sample(contacts, count)
-        for start in range(0, len(records), RECORDS_PER_MESSAGE):
-            part = tuple(records[start : start + RECORDS_PER_MESSAGE])
+        for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
+            part = tuple(records[start : start + MAX_RECORDS_PER_MESSAGE])
             for vm_id in receivers:
                 self._channel.send(vm_id, MemberNews(part))
 
--- a/lacewingpond/membership/listing.py
+++ b/lacewingpond/membership/listing.py
@@ -11,7 +11,7 @@
 from lacewingpond.util.clock import Clock
 
 LISTED_BYTES = 80
-"""Length of one VM in the platform's list."""
+"""Size of one VM in the platform's list, in bytes."""
 
 
 class Listing:
@@ -69,12 +69,12 @@
         """Return the age of the newest list that was taken in whole, in seconds."""
         return self._clock.now() - self._known_at
 
-    def relayed(self, age_s: float) -> None:
-        """Note that a whole list of that age was taken in from another VM."""
+    def note_relayed(self, age_s: float) -> None:
+        """Record that a whole list, `age_s` seconds old, came from another VM."""
         self._known_at = max(self._known_at, self._clock.now() - age_s)
 
     def interval_s(self) -> float:
-        """Return the time between two reads of one reader, by the list's length."""
+        """Return the seconds between two reads of one reader, by the list's length."""
         size = len(self._table) * LISTED_BYTES
         by_size_s = size / self._options.list_bytes_per_s
         return max(self._options.list_interval_s, by_size_s)
--- a/lacewingpond/membership/membership.py
+++ b/lacewingpond/membership/membership.py
@@ -1,4 +1,4 @@
-"""The soft view of the fleet: the platform's list, probes and news."""
+"""The view of the fleet from the platform's list, probes and gossip."""
 
 import random
 from collections.abc import Callable
@@ -6,6 +6,7 @@
 import gevent
 from result import Ok
 
+from lacewingpond.membership.gossip import Gossip
 from lacewingpond.membership.groups import Groups
 from lacewingpond.membership.listing import Listing
 from lacewingpond.membership.messages import (
@@ -14,7 +15,6 @@
     MemberProbeAck,
     MemberPull,
 )
-from lacewingpond.membership.news import News
 from lacewingpond.membership.options import MembershipOptions
 from lacewingpond.membership.prober import Prober
 from lacewingpond.membership.record import MemberRecord, MemberStatus
@@ -44,7 +44,7 @@
         "_groups",
         "_listing",
         "_prober",
-        "_news",
+        "_gossip",
         "_leaving",
         "_refuted_leaving",
         "_greenlets",
@@ -78,7 +78,7 @@
         )
         self._listing = Listing(options, vm_list, self._table, clock, rng)
         self._prober = Prober(options, self._table, self._groups, channel, clock, rng)
-        self._news = News(options, self._groups, channel, clock, rng)
+        self._gossip = Gossip(options, self._groups, channel, clock, rng)
         self._leaving = False
         self._refuted_leaving = False
         self._greenlets: list[gevent.Greenlet] = []
@@ -109,9 +109,9 @@
         vm_list : VmList
             The platform's list.
         channel : PeerChannel
-            Carries probes and news.
+            Carries probes and gossip.
         clock, rng : Clock, random.Random
-            Time and chance.
+            Time and random numbers.
         log, metrics : DecisionLog, Metrics
             Take changes of the fleet and counters.
         """
@@ -146,7 +146,7 @@
         return not gone and self._prober.is_reachable(vm_id)
 
     def note_call(self, vm_id: str, answered: bool) -> None:
-        """Take in how a call of another part to `vm_id` went."""
+        """Record whether `vm_id` answered a call of another part."""
         self._prober.note(vm_id, answered)
 
     def address(self, vm_id: str) -> str | None:
@@ -202,7 +202,7 @@
         if not isinstance(result, Ok):
             self._metrics.incr("membership.list_read_failed")
             return
-        self._told(result.ok_value, "listed", None)
+        self._publish(result.ok_value, "listed", None)
         self._table.forget_gone(self._clock.now() - self._options.tombstone_s)
         self._metrics.gauge("membership.known", len(self._table))
 
@@ -221,7 +221,7 @@
         if self._vm.vm_id in readers:
             readers = self._groups.all_readers()
         readers = [vm_id for vm_id in readers if vm_id != self._vm.vm_id]
-        candidates = readers or self._news.contacts()
+        candidates = readers or self._gossip.contacts()
         if not candidates:
             return
         vm_id = self._rng.choice(candidates)
@@ -233,7 +233,7 @@
             return
         self._merge(result.ok_value.records, "pulled")
         if result.ok_value.list_age_s is not None:
-            self._listing.relayed(result.ok_value.list_age_s)
+            self._listing.note_relayed(result.ok_value.list_age_s)
 
     def _repeat(self, step: Callable[[], None], interval_s: float) -> None:
         while True:
@@ -252,7 +252,7 @@
     def _on_news(self, sender: str, message: MemberNews) -> None:
         self._prober.note(sender, True)
         changed = self._merge(message.records, "told")
-        self._news.push(changed, sender)
+        self._gossip.push(changed, sender)
 
     def _on_pull(self, sender: str, message: MemberPull) -> MemberNews:
         self._prober.note(sender, True)
@@ -271,14 +271,14 @@
     def _change(self, records: list[MemberRecord], why: str) -> None:
         now = self._clock.now()
         changed = [record for record in records if self._table.merge(record, now)]
-        self._told(changed, why, None)
+        self._publish(changed, why, None)
 
-    def _told(
+    def _publish(
         self, changed: list[MemberRecord], why: str, heard_from: str | None
     ) -> None:
         for record in changed:
             self._log_change(record, why)
-        self._news.push(changed, heard_from)
+        self._gossip.push(changed, heard_from)
         self._refute()
 
     def _refute(self) -> None:
--- a/lacewingpond/membership/messages.py
+++ b/lacewingpond/membership/messages.py
@@ -5,14 +5,14 @@
 
 
 class MemberProbe(Message):
-    """Asks for a sign of life and tells the receiver what is believed of it."""
+    """Probes the receiver and tells it what the sender believes of it."""
 
     status: MemberStatus = MemberStatus.LIVE
     version: int = 0
 
 
 class MemberProbeAck(Message):
-    """A sign of life."""
+    """Acknowledges a probe."""
 
 
 class MemberProbeFor(Message):
--- a/lacewingpond/membership/prober.py
+++ b/lacewingpond/membership/prober.py
@@ -30,7 +30,7 @@
     channel : PeerChannel
         Carries the probes.
     clock, rng : Clock, random.Random
-        Time, and choice of the helpers.
+        Time, and random choice of the helpers.
     """
 
     __slots__ = (
@@ -89,7 +89,7 @@
         return until is None or self._clock.now() >= until
 
     def note(self, vm_id: str, answered: bool) -> None:
-        """Take in how a call to `vm_id` went."""
+        """Record whether `vm_id` answered a call."""
         now = self._clock.now()
         if answered:
             self.last_heard = now
--- a/lacewingpond/membership/table.py
+++ b/lacewingpond/membership/table.py
@@ -7,6 +7,7 @@
 from lacewingpond.membership.record import MemberRecord, MemberStatus
 
 BUCKETS = 64
+"""Groups of records that are compared by one hash each."""
 HASH_BYTES = 4
 HASH_MASK = (1 << 8 * HASH_BYTES) - 1
 
@@ -63,7 +64,7 @@
         return True
 
     def forget_gone(self, before: float) -> None:
-        """Drop the VMs that went before a time."""
+        """Drop the VMs that were gone before a monotonic time in seconds."""
         for vm_id, gone_at in list(self._gone_at.items()):
             if gone_at >= before:
                 break
