Name the shards' parts plainly and state their units

Cause: ShardBook, home, strays and trust that is won back are no terms of the field, and several times had no unit. Change: ShardBook is LocalShards; home is preferred_owner; docstrings and constants state what they hold and their units.

--- a/lacewingpond/bench/shards.py
+++ b/lacewingpond/bench/shards.py
@@ -11,7 +11,7 @@
 from lacewingpond.shards.messages import ShardNews
 from lacewingpond.shards.move import Move
 from lacewingpond.shards.options import ShardOptions
-from lacewingpond.shards.placement import home
+from lacewingpond.shards.placement import preferred_owner
 from lacewingpond.shards.process import ProcessId
 from lacewingpond.shards.table import ShardTable
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
@@ -123,7 +123,7 @@
     ids = [_vm(number) for number in range(VMS_OF_REGION)]
     held = dict.fromkeys(ids, 0)
     for shard in range(shards):
-        held[home(shard, ids)] += 1
+        held[preferred_owner(shard, ids)] += 1
     return float(max(held.values()))
 
 
--- a/lacewingpond/replay/lease_shards.py
+++ b/lacewingpond/replay/lease_shards.py
@@ -12,7 +12,7 @@
 from lacewingpond.shards.base import Ownership, ShardPart
 from lacewingpond.shards.handover import HandOverReport
 from lacewingpond.shards.move import Move
-from lacewingpond.shards.placement import home
+from lacewingpond.shards.placement import preferred_owner
 from lacewingpond.shards.process import ProcessId
 from lacewingpond.shards.table import ShardTable
 from lacewingpond.shards.table_store import TableStore
@@ -163,7 +163,7 @@
             lapsed = row is None or row.vm_id not in live
             mine = row is not None and row.vm_id == self._me.vm_id
             stale = mine and row.owner != self._me
-            if stale or (lapsed and home(shard, live) == self._me.vm_id):
+            if stale or (lapsed and preferred_owner(shard, live) == self._me.vm_id):
                 moves.append(Move(shard, self._table.epoch(shard), self._me, False))
         return moves
 
--- a/lacewingpond/shards/absences.py
+++ b/lacewingpond/shards/absences.py
@@ -6,7 +6,15 @@
 
 
 class Absence(Struct, frozen=True):
-    """When an owner was first missing, and which of its rows was the newest."""
+    """When an owner was first missing, and which of its rows was the newest.
+
+    Parameters
+    ----------
+    since : float
+        Monotonic time in seconds.
+    row_version : int
+        Table version of the owner's newest row.
+    """
 
     since: float
     row_version: int
@@ -33,7 +41,7 @@
     def observe(
         self, listed: frozenset[str], owners: Mapping[str, int], read_at: float
     ) -> list[str]:
-        """Take in one read of the list.
+        """Record one read of the list.
 
         Parameters
         ----------
@@ -42,7 +50,7 @@
         owners : mapping of str to int
             Newest row version of each VM that owns shards.
         read_at : float
-            When the read began.
+            When the read began, in monotonic seconds.
 
         Returns
         -------
--- a/lacewingpond/shards/claimer.py
+++ b/lacewingpond/shards/claimer.py
@@ -6,8 +6,8 @@
 
 from lacewingpond.peers.base import PeerChannel
 from lacewingpond.shards.absences import Absences
-from lacewingpond.shards.book import ShardBook
 from lacewingpond.shards.fleet import FleetView
+from lacewingpond.shards.local_shards import LocalShards
 from lacewingpond.shards.messages import (
     ShardOffer,
     ShardOfferAnswer,
@@ -33,7 +33,7 @@
     ----------
     options : ShardOptions
         Waits.
-    book, trust, tables, spread : ShardBook, Trust, TableStore, TableSpread
+    local, trust, tables, spread : LocalShards, Trust, TableStore, TableSpread
         The pieces of the shard manager.
     fleet : FleetView
         Live VMs.
@@ -45,7 +45,7 @@
 
     __slots__ = (
         "_options",
-        "_book",
+        "_local",
         "_trust",
         "_tables",
         "_spread",
@@ -62,7 +62,7 @@
     def __init__(
         self,
         options: ShardOptions,
-        book: ShardBook,
+        local: LocalShards,
         trust: Trust,
         tables: TableStore,
         spread: TableSpread,
@@ -72,7 +72,7 @@
         log: DecisionLog,
     ) -> None:
         self._options = options
-        self._book = book
+        self._local = local
         self._trust = trust
         self._tables = tables
         self._spread = spread
@@ -105,14 +105,14 @@
         now = self._clock.now()
         if now - self._started_at < self._options.settle_s:
             return []
-        return self._book.table.free(self._options.shard_count)
+        return self._local.table.free(self._options.shard_count)
 
     def _missing_owners(self) -> dict[str, int]:
         """Return the owners that seem to be gone and their newest row versions."""
         missing: dict[str, int] = {}
-        for owner, rows in self._book.table.by_owner().items():
+        for owner, rows in self._local.table.by_owner().items():
             vm_id = owner.vm_id
-            if vm_id == self._book.me.vm_id or self._fleet.is_listed(vm_id):
+            if vm_id == self._local.me.vm_id or self._fleet.is_listed(vm_id):
                 continue
             newest = max(row.version for row in rows)
             missing[vm_id] = max(missing.get(vm_id, 0), newest)
@@ -123,7 +123,7 @@
         if self._wanted_since is None:
             self._wanted_since = now
         others = self._fleet.live_ids()
-        rank = claimer_rank(self._book.me.vm_id, others, self._options.region)
+        rank = claimer_rank(self._local.me.vm_id, others, self._options.region)
         if rank >= self._options.claimers:
             return False
         return now - self._wanted_since >= rank * self._options.claimer_stagger_s
@@ -147,7 +147,7 @@
         return not (isinstance(answer, ShardTakeoverAnswer) and answer.listed)
 
     def _claim(self, gone: list[str]) -> None:
-        fresh = self._book.read_fresh()
+        fresh = self._local.read_fresh()
         if not isinstance(fresh, Ok):
             # Gives VMs that hold states time to write once the store is back.
             self._absences.clear()
@@ -160,8 +160,8 @@
         written = self._tables.write(stored, moves)
         if not isinstance(written, Ok):
             return
-        before = self._book.table.version
-        self._book.learn(written.ok_value)
+        before = self._local.table.version
+        self._local.learn(written.ok_value)
         self._spread.push(before, {move.taker.vm_id for move in moves})
         for move in moves:
             self._log.decision(
@@ -178,9 +178,9 @@
             for row in table.rows.values()
             if row.vm_id in gone
         ]
-        offers = Offers(self._book.me, self._channel, self._options.call_timeout_s)
-        ids = {self._book.me.vm_id, *self._reachable()}
-        moves = [offers.move(shard, ids, self._book.notes.whole()) for shard in wanted]
+        offers = Offers(self._local.me, self._channel, self._options.call_timeout_s)
+        ids = {self._local.me.vm_id, *self._reachable()}
+        moves = [offers.move(shard, ids, self._local.notes.whole()) for shard in wanted]
         return table.fitting(moves)
 
     def _reachable(self) -> Iterable[str]:
@@ -196,18 +196,18 @@
         if not isinstance(found, Ok):
             return
         stored = found.ok_value
-        if stored.table.version >= self._book.table.version:
+        if stored.table.version >= self._local.table.version:
             return
-        table = self._book.table.moved([], self._clock.wall())
+        table = self._local.table.moved([], self._clock.wall())
         written = self._tables.put(table, stored.revision, [])
         if isinstance(written, Ok):
-            self._book.learn(table)
+            self._local.learn(table)
             self._log.decision("shard-table-restored", "store", "it came back older")
 
     def _on_offer(self, sender: str, message: ShardOffer) -> ShardOfferAnswer:
-        accepted = self._trust.holds() and not self._book.stopping
-        held = self._book.notes.whole()
-        return ShardOfferAnswer(accepted, self._book.me.incarnation, held)
+        accepted = self._trust.holds() and not self._local.stopping
+        held = self._local.notes.whole()
+        return ShardOfferAnswer(accepted, self._local.me.incarnation, held)
 
     def _on_notice(
         self, sender: str, message: ShardTakeoverNotice
--- a/lacewingpond/shards/fleet.py
+++ b/lacewingpond/shards/fleet.py
@@ -4,7 +4,7 @@
 
 
 class FleetView(Protocol):
-    """A soft view of the VMs of this region."""
+    """An eventually consistent view of the VMs of this region."""
 
     def live_ids(self) -> list[str]:
         """Return the ids of the other live VMs."""
--- a/lacewingpond/shards/handover.py
+++ b/lacewingpond/shards/handover.py
@@ -6,8 +6,8 @@
 from result import Ok
 
 from lacewingpond.peers.base import PeerChannel
-from lacewingpond.shards.book import ShardBook
 from lacewingpond.shards.fleet import FleetView
+from lacewingpond.shards.local_shards import LocalShards
 from lacewingpond.shards.messages import ShardNote, ShardNotes, ShardNotesAck
 from lacewingpond.shards.move import Move
 from lacewingpond.shards.notes import HeldNote, encode_states
@@ -23,9 +23,11 @@
 from lacewingpond.util.clock import Clock
 
 TAKERS_ASKED = 16
-"""Enough to find one that stays when a whole failure domain stops at once."""
+"""Most VMs asked; finds one that stays when a failure domain stops at once."""
 WRITE_ATTEMPTS = 5
+"""Most writes of the table for one hand-over."""
 STOP_WRITE_ATTEMPTS = 20
+"""Most writes of the table while the process stops."""
 CONFLICT_PAUSE_S = 0.02
 """Longest pause after the first conflict; it grows with each further one."""
 
@@ -59,7 +61,7 @@
     ----------
     options : ShardOptions
         Bounds and waits.
-    book, trust, tables, spread : ShardBook, Trust, TableStore, TableSpread
+    local, trust, tables, spread : LocalShards, Trust, TableStore, TableSpread
         The pieces of the shard manager.
     fleet : FleetView
         Live VMs.
@@ -71,7 +73,7 @@
 
     __slots__ = (
         "_options",
-        "_book",
+        "_local",
         "_trust",
         "_tables",
         "_spread",
@@ -86,7 +88,7 @@
     def __init__(
         self,
         options: ShardOptions,
-        book: ShardBook,
+        local: LocalShards,
         trust: Trust,
         tables: TableStore,
         spread: TableSpread,
@@ -97,7 +99,7 @@
         log: DecisionLog,
     ) -> None:
         self._options = options
-        self._book = book
+        self._local = local
         self._trust = trust
         self._tables = tables
         self._spread = spread
@@ -111,26 +113,26 @@
 
     def is_store_away(self) -> bool:
         """Read the table; return whether that failed."""
-        fresh = self._book.read_fresh()
+        fresh = self._local.read_fresh()
         self._last_read = fresh.ok()
         return self._last_read is None
 
-    def run(self, shards: list[int], home_only: bool = False) -> HandOverReport:
+    def run(self, shards: list[int], preferred_only: bool = False) -> HandOverReport:
         """Release `shards`, send their states and write the table.
 
         Parameters
         ----------
         shards : list of int
             Shards that this process acts for.
-        home_only : bool
-            Ask only the VM where a shard belongs.
+        preferred_only : bool
+            Ask only the preferred owner of a shard.
         """
         ids = [v for v in self._fleet.live_ids() if self._fleet.is_reachable(v)]
-        asked = 1 if home_only else TAKERS_ASKED
+        asked = 1 if preferred_only else TAKERS_ASKED
         released = [
             self._release(shard, takers(shard, ids, asked))
             for shard in shards
-            if shard in self._book.acting and self._trust.holds()
+            if shard in self._local.acting and self._trust.holds()
         ]
         moves = self._send_all(released)
         moved = self._write(moves)
@@ -140,12 +142,12 @@
     def resolve(self) -> None:
         """Write this process into the table for states that wait too long."""
         now = self._clock.now()
-        waiting = self._book.notes.waiting(now, self._options.note_patience_s)
+        waiting = self._local.notes.waiting(now, self._options.note_patience_s)
         if not waiting:
             return
         for note in waiting:
             note.retry_at = now
-        fresh = self._book.read_fresh()
+        fresh = self._local.read_fresh()
         if not isinstance(fresh, Ok):
             return
         stored = fresh.ok_value
@@ -154,22 +156,22 @@
             return
         written = self._tables.write(stored, moves)
         if isinstance(written, Ok):
-            before = self._book.table.version
-            self._book.learn(written.ok_value)
+            before = self._local.table.version
+            self._local.learn(written.ok_value)
             self._spread.push(before)
 
     def _own_move(self, note: HeldNote) -> Move | None:
-        row = self._book.table.rows.get(note.shard)
+        row = self._local.table.rows.get(note.shard)
         if row is not None and row.epoch == note.epoch and row.vm_id == note.sender:
-            return Move(note.shard, note.epoch, self._book.me, True)
-        adopted_later = row is not None and row.owner == self._book.me
+            return Move(note.shard, note.epoch, self._local.me, True)
+        adopted_later = row is not None and row.owner == self._local.me
         if not adopted_later:
-            self._book.notes.drop(note.shard)
+            self._local.notes.drop(note.shard)
         return None
 
     def _release(self, shard: int, vm_ids: list[str]) -> ReleasedShard:
-        epoch = self._book.acting[shard].epoch
-        data = encode_states(self._book.release(shard))
+        epoch = self._local.acting[shard].epoch
+        data = encode_states(self._local.release(shard))
         return ReleasedShard(shard, epoch, data, tuple(vm_ids))
 
     def _send_all(self, released: list[ReleasedShard]) -> list[Move]:
@@ -195,15 +197,15 @@
     def _untaken(self, items: list[ReleasedShard]) -> list[Move]:
         for item in items:
             self._log.decision("shard-left", str(item.shard), "no VM takes it")
-        if self._book.stopping:
+        if self._local.stopping:
             return []
         return [self._keep(item) for item in items]
 
     def _keep(self, item: ReleasedShard) -> Move:
         """Hand a released shard over to this process itself, in a new epoch."""
-        me = self._book.me
+        me = self._local.me
         note = ShardNote(item.shard, item.epoch, 0, 1, item.data)
-        self._book.notes.add(me.vm_id, note, self._clock.now())
+        self._local.notes.add(me.vm_id, note, self._clock.now())
         return Move(item.shard, item.epoch, me, True)
 
     def _send_to(self, vm_id: str, items: list[ReleasedShard]) -> ProcessId | None:
@@ -222,14 +224,14 @@
         return taker
 
     def _write(self, moves: list[Move]) -> int:
-        stopping = self._book.stopping
+        stopping = self._local.stopping
         for attempt in range(STOP_WRITE_ATTEMPTS if stopping else WRITE_ATTEMPTS):
             if stopping and attempt:
                 longest_s = attempt * CONFLICT_PAUSE_S
                 self._clock.sleep(self._rng.uniform(0.0, longest_s))
             # What was read before the release will do; the write tells if not.
             stored, self._last_read = self._last_read, None
-            stored = stored or self._book.read_fresh().ok()
+            stored = stored or self._local.read_fresh().ok()
             if stored is None:
                 return 0
             fitting = stored.table.fitting(moves)
@@ -238,7 +240,7 @@
             written = self._tables.write(stored, fitting)
             if isinstance(written, Ok):
                 before = stored.table.version
-                self._book.learn(written.ok_value)
+                self._local.learn(written.ok_value)
                 self._spread.push(before, {move.taker.vm_id for move in fitting})
                 return len(fitting)
             if written.err_value.failure is StoreFailure.UNAVAILABLE:
@@ -246,8 +248,8 @@
         return 0
 
     def _on_notes(self, sender: str, message: ShardNotes) -> ShardNotesAck:
-        accepted = not self._book.stopping and self._trust.holds()
+        accepted = not self._local.stopping and self._trust.holds()
         now = self._clock.now()
         for note in message.notes:
-            accepted = accepted and self._book.notes.add(sender, note, now)
-        return ShardNotesAck(accepted, self._book.me.incarnation)
+            accepted = accepted and self._local.notes.add(sender, note, now)
+        return ShardNotesAck(accepted, self._local.me.incarnation)
--- a/lacewingpond/shards/book.py
+++ b/lacewingpond/shards/local_shards.py
@@ -14,8 +14,8 @@
 from lacewingpond.util.clock import Clock
 
 
-class ShardBook:
-    """State that the pieces of the shard manager share.
+class LocalShards:
+    """Table and acted-for shards, shared by the parts of the shard manager.
 
     Parameters
     ----------
--- a/lacewingpond/shards/manager.py
+++ b/lacewingpond/shards/manager.py
@@ -8,10 +8,10 @@
 
 from lacewingpond.peers.base import PeerChannel
 from lacewingpond.shards.base import Ownership, ShardPart
-from lacewingpond.shards.book import ShardBook
 from lacewingpond.shards.claimer import Claimer
 from lacewingpond.shards.fleet import FleetView
 from lacewingpond.shards.handover import HandOver, HandOverReport
+from lacewingpond.shards.local_shards import LocalShards
 from lacewingpond.shards.move import Move
 from lacewingpond.shards.options import ShardOptions
 from lacewingpond.shards.process import ProcessId
@@ -35,7 +35,7 @@
 
     __slots__ = (
         "_options",
-        "_book",
+        "_local",
         "_trust",
         "_claimer",
         "_hand_over",
@@ -72,20 +72,20 @@
         self._log = log
         self._metrics = metrics
         self._tables = TableStore(store, options.region, clock)
-        self._book = ShardBook(options, process, self._tables, clock, log)
+        self._local = LocalShards(options, process, self._tables, clock, log)
         self._trust = Trust(
-            options, self._book, fleet, vm_list, self._tables, clock, rng, log
+            options, self._local, fleet, vm_list, self._tables, clock, rng, log
         )
         self._spread = TableSpread(
-            options, self._book, self._trust, fleet, channel, rng
+            options, self._local, self._trust, fleet, channel, rng
         )
-        pieces = (self._book, self._trust, self._tables, self._spread)
+        pieces = (self._local, self._trust, self._tables, self._spread)
         self._claimer = Claimer(options, *pieces, fleet, channel, clock, log)
         self._hand_over = HandOver(options, *pieces, fleet, channel, clock, rng, log)
         self._started_at = clock.now()
         self._refresh_at = clock.now()
         self._rebalancer = Rebalancer(
-            options, self._book, self._hand_over, fleet, clock, rng
+            options, self._local, self._hand_over, fleet, clock, rng
         )
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -118,7 +118,7 @@
         channel : PeerChannel
             Carries states and tables.
         clock, rng : Clock, random.Random
-            Time and chance.
+            Time and random numbers.
         log, metrics : DecisionLog, Metrics
             Take decisions and counters.
         """
@@ -144,27 +144,27 @@
     @property
     def knows_table(self) -> bool:
         """Whether this process has learned who owns the shards."""
-        return bool(self._book.table.rows)
+        return bool(self._local.table.rows)
 
     def owner(self, shard: int) -> Ownership | None:
         """Return the last known owner, or None."""
-        row = self._book.table.rows.get(shard)
+        row = self._local.table.rows.get(shard)
         return None if row is None else row.to_ownership()
 
     def owned(self, shard: int) -> Ownership | None:
         """Return the ownership if this process may act as the owner now."""
-        ownership = self._book.acting.get(shard)
+        ownership = self._local.acting.get(shard)
         if ownership is None or not self._trust.holds():
             return None
         return ownership
 
     def owned_shards(self) -> tuple[int, ...]:
         """Return all shards for which this process may act now."""
-        return tuple(self._book.acting) if self._trust.holds() else ()
+        return tuple(self._local.acting) if self._trust.holds() else ()
 
     def add_part(self, part: ShardPart) -> None:
         """Let `part` keep state for the owned shards; before `start`."""
-        self._book.add_part(part)
+        self._local.add_part(part)
 
     def start(self) -> None:
         """Begin to work in the background."""
@@ -186,8 +186,8 @@
             self._work()
         self._refresh()
         if self._trust.holds():
-            self._book.adopt()
-        self._metrics.gauge("shards.owned", len(self._book.acting))
+            self._local.adopt()
+        self._metrics.gauge("shards.owned", len(self._local.acting))
 
     def hand_over_all(self, grace_s: float) -> HandOverReport:
         """Hand all shards over at a planned stop.
@@ -201,7 +201,7 @@
         grace_s : float
             Time until the process exits, in seconds.
         """
-        self._book.stopping = True
+        self._local.stopping = True
         last_try = self._clock.now() + grace_s - self._options.stop_margin_s
         while self._clock.now() < last_try and self._hand_over.is_store_away():
             self._clock.sleep(self._options.stop_retry_s)
@@ -210,11 +210,11 @@
     def _hand_over_now(self) -> HandOverReport:
         if not self._trust.holds():
             # Another process may own the shards by now; their state is of no use.
-            return HandOverReport(0, 0, len(self._book.acting))
-        report = self._hand_over.run(sorted(self._book.acting))
+            return HandOverReport(0, 0, len(self._local.acting))
+        report = self._hand_over.run(sorted(self._local.acting))
         self._log.decision(
             "shards-handed-over",
-            self._book.me.vm_id,
+            self._local.me.vm_id,
             "planned stop",
             moved=report.moved,
             sent=report.sent,
@@ -223,12 +223,12 @@
         return report
 
     def _work(self) -> None:
-        if self._book.stopping:
+        if self._local.stopping:
             return
         self._reclaim()
         self._claimer.step()
         self._hand_over.resolve()
-        self._book.adopt()
+        self._local.adopt()
         self._rebalancer.step()
 
     def _reclaim(self) -> None:
@@ -238,22 +238,22 @@
             return
         if not self._earlier_rows():
             return
-        fresh = self._book.read_fresh()
+        fresh = self._local.read_fresh()
         if not isinstance(fresh, Ok):
             return
-        me = self._book.me
+        me = self._local.me
         moves = [Move(row.shard, row.epoch, me, False) for row in self._earlier_rows()]
         written = self._tables.write(fresh.ok_value, moves)
         if isinstance(written, Ok):
-            before = self._book.table.version
-            self._book.learn(written.ok_value)
+            before = self._local.table.version
+            self._local.learn(written.ok_value)
             self._spread.push(before)
 
     def _earlier_rows(self) -> list[ShardRow]:
-        me = self._book.me
+        me = self._local.me
         return [
             row
-            for owner, rows in self._book.table.by_owner().items()
+            for owner, rows in self._local.table.by_owner().items()
             if owner.vm_id == me.vm_id and owner != me
             for row in rows
         ]
@@ -265,11 +265,11 @@
         reads = self._fleet.is_reader()
         interval_s = self._options.refresh_s if reads else self._options.pull_s
         self._refresh_at = now + interval_s * self._rng.uniform(0.8, 1.2)
-        before = self._book.table.version
+        before = self._local.table.version
         # While the store is away the other VMs still know the table.
-        if not reads or not isinstance(self._book.read_fresh(), Ok):
+        if not reads or not isinstance(self._local.read_fresh(), Ok):
             self._spread.pull()
-        elif self._book.table.version > before:
+        elif self._local.table.version > before:
             self._spread.push(before)
 
     def _repeat(self, step: Callable[[], None], interval_s: float) -> None:
@@ -278,5 +278,5 @@
                 step()
             except Exception as exc:  # noqa: BLE001
                 why = f"{type(exc).__name__}: {exc}"
-                self._log.decision("shards-step-failed", self._book.me.vm_id, why)
+                self._log.decision("shards-step-failed", self._local.me.vm_id, why)
             self._clock.sleep(interval_s * self._rng.uniform(0.8, 1.2))
--- a/lacewingpond/shards/notes.py
+++ b/lacewingpond/shards/notes.py
@@ -70,7 +70,7 @@
     max_chunks : int
         Pieces of one state.
     life_s : float
-        How long a note is held.
+        How long a note is held, in seconds.
     """
 
     __slots__ = ("_max_bytes", "_max_chunks", "_life_s", "_notes")
@@ -119,7 +119,7 @@
         self._notes.pop(shard, None)
 
     def waiting(self, now: float, patience_s: float) -> list[HeldNote]:
-        """Return whole notes that wait for the table too long."""
+        """Return whole notes that wait for the table for `patience_s` or more."""
         for note in list(self._notes.values()):
             if now - note.received_at > self._life_s:
                 del self._notes[note.shard]
--- a/lacewingpond/shards/offers.py
+++ b/lacewingpond/shards/offers.py
@@ -12,6 +12,7 @@
 from lacewingpond.shards.process import ProcessId
 
 TAKERS_ASKED = 3
+"""Most VMs that are asked to take one shard."""
 
 
 class FreeShard(Struct, frozen=True):
@@ -40,7 +41,7 @@
     channel : PeerChannel
         Carries the offers.
     timeout_s : float
-        Longest wait for an answer.
+        Longest wait for an answer, in seconds.
     """
 
     __slots__ = ("_me", "_channel", "_timeout_s", "_answers")
--- a/lacewingpond/shards/options.py
+++ b/lacewingpond/shards/options.py
@@ -34,7 +34,7 @@
     claimers : int
         VMs that may give out free shards.
     claimer_stagger_s : float
-        Head start of each of them over the next.
+        Time by which each of them starts before the next.
     fanout : int
         VMs to which a changed table is pushed on.
     call_timeout_s : float
--- a/lacewingpond/shards/pauses.py
+++ b/lacewingpond/shards/pauses.py
@@ -1,4 +1,4 @@
-"""Detects that this process stood still."""
+"""Detects that this process was paused."""
 
 from lacewingpond.util.clock import Clock
 
--- a/lacewingpond/shards/placement.py
+++ b/lacewingpond/shards/placement.py
@@ -1,11 +1,11 @@
-"""Where shards belong: rendezvous hashing over the live VMs of the region."""
+"""Preferred owners of shards: rendezvous hashing over the region's live VMs."""
 
 from collections.abc import Iterable
 
 from lacewingpond.util.rendezvous import ranked, score
 
 
-def home(shard: int, vm_ids: Iterable[str]) -> str | None:
+def preferred_owner(shard: int, vm_ids: Iterable[str]) -> str | None:
     """Return the VM that should own `shard`, or None without any VM."""
     name = _name(shard)
     return max(vm_ids, key=lambda vm_id: (score(name, vm_id), vm_id), default=None)
--- a/lacewingpond/shards/rebalancer.py
+++ b/lacewingpond/shards/rebalancer.py
@@ -1,12 +1,12 @@
-"""Moves shards, a few at a time, to the VMs where they belong."""
+"""Moves shards, a few at a time, to their preferred owners."""
 
 import random
 
-from lacewingpond.shards.book import ShardBook
 from lacewingpond.shards.fleet import FleetView
 from lacewingpond.shards.handover import HandOver
+from lacewingpond.shards.local_shards import LocalShards
 from lacewingpond.shards.options import ShardOptions
-from lacewingpond.shards.placement import home
+from lacewingpond.shards.placement import preferred_owner
 from lacewingpond.util.clock import Clock
 
 
@@ -17,7 +17,7 @@
     ----------
     options : ShardOptions
         Pace.
-    book : ShardBook
+    local : LocalShards
         The shards of this process.
     hand_over : HandOver
         Moves them.
@@ -29,32 +29,32 @@
 
     __slots__ = (
         "_options",
-        "_book",
+        "_local",
         "_hand_over",
         "_fleet",
         "_clock",
         "_rng",
         "_next_at",
-        "_strays",
+        "_misplaced",
     )
 
     def __init__(
         self,
         options: ShardOptions,
-        book: ShardBook,
+        local: LocalShards,
         hand_over: HandOver,
         fleet: FleetView,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._options = options
-        self._book = book
+        self._local = local
         self._hand_over = hand_over
         self._fleet = fleet
         self._clock = clock
         self._rng = rng
         self._next_at = clock.now() + options.rebalance_s
-        self._strays: set[int] = set()
+        self._misplaced: set[int] = set()
 
     def step(self) -> None:
         """Move a few shards, if it is time."""
@@ -62,14 +62,16 @@
         if now < self._next_at:
             return
         self._next_at = now + self._options.rebalance_s * self._rng.uniform(0.5, 1.5)
-        before, self._strays = self._strays, self._find_strays()
-        # Only shards that belonged elsewhere at the last look too.
-        moving = sorted(self._strays & before)[: self._options.rebalance_batch]
+        before, self._misplaced = self._misplaced, self._find_misplaced()
+        # Only shards that were misplaced at the last check too.
+        moving = sorted(self._misplaced & before)[: self._options.rebalance_batch]
         if moving and not self._hand_over.is_store_away():
-            self._hand_over.run(moving, home_only=True)
+            self._hand_over.run(moving, preferred_only=True)
 
-    def _find_strays(self) -> set[int]:
-        me = self._book.me.vm_id
+    def _find_misplaced(self) -> set[int]:
+        me = self._local.me.vm_id
         ids = [v for v in self._fleet.live_ids() if self._fleet.is_reachable(v)]
         ids.append(me)
-        return {shard for shard in self._book.acting if home(shard, ids) != me}
+        return {
+            shard for shard in self._local.acting if preferred_owner(shard, ids) != me
+        }
--- a/lacewingpond/shards/trust.py
+++ b/lacewingpond/shards/trust.py
@@ -4,8 +4,8 @@
 
 from result import Ok
 
-from lacewingpond.shards.book import ShardBook
 from lacewingpond.shards.fleet import FleetView
+from lacewingpond.shards.local_shards import LocalShards
 from lacewingpond.shards.options import ShardOptions
 from lacewingpond.shards.pauses import PauseDetector
 from lacewingpond.shards.table_store import TableStore
@@ -14,12 +14,13 @@
 from lacewingpond.util.clock import Clock
 
 MAX_RETRY_S = 10.0
+"""Longest mean interval between two attempts to regain trust."""
 
 
 class Trust:
-    """Lost by a pause or by missing from the list, won back from list and store.
+    """Lost by a pause or by absence from the list, regained from list and store.
 
-    To win it back this process must see itself in the list, must not have seen
+    To regain it this process must see itself in the list, must not have seen
     itself missing for the whole take-over wait, and must write the table, so that a
     take-over that was decided on an older table fails.
 
@@ -27,12 +28,12 @@
     ----------
     options : ShardOptions
         Waits.
-    book : ShardBook
+    local : LocalShards
         The table and the shards of this process.
     fleet : FleetView
         Tells soon when this VM is missing from the list.
     vm_list : VmList
-        Read directly before trust is won back.
+        Read directly before trust is regained.
     tables : TableStore
         The table in the store.
     clock, rng, log : Clock, random.Random, DecisionLog
@@ -42,7 +43,7 @@
     __slots__ = (
         "list_reads",
         "_options",
-        "_book",
+        "_local",
         "_fleet",
         "_vm_list",
         "_tables",
@@ -61,7 +62,7 @@
     def __init__(
         self,
         options: ShardOptions,
-        book: ShardBook,
+        local: LocalShards,
         fleet: FleetView,
         vm_list: VmList,
         tables: TableStore,
@@ -71,7 +72,7 @@
     ) -> None:
         self.list_reads = 0
         self._options = options
-        self._book = book
+        self._local = local
         self._fleet = fleet
         self._vm_list = vm_list
         self._tables = tables
@@ -104,7 +105,7 @@
     def check_listed(self) -> bool:
         """Read the list; return whether it holds this VM."""
         ids = self.read_list()
-        return ids is not None and self._book.me.vm_id in ids
+        return ids is not None and self._local.me.vm_id in ids
 
     def read_list(self) -> frozenset[str] | None:
         """Read the list; a VM that misses itself in it loses trust."""
@@ -113,14 +114,14 @@
         if not isinstance(result, Ok):
             return None
         ids = frozenset(vm.vm_id for vm in result.ok_value)
-        if self._book.me.vm_id in ids:
+        if self._local.me.vm_id in ids:
             self._was_listed = True
         elif self._was_listed:
             self.note_missing()
         return ids
 
     def revalidate(self) -> None:
-        """Try to win trust back, at most once in each pause between attempts."""
+        """Try to regain trust, at most once in each interval between attempts."""
         now = self._clock.now()
         if self.holds() or now < self._retry_at:
             return
@@ -128,7 +129,7 @@
             self._valid = True
             self._missing_at = None
             self._retry_s = self._options.revalidate_s
-            self._log.decision("shards-trusted", self._book.me.vm_id, "table read")
+            self._log.decision("shards-trusted", self._local.me.vm_id, "table read")
             return
         self._retry_at = now + self._retry_s * self._rng.uniform(0.5, 1.5)
         self._retry_s = min(2 * self._retry_s, MAX_RETRY_S)
@@ -139,15 +140,15 @@
             return False
         if self._missing_lately():
             return False
-        fresh = self._book.read_fresh()
+        fresh = self._local.read_fresh()
         if not isinstance(fresh, Ok):
             return False
         stored = fresh.ok_value
-        if stored.table.of(self._book.me):
+        if stored.table.of(self._local.me):
             written = self._tables.write(stored, [])
             if not isinstance(written, Ok):
                 return False
-            self._book.learn(written.ok_value)
+            self._local.learn(written.ok_value)
         # A pause during the attempt makes what was read old.
         return self._pauses.count() == pauses and not self._fleet.is_dropped()
 
@@ -163,5 +164,5 @@
         self._valid = False
         self._retry_at = float("-inf")
         self._retry_s = self._options.revalidate_s
-        count = len(self._book.acting)
-        self._log.decision("shards-suspended", self._book.me.vm_id, why, shards=count)
+        count = len(self._local.acting)
+        self._log.decision("shards-suspended", self._local.me.vm_id, why, shards=count)
