--- a/lacewingpond/idempotency/service.py
+++ b/lacewingpond/idempotency/service.py
@@ -32,6 +32,8 @@
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.rendezvous import shard_of
 
+OWNER_RETRY_S = 0.02
+"""Pause before the owner of a shard in transfer is looked for again."""
 REPORT_TRIES = 10
 """Times that a former owner tries to report the end of a run."""
 
@@ -131,15 +133,22 @@
         refusal = self._early_refusal(request)
         if refusal is not None:
             return self._counted(refusal, request)
+        # A hand-over leaves a shard without an owner for some milliseconds.
+        give_up_at = self._clock.now() + self._options.owner_wait_s
+        reply = self._submit(request)
+        while reply.kind is ReplyKind.NO_OWNER and self._clock.now() < give_up_at:
+            self._clock.sleep(OWNER_RETRY_S)
+            reply = self._submit(request)
+        return self._counted(reply, request)
+
+    def _submit(self, request: KeyedRequest) -> Reply:
         shard = shard_of(request.name, self._shards.shard_count)
         owner = self._shards.owner(shard)
         if owner is None:
-            reply = Reply(ReplyKind.NO_OWNER, RunState.UNKNOWN)
-        elif owner.vm_id == self._vm_id:
-            reply = self._submit_here(shard, request)
-        else:
-            reply = self._submit_there(shard, owner.vm_id, request)
-        return self._counted(reply, request)
+            return Reply(ReplyKind.NO_OWNER, RunState.UNKNOWN)
+        if owner.vm_id == self._vm_id:
+            return self._submit_here(shard, request)
+        return self._submit_there(shard, owner.vm_id, request)
 
     def release(self, shard: int) -> bytes:
         """Give the shard's claims up; requests that run here still end here."""
@@ -253,6 +262,15 @@
         return isinstance(status, ForwardStatus) and status.owned
 
     def _submit_there(self, shard: int, vm_id: str, request: KeyedRequest) -> Reply:
+        asked_at = self._clock.now()
+        reply = self._forward(shard, vm_id, request)
+        is_late = self._clock.now() - asked_at >= self._options.not_run_hold_s
+        if reply.run is RunState.NOT_RUN and is_late:
+            # The owner may have freed the key and run a repeat meanwhile.
+            return msgspec.structs.replace(reply, run=RunState.UNKNOWN)
+        return reply
+
+    def _forward(self, shard: int, vm_id: str, request: KeyedRequest) -> Reply:
         self._forward_id += 1
         forward_id = self._forward_id
         mailbox = self._waiting[forward_id] = Mailbox()
--- a/tests/idempotency/test_idempotency_service.py
+++ b/tests/idempotency/test_idempotency_service.py
@@ -197,6 +197,55 @@
     assert fleet.target.runs == ([key] if run is RunState.NOT_RUN else [])
 
 
+def test_request_during_a_hand_over_waits_for_the_new_owner():
+    fleet = Fleet()
+    key = fleet.key()
+    entry, new = fleet.others(key)
+    shard = fleet.shard(key)
+    state = fleet.services[fleet.owner(key)].release(shard)
+    call = fleet.submit(entry, key)
+    fleet.run(0.1)
+    assert not call.ready()
+    fleet.services[new].adopt(fleet.table.move(shard, new, True), state)
+    fleet.run(1.0)
+    assert call.value.run is RunState.RAN
+    assert fleet.target.runs == [key]
+
+
+def test_not_run_is_still_true_when_it_reaches_its_caller():
+    fleet = Fleet()
+    key = fleet.key()
+    entry, other = fleet.others(key)
+    fleet.target.results.append(RunResult(RunState.NOT_RUN))
+    fleet.network.block(fleet.owner(key), entry)
+    late = fleet.submit(entry, key)
+    fleet.run(0.1)
+    fleet.network.unblock(fleet.owner(key), entry)
+    fleet.run(0.5)
+    fleet.submit(other, key)
+    fleet.run(0.6)
+    assert late.value.run is not RunState.NOT_RUN or not fleet.target.runs
+
+
+def test_repeat_soon_after_a_refusal_is_refused_alike():
+    fleet = Fleet()
+    key = fleet.key()
+    entry, other = fleet.others(key)
+    fleet.target.results.append(RunResult(RunState.NOT_RUN))
+    assert fleet.reply(entry, key, seconds=0.6).run is RunState.NOT_RUN
+    assert fleet.reply(other, key, seconds=0.1).run is RunState.NOT_RUN
+    fleet.run(1.0)
+    assert fleet.reply(other, key).run is RunState.RAN
+
+
+def test_request_for_a_shard_without_an_owner_is_refused_soon():
+    fleet = Fleet()
+    key = fleet.key()
+    fleet.services[fleet.owner(key)].release(fleet.shard(key))
+    reply = fleet.reply(fleet.others(key)[0], key, seconds=0.7)
+    assert (reply.kind, reply.run) == (ReplyKind.NO_OWNER, RunState.UNKNOWN)
+
+
 def test_hand_over_keeps_answers_and_running_requests():
     fleet = Fleet()
     done, key = fleet.key(1.0), fleet.key()
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -8,6 +8,7 @@
 import pytest
 import urllib3
 from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 from lacewingpond.config.model import Config, Key, Route, Service, Target, Workspace
 from lacewingpond.health.options import HealthOptions
@@ -20,7 +21,7 @@
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.peers.memory import MemoryNetwork
 from lacewingpond.placement.options import PlacementOptions
-from lacewingpond.placement.placer import Placer
+from lacewingpond.placement.placer import REFRESH_S, Placer
 from lacewingpond.proxy.dispatcher import Dispatcher
 from lacewingpond.proxy.keyed_runner import KeyedRunner
 from lacewingpond.proxy.options import ProxyOptions
@@ -31,6 +32,7 @@
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.retries.options import RetryOptions
+from lacewingpond.routing.routes import RouteTable
 from lacewingpond.shards.fixed import FixedShards
 from lacewingpond.standin.options import TargetOptions
 from lacewingpond.standin.target import StandinTarget
@@ -109,7 +111,7 @@
             self.log,
         )
         options = ProxyOptions()
-        runner = KeyedRunner(dispatcher, self.clock, self.log)
+        runner = self.runner = KeyedRunner(dispatcher, self.clock, self.log)
         self.keyed = IdempotencyService.from_options(
             IdempotencyOptions(), *common[:5], runner, *told
         )
@@ -123,15 +125,26 @@
             options = TargetOptions(**{"work_s": 0.0, **options})
             self.targets.append(StandinTarget.from_options(options, self.clock))
             self.targets[-1].start()
-        listed = tuple(Target(f"t{i}", t.address) for i, t in enumerate(self.targets))
-        self.configure(listed, rate, **route)
+        self.configure(self.listed(), rate, **route)
+
+    def listed(self):
+        return tuple(Target(f"t{i}", t.address) for i, t in enumerate(self.targets))
+
+    def withdraw_key(self):
+        self.configure(self.listed(), granted=False)
 
     def configure(self, listed, rate=1000.0, **route):
+        cfg = self.config(listed, rate, **route)
+        parts = (self.limiter, self.health, self.placer, self.queue, self.pipeline)
+        for part in parts:
+            part.configure(cfg)
+
+    def config(self, listed, rate=1000.0, granted=True, **route):
         digest = hashlib.sha256(KEY.encode()).hexdigest()
-        cfg = Config(
+        return Config(
             1,
             (Workspace("sita", rate, rate),),
-            (Key("k1", "sita", digest),),
+            (Key("k1", "sita", digest),) if granted else (),
             (
                 Service(
                     "ledger",
@@ -145,9 +158,6 @@
                 Route("open", "ledger", "/open", open=True),
             ),
         )
-        parts = (self.limiter, self.health, self.placer, self.queue, self.pipeline)
-        for part in parts:
-            part.configure(cfg)
 
     def ask(self, method="GET", path="/pay", key=KEY, body=None, timeout=5, **headers):
         if key:
@@ -268,8 +278,13 @@
 
 def test_target_that_says_it_drains_is_asked_no_more(bench):
     bench.start({"draining": True}, {})
+    drained = bench.targets[0].stats
+    while drained.arrived == 0:
+        assert bench.ask("POST").status == 200
+    gevent.sleep(2 * REFRESH_S)
+    arrived = drained.arrived
     assert {bench.ask("POST").status for _ in range(30)} == {200}
-    assert bench.targets[0].stats.arrived <= 3
+    assert drained.arrived == arrived
 
 
 def test_refusal_that_never_ends_is_unknown_at_the_deadline(bench):
@@ -351,11 +366,12 @@
     assert bench.runs() == 1
 
 
-def test_keyed_request_that_no_target_ran_may_run_later(bench):
-    bench.start({"draining": True})
+def test_keyed_request_that_no_target_ran_may_run_when_told_to_come_back(bench):
+    bench.start({"shed_share": 1.0})
     answer = bench.ask("POST", body=b"book", **KEYED)
     assert (answer.status, answer.headers[RUN]) == (503, "not-run")
     bench.targets[0].configure(TargetOptions(work_s=0.0))
+    gevent.sleep(float(answer.headers["Retry-After"]))
     assert bench.ask("POST", body=b"book", **KEYED).status == 200
 
 
@@ -372,3 +388,137 @@
     answer = bench.ask("POST", body=b"x" * 300_000, **KEYED)
     assert (answer.status, answer.headers[RUN]) == (413, "not-run")
     assert bench.runs() == 0
+
+
+def test_304_with_a_transfer_coding_has_no_body_to_wait_for(bench):
+    def unchanged(sock, _address):
+        sock.recv(65_536)
+        sock.sendall(b"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n")
+        gevent.sleep(2.0)
+
+    server = StreamServer(("127.0.0.1", 0), unchanged)
+    server.start()
+    bench.start()
+    bench.configure((Target("t0", f"127.0.0.1:{server.server_port}"),))
+    answer = bench.ask(**{"Lacewingpond-Deadline-Ms": "500"})
+    server.stop(timeout=0)
+    assert answer.status == 304
+
+
+def test_key_used_on_another_host_gets_no_answer_of_the_first(bench):
+    bench.start({})
+    assert bench.ask("POST", body=b"book", **KEYED, Host="a.example:80").status == 200
+    other = bench.ask("POST", body=b"book", **KEYED, Host="b.example")
+    assert (other.status, reason(other)) == (422, "key-reused")
+    again = bench.ask("POST", body=b"book", **KEYED, Host="A.example")
+    assert again.headers["Idempotency-Replayed"] == "true"
+    assert bench.runs() == 1
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"workspaces": ("other",)},
+        {"host": "elsewhere.example"},
+        {"methods": ("GET",)},
+    ],
+)
+def test_owner_runs_nothing_that_its_own_route_forbids(bench, changed):
+    bench.start({})
+    bench.runner.configure(
+        RouteTable.from_config(bench.config(bench.listed(), **changed))
+    )
+    answer = bench.ask("POST", body=b"book", **KEYED)
+    assert (answer.status, answer.headers[RUN]) == (503, "not-run")
+    assert bench.runs() == 0
+
+
+def test_key_withdrawn_while_its_body_comes_slowly_runs_nothing(bench):
+    bench.start({})
+
+    def body():
+        yield b"bo"
+        gevent.sleep(0.1)
+        bench.withdraw_key()
+        yield b"ok"
+
+    for headers in ({}, KEYED):
+        bench.start()
+        slow = {"Content-Length": "4", **headers}
+        answer = bench.ask("POST", body=body(), **slow)
+        assert (answer.status, answer.headers[RUN]) == (401, "not-run")
+    assert bench.runs() == 0
+
+
+def test_two_idempotency_keys_are_refused(bench):
+    bench.start({})
+    keys = urllib3.HTTPHeaderDict({"Authorization": f"Bearer {KEY}"})
+    keys.add("Idempotency-Key", "one")
+    keys.add("Idempotency-Key", "two")
+    url = f"http://127.0.0.1:{bench.server.port}/pay"
+    answer = bench.http.request("POST", url, headers=keys, body=b"book")
+    assert (answer.status, answer.headers[RUN]) == (400, "not-run")
+    assert bench.runs() == 0
+
+
+@pytest.mark.parametrize(
+    "shown",
+    [
+        {"path": f"/pay?api_key={KEY}"},
+        {"path": f"/pay?api_key={KEY.replace('-', '%2D')}"},
+        {"Cookie": f"session={KEY}"},
+        {"X-Auth-Token": KEY},
+    ],
+)
+def test_key_that_is_also_sent_elsewhere_reaches_no_target(bench, shown):
+    bench.start({})
+    answer = bench.ask(**{"X-Api-Key": KEY, **shown})
+    assert (answer.status, reason(answer)) == (400, "key-exposed")
+    assert answer.headers[RUN] == "not-run"
+    assert bench.runs() == 0
+    assert not any(KEY in str(line) for line in bench.log.lines)
+
+
+@pytest.mark.parametrize("field", ["Authorization", "Cookie"])
+def test_open_route_gives_no_answer_to_another_caller(bench, field):
+    bench.start({})
+    asked = {"method": "POST", "path": "/open", "key": "", "body": b"book"}
+    assert bench.ask(**asked, **KEYED, **{field: "Basic c2l0YQ"}).status == 200
+    other = bench.ask(**asked, **KEYED, **{field: "Basic cmFt"})
+    assert (other.status, other.headers[RUN]) == (422, "unknown")
+    again = bench.ask(**asked, **KEYED, **{field: "Basic c2l0YQ"})
+    assert again.headers["Idempotency-Replayed"] == "true"
+    assert bench.runs() == 1
+
+
+def test_held_event_streams_leave_room_for_other_requests(bench):
+    def serve(environ, start_response):
+        if environ["PATH_INFO"] != "/pay/events":
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+        write = start_response("200 OK", [("Content-Type", "text/event-stream")])
+        write(b"data: 1\n\n")
+        gevent.sleep(60.0)
+        return [b"data: 2\n\n"]
+
+    servers = [
+        WSGIServer(("127.0.0.1", 0), serve, log=None, error_log=None) for _ in range(3)
+    ]
+    for server in servers:
+        server.start()
+    addresses = [f"127.0.0.1:{server.server_port}" for server in servers]
+    bench.configure(tuple(Target(address, address) for address in addresses))
+    url = f"http://127.0.0.1:{bench.server.port}/pay/events"
+    held = [
+        bench.http.request(
+            "GET", url, headers={"X-Api-Key": KEY}, preload_content=False
+        )
+        for _ in range(int(QueueOptions().first_limit))
+    ]
+    answer = bench.ask(**{"Lacewingpond-Deadline-Ms": "500"})
+    for stream in held:
+        stream.close()
+    for server in servers:
+        server.stop(timeout=0)
+    assert {stream.status for stream in held} == {200}
+    assert (answer.status, answer.data) == (200, b"ok")
