Keep method overrides from targets, and withdraw keys whatever part fails

Found in review: a target that honours X-HTTP-Method-Override could run a GET, which may be retried, as a POST; and a fault in any part that a new revision reached before the routes left a withdrawn key working until the next change. Background steps of the daemon go on after a fault. The new tests failed before.

--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -55,6 +55,8 @@
         "_greenlets",
         "_cfg",
         "_vm_count",
+        "_log",
+        "_vm_id",
         "_untaken",
     )
 
@@ -69,6 +71,8 @@
         self._clock = around.clock
         self._cfg = Config()
         self._vm_count = 0
+        self._log = around.log
+        self._vm_id = cfg.vm.id
         self._untaken = ALL_KINDS
         self._greenlets: list[gevent.Greenlet] = []
         clock, rng, log, metrics = (
@@ -179,15 +183,21 @@
         # to all parts again, whatever it changes itself.
         self._untaken |= changes.kinds
         touched = self._untaken
+        try:
+            self._configure_behind_routes(cfg, touched)
+        finally:
+            # A withdrawn key must stop working whatever fails elsewhere. Routes
+            # come last, when everything behind them is ready.
+            self.pipeline.configure(cfg, touched)
+        self._untaken = frozenset()
+
+    def _configure_behind_routes(self, cfg: Config, touched: frozenset[Kind]) -> None:
         if touched & LIMITED_KINDS:
             self.limiter.configure(cfg)
         if touched & QUEUED_KINDS:
             self.queue.configure(cfg)
         if Kind.SERVICE in touched:
             self._take_services(cfg)
-        # The routes come last, when everything behind them is ready.
-        self.pipeline.configure(cfg, touched)
-        self._untaken = frozenset()
 
     def _take_services(self, cfg: Config) -> None:
         self.health.configure(cfg)
@@ -209,4 +219,8 @@
     def _repeat(self, period_s: float, step) -> None:
         while True:
             self._clock.sleep(period_s)
-            step()
+            try:
+                step()
+            except Exception as exc:
+                why = f"{type(exc).__name__}: {exc}"
+                self._log.decision("daemon-step-failed", self._vm_id, why)
--- a/lacewingpond/routing/hop_by_hop.py
+++ b/lacewingpond/routing/hop_by_hop.py
@@ -17,7 +17,13 @@
         "upgrade",
     }
 )
-_NOT_TO_TARGETS = _HOP_BY_HOP | {"expect", "x-api-key", DEADLINE_HEADER.lower()}
+_METHOD_OVERRIDES = frozenset(
+    {"x-http-method", "x-http-method-override", "x-method-override"}
+)
+"""Would let a target run another method than the one that was checked here."""
+_NOT_TO_TARGETS = (
+    _HOP_BY_HOP | _METHOD_OVERRIDES | {"expect", "x-api-key", DEADLINE_HEADER.lower()}
+)
 _NOT_TO_CALLERS = _HOP_BY_HOP | {"lacewingpond-run"}
 _PROTECTED = frozenset({"host", "content-length"})
 
--- a/tests/daemon/test_daemon_fleet.py
+++ b/tests/daemon/test_daemon_fleet.py
@@ -194,7 +194,8 @@
     gevent.joinall(calls, raise_error=True)
     assert {call.value.status for call in calls} <= {200, 429, 503}
     admitted = runs(fleet) - ran
-    assert 0 < admitted <= 12.0 + 1.0 * (fleet.clock.now() - started)
+    assert admitted > 0, [call.value.data for call in calls]
+    assert admitted <= 12.0 + 1.0 * (fleet.clock.now() - started)
 
 
 def test_all_vms_are_replaced_under_load_and_nothing_is_cut(fleet):
--- a/tests/daemon/test_daemon_traffic.py
+++ b/tests/daemon/test_daemon_traffic.py
@@ -101,3 +101,9 @@
         bench.change(removed=(ItemRef("workspaces", "sita"),))
     bench.change(keys=(Key("k3", "sita", digest_of("k3")),))
     assert [bench.ask(key) for key in ("k1", "k3")] == [401, 401]
+
+
+def test_key_is_withdrawn_although_another_part_failed(bench, monkeypatch):
+    monkeypatch.setattr(type(bench.daemon.traffic.queue), "configure", None)
+    bench.change(removed=(ItemRef("workspaces", "sita"),))
+    assert bench.ask("k1") == 401
--- /dev/null
+++ b/tests/routing/test_hop_by_hop.py
@@ -0,0 +1,15 @@
+"""Tests of the header fields that pass on."""
+
+import pytest
+
+from lacewingpond.http.headers import Headers
+from lacewingpond.routing.hop_by_hop import headers_to_target
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["X-HTTP-Method-Override", "x_http_method_override", "X-HTTP-Method", "Upgrade"],
+)
+def test_field_that_changes_the_request_stays_here(name):
+    kept = headers_to_target(Headers([(name, "POST"), ("Accept", "*/*")]))
+    assert list(kept) == [("Accept", "*/*")]
