--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,11 +5,21 @@
 
 import pytest
 
+from lacewingpond.idempotency.reply import ReplyKind
+from lacewingpond.limits.admission import RefusalReason
+from lacewingpond.queues.refusal import QueueReason
+from lacewingpond.routing.match import RouteFailure
+from lacewingpond.targets.errors import SendReason
 from lacewingpond.ui.application import build
 
 ROOT = Path(__file__).parents[1]
 SOURCES = [path.read_text() for path in (ROOT / "lacewingpond").rglob("*.py")]
 METRIC = re.compile(r'\b(?:incr|gauge|timing)\(\s*f?"([^"{]+)')
+REFUSAL = re.compile(
+    r'(?:not_run|unknown|refusal_response)\(\s*\d{3},(?:\s*RunState\.\w+,)?\s*"([\w-]+)"'
+)
+UNSEEN = frozenset({"answer", "caller-gone"})
+"""Reasons that no caller sees: there is an answer, or no caller."""
 OPERATORS = (ROOT / "docs" / "OPERATORS.md").read_text()
 
 
@@ -23,6 +33,18 @@
     assert f"`{name}" in OPERATORS
 
 
+def refusal_reasons():
+    enums = (QueueReason, RefusalReason, ReplyKind, RouteFailure, SendReason)
+    named = {reason.value for enum in enums for reason in enum}
+    written = {name for text in SOURCES for name in REFUSAL.findall(text)}
+    return sorted((named | written) - UNSEEN)
+
+
+@pytest.mark.parametrize("reason", refusal_reasons())
+def test_refusal_is_explained(reason):
+    assert f"`{reason}`" in OPERATORS
+
+
 def test_every_command_has_an_example():
     for command in build().all().values():
         if command.name in ("completions", "help", "list"):
