Let the stand-ins send small writes at once

Cause: the stand-ins wrote head and body apart on sockets that wait for the first one's acknowledgement, so a POST with a body took 40 ms longer than its work. Ruled out: the daemon's own sockets, which had the option set.

--- a/tests/standin/test_standin_target.py
+++ b/tests/standin/test_standin_target.py
@@ -1,5 +1,7 @@
 """Tests of the stand-in target's faults."""
 
+import socket
+
 import gevent
 import msgspec
 import pytest
@@ -131,3 +133,12 @@
         clock.advance(5.0)
     assert states == [(True, 5.0), (False, 3.0), (True, 1.0), (False, 1.0)]
     assert target.load() == 0.5
+
+
+def test_small_writes_are_sent_at_once(start):
+    target = start()
+    pool = pool_for(target)
+    assert pool.request("POST", "/", body=b"x").status == 200
+    (connection,) = target._server.connections
+    sock = connection._socket
+    assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
