--- a/lacewingpond/proxy/job.py
+++ b/lacewingpond/proxy/job.py
@@ -1,7 +1,6 @@
 """A request on its way to a target, with what its route says about it."""
 
-from collections.abc import Callable, Iterable
-from typing import Protocol
+from collections.abc import Callable
 
 import xxhash
 
@@ -9,6 +8,9 @@
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.request import Request
 from lacewingpond.idempotency.keyed_request import KeyedRequest
+from lacewingpond.proxy.job_body import JobBody
+from lacewingpond.proxy.kept_body import KeptBody
+from lacewingpond.proxy.streamed_body import StreamedBody
 from lacewingpond.quarantine.fingerprint import fingerprint
 from lacewingpond.routing.hop_by_hop import headers_to_target
 from lacewingpond.routing.match import RouteMatch
@@ -17,67 +19,6 @@
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 
 
-class JobBody(Protocol):
-    """A body that can be sent at least once."""
-
-    @property
-    def content_length(self) -> int | None:
-        """Length in bytes; None for a body of unknown length."""
-        ...
-
-    @property
-    def can_send(self) -> bool:
-        """Whether the whole body can still be sent."""
-        ...
-
-    def open(self) -> Iterable[bytes] | None:
-        """Return the body for one attempt; None for none."""
-        ...
-
-
-class KeptBody:
-    """A body that is held whole, so that it can be sent again."""
-
-    __slots__ = ("data",)
-
-    can_send = True
-
-    def __init__(self, data: bytes) -> None:
-        self.data = data
-
-    @property
-    def content_length(self) -> int | None:
-        """Length in bytes."""
-        return len(self.data)
-
-    def open(self) -> Iterable[bytes] | None:
-        """Return the body for one attempt; None for none."""
-        return (self.data,) if self.data else None
-
-
-class StreamedBody:
-    """A body that passes through once, as it comes."""
-
-    __slots__ = ("_req",)
-
-    def __init__(self, req: Request) -> None:
-        self._req = req
-
-    @property
-    def content_length(self) -> int | None:
-        """Declared length in bytes, if any."""
-        return self._req.body.content_length
-
-    @property
-    def can_send(self) -> bool:
-        """Whether nothing of it has been read yet."""
-        return self._req.body.bytes_read == 0
-
-    def open(self) -> Iterable[bytes] | None:
-        """Return the body for one attempt."""
-        return self._req.body
-
-
 class Job:
     """One request for a service.
 
--- /dev/null
+++ b/lacewingpond/proxy/streamed_body.py
@@ -0,0 +1,28 @@
+"""A body that is passed on as it comes."""
+
+from collections.abc import Iterable
+
+from lacewingpond.http.request import Request
+
+
+class StreamedBody:
+    """A body that passes through once, as it comes."""
+
+    __slots__ = ("_req",)
+
+    def __init__(self, req: Request) -> None:
+        self._req = req
+
+    @property
+    def content_length(self) -> int | None:
+        """Declared length in bytes, if any."""
+        return self._req.body.content_length
+
+    @property
+    def can_send(self) -> bool:
+        """Whether nothing of it has been read yet."""
+        return self._req.body.bytes_read == 0
+
+    def open(self) -> Iterable[bytes] | None:
+        """Return the body for one attempt."""
+        return self._req.body
