--- a/lacewingpond/bench/config_fleet.py
+++ b/lacewingpond/bench/config_fleet.py
@@ -17,8 +17,8 @@
 from lacewingpond.store.base import VmRecord
 from lacewingpond.store.counts import CallCounts
 from lacewingpond.store.memory import MemoryStore
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 FAILURE_DOMAINS = 22
--- a/lacewingpond/bench/config_parts.py
+++ b/lacewingpond/bench/config_parts.py
@@ -21,8 +21,8 @@
     VmSettings,
 )
 from lacewingpond.store.options import StoreOptions
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 from lacewingpond.util.stopwatch import cpu_seconds
 
--- a/lacewingpond/bench/grants.py
+++ b/lacewingpond/bench/grants.py
@@ -17,8 +17,8 @@
 from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.replay.static_limiter import StaticLimiter
 from lacewingpond.shards.base import Ownership
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
 
--- a/lacewingpond/bench/health.py
+++ b/lacewingpond/bench/health.py
@@ -16,8 +16,8 @@
 from lacewingpond.health.options import HealthOptions
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.tally import Tally
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
 
--- a/lacewingpond/bench/latency_servers.py
+++ b/lacewingpond/bench/latency_servers.py
@@ -15,7 +15,7 @@
 from lacewingpond.targets.client import TargetClient
 from lacewingpond.targets.options import TargetOptions
 from lacewingpond.targets.request import TargetRequest
-from lacewingpond.telemetry.decisions import NullDecisionLog
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
 ANSWER_BYTES = 1_024
--- a/lacewingpond/bench/membership.py
+++ b/lacewingpond/bench/membership.py
@@ -20,8 +20,8 @@
 from lacewingpond.peers.base import Handler, Message, PeerError
 from lacewingpond.peers.frames import Frame, FrameKind, encode
 from lacewingpond.store.base import StoreError, VmRecord
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
 
--- a/lacewingpond/bench/peers.py
+++ b/lacewingpond/bench/peers.py
@@ -11,8 +11,8 @@
 from lacewingpond.peers.base import Message
 from lacewingpond.peers.options import PeerOptions
 from lacewingpond.peers.tcp import TcpPeerChannel
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
 
--- a/lacewingpond/bench/placement.py
+++ b/lacewingpond/bench/placement.py
@@ -12,8 +12,8 @@
 from lacewingpond.queues.limit import AdaptiveLimit
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.queues.service_queue import ServiceQueue
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
 
--- a/lacewingpond/bench/telemetry.py
+++ b/lacewingpond/bench/telemetry.py
@@ -8,9 +8,11 @@
 from gevent import socket
 
 from lacewingpond.bench.series import Point, Series
-from lacewingpond.telemetry.decisions import EliotDecisionLog
-from lacewingpond.telemetry.metrics import Metrics, NullMetrics, StatsdMetrics
+from lacewingpond.telemetry.eliot_decisions import EliotDecisionLog
+from lacewingpond.telemetry.metrics import Metrics
+from lacewingpond.telemetry.null_metrics import NullMetrics
 from lacewingpond.telemetry.sink import LogSink
+from lacewingpond.telemetry.statsd_metrics import StatsdMetrics
 from lacewingpond.util.stopwatch import cpu_seconds
 
 COUNTS = (1_000, 2_000, 4_000, 8_000)
--- a/lacewingpond/config/holder.py
+++ b/lacewingpond/config/holder.py
@@ -9,7 +9,8 @@
 from lacewingpond.config.diff import DiffLine, diff_lines
 from lacewingpond.config.model import Config
 from lacewingpond.config.state import ConfigState
-from lacewingpond.telemetry.decisions import DecisionLog, EliotDecisionLog
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.telemetry.eliot_decisions import EliotDecisionLog
 
 ConfigListener = Callable[[Config, Changes], None]
 """Takes the new configuration and what differs from the one before."""
--- a/lacewingpond/demo/fleet.py
+++ b/lacewingpond/demo/fleet.py
@@ -22,8 +22,8 @@
 from lacewingpond.standin.target import StandinTarget
 from lacewingpond.store.base import VmRecord
 from lacewingpond.store.options import StoreOptions
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import Clock
 
 SECRET_BYTES = 32
--- a/lacewingpond/replay/config_vm.py
+++ b/lacewingpond/replay/config_vm.py
@@ -14,8 +14,8 @@
 from lacewingpond.peers.memory import MemoryNetwork
 from lacewingpond.standin.faulty import FaultyStore
 from lacewingpond.store.base import Store, VmRecord
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import Clock
 
 
--- a/lacewingpond/replay/health_fleet.py
+++ b/lacewingpond/replay/health_fleet.py
@@ -11,8 +11,8 @@
 from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.placement.placer import Placer
 from lacewingpond.shards.base import Ownership
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 MESSAGE_DELAY_S = 0.002
--- a/lacewingpond/replay/noise.py
+++ b/lacewingpond/replay/noise.py
@@ -13,8 +13,8 @@
 from lacewingpond.health.options import HealthOptions
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.tally import Tally
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 VMS = 40
--- a/lacewingpond/replay/once.py
+++ b/lacewingpond/replay/once.py
@@ -16,8 +16,8 @@
 from lacewingpond.replay.once_traces import once_traces
 from lacewingpond.replay.trace import Trace, TraceEvent
 from lacewingpond.replay.vm_clock import VmClock
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 STEP_S = 0.01
--- a/lacewingpond/replay/placement_ways.py
+++ b/lacewingpond/replay/placement_ways.py
@@ -9,8 +9,8 @@
 from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.placement.placer import Placer
 from lacewingpond.replay.station import Station
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 HOP_S = 0.0005
--- a/lacewingpond/replay/rates.py
+++ b/lacewingpond/replay/rates.py
@@ -15,8 +15,8 @@
 from lacewingpond.replay.rate_traces import SHARD_COUNT, rate_traces
 from lacewingpond.replay.static_limiter import StaticLimiter
 from lacewingpond.replay.trace import Trace, TraceEvent
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 STEP_S = 0.0005
--- a/lacewingpond/telemetry/decisions.py
+++ b/lacewingpond/telemetry/decisions.py
@@ -1,10 +1,7 @@
-"""One log line for each routing or placement decision."""
+"""Interface of the log of decisions."""
 
-import random
 from typing import Protocol
 
-from eliot import log_message
-
 
 class DecisionLog(Protocol):
     """Takes decisions: what was decided, about which thing, and why."""
@@ -12,67 +9,3 @@
     def decision(self, what: str, which: str, why: str, **fields: object) -> None:
         """Record one decision; `fields` hold plain values and never a key."""
         ...
-
-
-class NullDecisionLog:
-    """Drops every decision."""
-
-    __slots__ = ()
-
-    def decision(self, what: str, which: str, why: str, **fields: object) -> None:
-        """Drop the decision."""
-
-
-class RecordingDecisionLog:
-    """Keeps decisions in memory, for tests and replays."""
-
-    __slots__ = ("lines",)
-
-    def __init__(self) -> None:
-        self.lines: list[tuple[str, str, str, dict[str, object]]] = []
-
-    def decision(self, what: str, which: str, why: str, **fields: object) -> None:
-        """Keep the decision."""
-        self.lines.append((what, which, why, fields))
-
-
-class EliotDecisionLog:
-    """Writes decisions to eliot's destinations.
-
-    Parameters
-    ----------
-    vm_id : str
-        Added to each line.
-    sample : float
-        Share of the frequent decisions, 0 to 1, that is written.
-    frequent : frozenset of str
-        Kinds of decision that are sampled; all others are always written.
-    rng : random.Random
-        Draws the sample.
-    """
-
-    __slots__ = ("_vm_id", "_sample", "_frequent", "_rng")
-
-    def __init__(
-        self,
-        vm_id: str,
-        sample: float = 1.0,
-        frequent: frozenset[str] = frozenset({"route", "place"}),
-        rng: random.Random | None = None,
-    ) -> None:
-        self._vm_id = vm_id
-        self._sample = sample
-        self._frequent = frequent
-        self._rng = rng or random.Random()
-
-    def decision(self, what: str, which: str, why: str, **fields: object) -> None:
-        """Write the decision, unless sampling leaves it out."""
-        if what in self._frequent and self._rng.random() >= self._sample:
-            return
-        log_message(
-            message_type=f"lacewingpond:{what}",
-            vm=self._vm_id,
-            which=which,
-            why=why,
-            **fields,
-        )
--- a/lacewingpond/ui/commands/serve.py
+++ b/lacewingpond/ui/commands/serve.py
@@ -11,13 +11,13 @@
 from lacewingpond.daemon.surroundings import Surroundings
 from lacewingpond.settings.load import load_settings, parse_address
 from lacewingpond.settings.model import Settings
-from lacewingpond.telemetry.decisions import (
-    DecisionLog,
-    EliotDecisionLog,
-    NullDecisionLog,
-)
-from lacewingpond.telemetry.metrics import Metrics, NullMetrics, StatsdMetrics
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.telemetry.eliot_decisions import EliotDecisionLog
+from lacewingpond.telemetry.metrics import Metrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
+from lacewingpond.telemetry.null_metrics import NullMetrics
 from lacewingpond.telemetry.sink import LogSink
+from lacewingpond.telemetry.statsd_metrics import StatsdMetrics
 from lacewingpond.ui.signals import wait_for_stop
 from lacewingpond.util.clock import RuntimeClock
 from lacewingpond.util.errors import UserError
--- a/tests/config/test_config_confirm.py
+++ b/tests/config/test_config_confirm.py
@@ -15,7 +15,7 @@
 from lacewingpond.standin.faulty import FaultyStore
 from lacewingpond.store.base import StoreError, StoreFailure
 from lacewingpond.store.memory import MemoryStore
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
 
--- a/tests/config/test_config_sockets.py
+++ b/tests/config/test_config_sockets.py
@@ -22,8 +22,8 @@
 from lacewingpond.store.base import VmRecord
 from lacewingpond.store.http import HttpStore
 from lacewingpond.store.options import StoreOptions
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
 CLOCK = RuntimeClock()
--- a/tests/config/test_config_spread.py
+++ b/tests/config/test_config_spread.py
@@ -23,8 +23,8 @@
 from lacewingpond.standin.faulty import FaultyStore
 from lacewingpond.store.base import VmRecord
 from lacewingpond.store.memory import MemoryStore
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 
 STEP_S = 0.05
 
--- a/tests/config/test_config_state.py
+++ b/tests/config/test_config_state.py
@@ -12,7 +12,7 @@
 from lacewingpond.config.kinds import ItemRef, Kind
 from lacewingpond.config.model import Config, Workspace
 from lacewingpond.config.state import ConfigState
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 
 
 def many(count, rate=1.0):
--- a/tests/health/reporter_fleet.py
+++ b/tests/health/reporter_fleet.py
@@ -9,8 +9,8 @@
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.reporter import HealthReporter
 from lacewingpond.shards.base import Ownership
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 
 TARGETS = tuple(Target(f"t{i}", f"10.0.0.{i}:80") for i in range(6))
 CFG = Config(services=(Service("ledger", TARGETS),))
--- a/tests/idempotency/test_idempotency_service.py
+++ b/tests/idempotency/test_idempotency_service.py
@@ -15,8 +15,8 @@
 from lacewingpond.idempotency.service import IdempotencyService
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 from lacewingpond.util.rendezvous import shard_of
 
--- a/tests/limits/scripted_fleet.py
+++ b/tests/limits/scripted_fleet.py
@@ -8,8 +8,8 @@
 from lacewingpond.limits.messages import GrantAsk
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 OPTIONS = LimitOptions(max_clock_drift=0.05, config_spread_s=3.0)
--- a/tests/membership/test_membership_fleet.py
+++ b/tests/membership/test_membership_fleet.py
@@ -9,8 +9,8 @@
 from lacewingpond.membership.options import MembershipOptions
 from lacewingpond.peers.memory import MemoryNetwork
 from lacewingpond.store.base import StoreError, StoreFailure, VmRecord, VmState
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 
 
 class FixedList(Struct):
--- a/tests/path_helper.py
+++ b/tests/path_helper.py
@@ -16,7 +16,7 @@
 from lacewingpond.targets.errors import SendFailure
 from lacewingpond.targets.options import TargetOptions
 from lacewingpond.targets.request import TargetRequest
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
 CLOCK = RuntimeClock()
--- a/tests/peers/test_peers_tcp.py
+++ b/tests/peers/test_peers_tcp.py
@@ -16,8 +16,8 @@
 from lacewingpond.peers.handshake import Handshake
 from lacewingpond.peers.options import PeerOptions
 from lacewingpond.peers.tcp import TcpPeerChannel
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
 SECRET = b"fleet secret"
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -11,8 +11,8 @@
 from lacewingpond.placement.errors import PlacementFailure
 from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.placement.placer import Placer
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 
 EJECTED = Verdict(VerdictState.EJECTED, 0.0)
 
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -41,8 +41,8 @@
 from lacewingpond.standin.target import StandinTarget
 from lacewingpond.targets.client import TargetClient
 from lacewingpond.targets.options import TargetOptions as ClientOptions
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
 KEY = "publisher-key"
--- a/tests/quarantine/test_quarantine_service.py
+++ b/tests/quarantine/test_quarantine_service.py
@@ -8,8 +8,8 @@
 from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.store.base import VmRecord
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 VMS = ("vm0", "vm1", "vm2", "vm3")
--- a/tests/queues/test_fair_queue.py
+++ b/tests/queues/test_fair_queue.py
@@ -10,8 +10,8 @@
 from lacewingpond.queues.options import QueueOptions
 from lacewingpond.queues.refusal import QueueReason
 from lacewingpond.queues.ticket import Ticket
-from lacewingpond.telemetry.decisions import NullDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 
 ONE_AT_A_TIME = QueueOptions(first_limit=1, min_limit=1, max_limit=1, max_waiting=8)
 
--- a/tests/shards/test_shards_tcp.py
+++ b/tests/shards/test_shards_tcp.py
@@ -18,8 +18,8 @@
 from lacewingpond.standin.faulty import FaultyStore
 from lacewingpond.store.base import VmRecord
 from lacewingpond.store.memory import MemoryStore, MemoryVmList
-from lacewingpond.telemetry.decisions import RecordingDecisionLog
-from lacewingpond.telemetry.metrics import CountingMetrics
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 from lacewingpond.util.clock import RuntimeClock
 
 SHARDS = 16
