Use one piece of code for TOML files, addresses and shard tables in memory

Found in a read-through: the load plan read its TOML file as the settings do, line for line, and took parse_address from the settings, which load all of the daemon's options; both are in util now. FixedShards was a twin of FakeShardTable, used by one test. The load tool wrote two header names again. Behaviour is unchanged; no assertion was.

--- a/lacewingpond/load/caller.py
+++ b/lacewingpond/load/caller.py
@@ -6,12 +6,12 @@
 import urllib3
 from msgspec import Struct
 
+from lacewingpond.http.refusal import RUN_HEADER
 from lacewingpond.load.schedule import Arrival
+from lacewingpond.proxy.job import IDEMPOTENCY_KEY_HEADER
 
-RUN_HEADER = "Lacewingpond-Run"
 REASON_LIMITED = 429
 REQUEST_ID = "X-Request-Id"
-IDEMPOTENCY_KEY = "Idempotency-Key"
 
 
 class Outcome(Enum):
@@ -87,7 +87,7 @@
         if arrival.workspace.key:
             headers["Authorization"] = f"Bearer {arrival.workspace.key}"
         if arrival.kind.idempotency_key:
-            headers[IDEMPOTENCY_KEY] = identity
+            headers[IDEMPOTENCY_KEY_HEADER] = identity
         return headers
 
 
--- a/lacewingpond/load/plan.py
+++ b/lacewingpond/load/plan.py
@@ -1,15 +1,15 @@
 """What load to send: workspaces, their rates and the requests they make."""
 
 import ipaddress
-import tomllib
 from pathlib import Path
 
 from msgspec import Struct
 from result import Err, Ok, Result
 
-from lacewingpond.settings.load import parse_address
+from lacewingpond.util.address import parse_address
 from lacewingpond.util.convert import convert_struct
 from lacewingpond.util.findings import Finding
+from lacewingpond.util.toml_file import read_toml
 
 
 class RequestKind(Struct, frozen=True):
@@ -109,14 +109,11 @@
     @classmethod
     def from_file(cls, path: Path) -> Result["LoadPlan", tuple[Finding, ...]]:
         """Read a plan from TOML and return it, or all findings."""
-        try:
-            data = tomllib.loads(path.read_text(encoding="utf-8"))
-        except OSError as exc:
-            return Err((Finding(str(path), exc.strerror or "can't be read"),))
-        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-            return Err((Finding(str(path), f"is not TOML: {exc}"),))
+        read = read_toml(path)
+        if isinstance(read, Err):
+            return Err((read.err_value,))
         findings: list[Finding] = []
-        plan = convert_struct(cls, data, str(path), findings)
+        plan = convert_struct(cls, read.ok_value, str(path), findings)
         if plan is not None:
             _check_addresses(plan, str(path), findings)
         return Err(tuple(findings)) if plan is None or findings else Ok(plan)
--- a/lacewingpond/settings/load.py
+++ b/lacewingpond/settings/load.py
@@ -2,7 +2,6 @@
 
 import ipaddress
 import os
-import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -11,8 +10,10 @@
 
 from lacewingpond.health.options import HealthOptions
 from lacewingpond.settings.model import SecretSettings, Settings
+from lacewingpond.util.address import parse_address
 from lacewingpond.util.convert import convert_struct
 from lacewingpond.util.findings import Finding
+from lacewingpond.util.toml_file import read_toml
 
 PROFILES = {
     "certainty": HealthOptions.for_certainty(),
@@ -25,13 +26,10 @@
 
 def load_settings(path: Path) -> Result[Settings, tuple[Finding, ...]]:
     """Read and check the settings file at `path`."""
-    try:
-        data = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as exc:
-        return Err((Finding(str(path), exc.strerror or "can't be read"),))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        return Err((Finding(str(path), f"is not TOML: {exc}"),))
-    return check_settings(data, str(path))
+    read = read_toml(path)
+    if isinstance(read, Err):
+        return Err((read.err_value,))
+    return check_settings(read.ok_value, str(path))
 
 
 def check_settings(
@@ -62,23 +60,6 @@
     return os.environ[source.variable].strip().encode()
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Split ``host:port`` with an IP number into its parts.
-
-    Raises
-    ------
-    ValueError
-        If `text` is no such address.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isascii() or not port.isdigit():
-        raise ValueError("must be host:port")
-    ipaddress.ip_address(host.strip("[]"))
-    if int(port) > 65535:
-        raise ValueError("port is above 65535")
-    return host.strip("[]"), int(port)
-
-
 def _fill_profile(
     data: dict[str, object], place: str, findings: list[Finding]
 ) -> dict[str, object]:
--- a/lacewingpond/ui/commands/serve.py
+++ b/lacewingpond/ui/commands/serve.py
@@ -9,7 +9,7 @@
 
 from lacewingpond.daemon.daemon import Daemon
 from lacewingpond.daemon.surroundings import Surroundings
-from lacewingpond.settings.load import load_settings, parse_address
+from lacewingpond.settings.load import load_settings
 from lacewingpond.settings.model import Settings
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.telemetry.eliot_decisions import EliotDecisionLog
@@ -19,6 +19,7 @@
 from lacewingpond.telemetry.sink import LogSink
 from lacewingpond.telemetry.statsd_metrics import StatsdMetrics
 from lacewingpond.ui.signals import wait_for_stop
+from lacewingpond.util.address import parse_address
 from lacewingpond.util.clock import RuntimeClock
 from lacewingpond.util.errors import UserError
 
--- a/lacewingpond/ui/operators.py
+++ b/lacewingpond/ui/operators.py
@@ -10,8 +10,8 @@
 from lacewingpond.config.intents import Intent
 from lacewingpond.operator.client import OperatorClient, OperatorError
 from lacewingpond.operator.documents import PlanView
-from lacewingpond.settings.load import parse_address
 from lacewingpond.ui.output import FORMAT_OPTION, to_json, wants_json
+from lacewingpond.util.address import parse_address
 from lacewingpond.util.errors import UserError
 
 TOKEN_VARIABLE = "LACEWINGPOND_OPERATOR_TOKEN"
--- /dev/null
+++ b/lacewingpond/util/toml_file.py
@@ -0,0 +1,18 @@
+"""Reads a TOML file; what is wrong with it becomes a finding."""
+
+import tomllib
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from lacewingpond.util.findings import Finding
+
+
+def read_toml(path: Path) -> Result[dict[str, object], Finding]:
+    """Return the content of the file at `path`."""
+    try:
+        return Ok(tomllib.loads(path.read_text(encoding="utf-8")))
+    except OSError as exc:
+        return Err(Finding(str(path), exc.strerror or "can't be read"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        return Err(Finding(str(path), f"is not TOML: {exc}"))
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -33,10 +33,10 @@
 from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.queues.options import QueueOptions
+from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.retries.options import RetryOptions
 from lacewingpond.routing.routes import RouteTable
-from lacewingpond.shards.fixed import FixedShards
 from lacewingpond.standin.options import TargetOptions
 from lacewingpond.standin.target import StandinTarget
 from lacewingpond.targets.client import TargetClient
@@ -82,7 +82,7 @@
         rng, metrics = random.Random(1), CountingMetrics()
         told = (self.log, metrics)
         channel = MemoryNetwork(self.clock, rng).channel("vm-1")
-        shards = FixedShards(8, ("vm-1",), "vm-1")
+        shards = FakeShardTable(8, ("vm-1",), self.clock).view("vm-1")
         common = ("vm-1", self.clock, rng, channel, shards, *told)
         self.limiter = FleetLimiter.from_options(LimitOptions(), *common)
         self.health = HealthReporter.from_options(HealthOptions(), *common)
--- a/tests/settings/test_settings_load.py
+++ b/tests/settings/test_settings_load.py
@@ -3,7 +3,8 @@
 import pytest
 
 from lacewingpond.health.options import HealthOptions
-from lacewingpond.settings.load import check_settings, load_settings, parse_address
+from lacewingpond.settings.load import check_settings, load_settings
+from lacewingpond.util.address import parse_address
 
 
 @pytest.fixture
