--- /dev/null
+++ b/lacewingpond/entry/__main__.py
@@ -0,0 +1,66 @@
+"""Runs the entry daemon; a thin command that loads little.
+
+The daemon's memory is paid for on every VM, so this does not go through the command
+line of the whole product.
+"""
+
+import os
+import random
+import sys
+from pathlib import Path
+
+from gevent import monkey
+
+monkey.patch_socket(dns=False)
+monkey.patch_select()
+
+from result import Err  # noqa: E402
+
+from lacewingpond.entry.daemon import EntryDaemon  # noqa: E402
+from lacewingpond.entry.settings import EntrySettings, load_entry_settings  # noqa: E402
+from lacewingpond.platform.formats import FORMATS  # noqa: E402
+from lacewingpond.platform.names import HEADERS, READY_PATH  # noqa: E402
+from lacewingpond.platform.store import PlatformStore  # noqa: E402
+from lacewingpond.telemetry.json_decisions import JsonDecisionLog  # noqa: E402
+from lacewingpond.ui.signals import wait_for_stop  # noqa: E402
+from lacewingpond.util.address import parse_address  # noqa: E402
+from lacewingpond.util.clock import RuntimeClock  # noqa: E402
+
+SETTINGS_VARIABLE = "LACEWINGPOND_SETTINGS"
+USAGE_STATUS = 2
+
+
+def main() -> int:
+    """Run the daemon until it is told to stop; return its exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print(f"lacewingpond: {SETTINGS_VARIABLE} is not set", file=sys.stderr)
+        return USAGE_STATUS
+    loaded = load_entry_settings(Path(path))
+    if isinstance(loaded, Err):
+        for finding in loaded.err_value:
+            print(f"lacewingpond: {finding}", file=sys.stderr)
+        return USAGE_STATUS
+    return serve(loaded.ok_value)
+
+
+def serve(cfg: EntrySettings) -> int:
+    """Run the daemon with checked settings."""
+    clock, rng = RuntimeClock(), random.Random()
+    log = JsonDecisionLog(sys.stdout.fileno(), cfg.vm.id, clock)
+    store = PlatformStore(*parse_address(cfg.store.address))
+    try:
+        daemon = EntryDaemon(cfg, HEADERS, FORMATS, READY_PATH, store, clock, rng, log)
+        daemon.start()
+    except OSError as exc:
+        print(f"lacewingpond: can't listen: {exc}", file=sys.stderr)
+        return 1
+    log.decision("start", cfg.vm.id, "serving", domain=cfg.vm.failure_domain)
+    wait_for_stop()
+    daemon.stop()
+    log.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/lacewingpond/entry/follower.py
@@ -0,0 +1,258 @@
+"""Keeps this VM's knowledge up to date, from the store or from peers.
+
+In each failure domain one daemon or two watch the store; the others ask them. A
+daemon that finds no fresh source watches the store itself, so nobody is elected and
+the loss of any daemon is made up for within a second or two.
+"""
+
+import random
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from lacewingpond.entry.catalog import Catalog
+from lacewingpond.entry.fleet import Fleet
+from lacewingpond.entry.freshness import Freshness
+from lacewingpond.entry.peers.channel import MAX_DATAGRAM_BYTES, PeerChannel
+from lacewingpond.entry.peers.messages import Hint, News, NewsAsk, encode
+from lacewingpond.entry.peers.stream import fetch_news
+from lacewingpond.entry.world import World
+from lacewingpond.store.base import ListingStore, StoreFailure
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+
+WATCH_S = 1.0  # a quarter of the shortest revocation bound, for other delays besides
+WATCH_PAUSE_S = 0.5  # targets write 20 times a second; a quarter of the drain bound
+ASK_PERIOD_S = 0.4  # three questions may be lost within the bound of a drain notice
+ASK_TIMEOUT_S = 0.15  # peers answer within 2 ms
+TAKE_OVER_S = 1.4  # above the age of proofs from a daemon that watches
+TAKE_OVER_SPREAD_S = 0.8  # keeps the daemons of a domain from starting together
+RETRY_S = 0.5  # first pause after a call that failed
+MAX_RETRY_S = 2.0  # below the bounds for applying changes
+
+
+class Follower:
+    """Watches the store or follows a peer that does.
+
+    Parameters
+    ----------
+    store : ListingStore
+        The platform's store.
+    catalog : Catalog
+        Takes what is learned.
+    freshness : Freshness
+        Takes the proofs.
+    world : World
+        Is told of outages.
+    fleet : Fleet
+        Chooses peers.
+    channel : PeerChannel
+        Asks them.
+    clock : Clock
+        Measures and waits.
+    rng : random.Random
+        Spreads take-overs.
+    log : DecisionLog
+        Takes changes of source.
+    """
+
+    __slots__ = ("watching", "_store", "_catalog", "_freshness", "_world", "_fleet")
+    __slots__ += ("_channel", "_clock", "_rng", "_log", "_source", "_hint", "_wake")
+    __slots__ += ("_retry_at", "_retry_s", "_reachable", "_greenlets", "_patience_s")
+    __slots__ += ("_yielded_to",)
+
+    def __init__(
+        self,
+        store: ListingStore,
+        catalog: Catalog,
+        freshness: Freshness,
+        world: World,
+        fleet: Fleet,
+        channel: PeerChannel,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+    ) -> None:
+        self.watching = False
+        self._store = store
+        self._catalog = catalog
+        self._freshness = freshness
+        self._world = world
+        self._fleet = fleet
+        self._channel = channel
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._source: str | None = None
+        self._hint: str | None = None
+        self._wake = Event()
+        self._retry_at = float("-inf")
+        self._retry_s = RETRY_S
+        self._reachable = True
+        self._greenlets: list[gevent.Greenlet] = []
+        self._patience_s = self._draw_patience()
+        self._yielded_to: str | None = None
+        channel.on(NewsAsk, self._take_ask)
+        channel.on(Hint, self._take_hint)
+
+    def start(self) -> None:
+        """Learn everything and follow changes from now on."""
+        self._greenlets = [
+            gevent.spawn(self._follow_peers),
+            gevent.spawn(self._follow_store),
+        ]
+
+    def stop(self) -> None:
+        """Follow nothing any more."""
+        gevent.killall(self._greenlets)
+
+    def answer(self, ask: NewsAsk, limit: int | None = None) -> News:
+        """Return the news for a peer; without events if they exceed `limit` bytes."""
+        events = self._catalog.since(ask.after)
+        news = News(
+            ask.number,
+            self._catalog.revision,
+            self._freshness.age_s,
+            self.watching,
+            events is not None,
+            events or (),
+        )
+        if limit is not None and len(encode(news)) > limit:
+            return msgspec.structs.replace(news, whole=False, events=())
+        return news
+
+    def _follow_store(self) -> None:
+        while True:
+            if self._catalog.revision == 0:
+                self._list()
+            elif self._should_watch():
+                self._watch()
+            else:
+                self._clock.sleep(ASK_PERIOD_S / 4)
+
+    def _should_watch(self) -> bool:
+        if self.watching:
+            return True
+        if self._clock.now() < self._retry_at:
+            return False
+        if self._freshness.age_s < self._patience_s:
+            return False
+        self._patience_s = self._draw_patience()
+        self.watching = True
+        self._yielded_to = None
+        self._log.decision("source", "store", "no fresh peer")
+        return True
+
+    def _watch(self) -> None:
+        asked_at = self._clock.boot()
+        after = self._catalog.revision
+        batch = self._store.watch("", after, WATCH_S)
+        if batch.is_err():
+            failure = batch.err_value.failure
+            if failure is StoreFailure.COMPACTED:
+                self._log.decision("store", "history", "gone; listing all", after=after)
+                self._list()
+                return
+            self._note_failure(str(batch.err_value.detail))
+            return
+        self._note_success()
+        self._catalog.apply(batch.ok_value.events, batch.ok_value.revision)
+        self._freshness.prove(asked_at, "store")
+        # Also without events, so that daemons that watch learn of one another.
+        self._channel.broadcast(self._fleet.near(), Hint(self._catalog.revision))
+        if batch.ok_value.events:
+            self._clock.sleep(WATCH_PAUSE_S)
+        if self._yielded_to is not None:
+            self._log.decision("source", self._yielded_to, "watches already")
+            self._source, self._yielded_to = self._yielded_to, None
+            self.watching = False
+
+    def _list(self) -> None:
+        asked_at = self._clock.boot()
+        listing = self._store.listing("")
+        if listing.is_err():
+            self._note_failure(str(listing.err_value.detail))
+            self._clock.sleep(max(self._retry_at - self._clock.now(), 0.0))
+            return
+        self._note_success()
+        self._catalog.replace(listing.ok_value)
+        self._freshness.prove(asked_at, "store")
+
+    def _note_success(self) -> None:
+        self._retry_s = RETRY_S
+        if not self._reachable:
+            self._reachable = True
+            self._log.decision("store", "reachable", "answers again")
+
+    def _note_failure(self, why: str) -> None:
+        self.watching = False
+        self._world.note_outage()
+        pause_s = self._retry_s * self._rng.uniform(0.5, 1.0)
+        self._retry_at = self._clock.now() + pause_s
+        self._retry_s = min(self._retry_s * 2.0, MAX_RETRY_S)
+        if self._reachable:
+            self._reachable = False
+            self._log.decision("store", "unreachable", why)
+
+    def _follow_peers(self) -> None:
+        while True:
+            # A datagram wakes this greenlet as soon as there is news.
+            self._wake.wait(timeout=ASK_PERIOD_S)
+            self._wake.clear()
+            if self._catalog.revision == 0:
+                continue
+            if self.watching and self._hint is None:
+                continue
+            hinted, self._hint = self._hint, None
+            self._ask(hinted or self._source or self._fleet.pick_source(None))
+
+    def _ask(self, address: str | None) -> None:
+        if address is None:
+            return
+        asked_at = self._clock.boot()
+        after = self._catalog.revision
+        news = self._channel.ask(address, lambda n: NewsAsk(n, after), ASK_TIMEOUT_S)
+        if news is not None:
+            self._fleet.heard(address)
+            if not news.whole:
+                news = self._fetch(address, after)
+        if news is None or not news.whole:
+            self._forget(address)
+            return
+        self._catalog.apply(news.events, news.revision)
+        self._freshness.prove(asked_at - news.proof_age_s, address)
+        if news.from_store:
+            self._source = address
+        elif news.proof_age_s > self._patience_s:
+            self._forget(address)
+
+    def _fetch(self, address: str, after: int) -> News | None:
+        try:
+            return fetch_news(address, NewsAsk(0, after))
+        except (OSError, msgspec.MsgspecError) as exc:
+            self._log.decision("news", address, f"not fetched: {exc}")
+            return None
+
+    def _forget(self, address: str) -> None:
+        if self._source == address:
+            self._source = None
+            self._log.decision("source", address, "no answer")
+
+    def _take_ask(self, ask: NewsAsk, sender: tuple[str, int]) -> None:
+        self._fleet.heard(f"{sender[0]}:{sender[1]}")
+        self._channel.send(sender, self.answer(ask, MAX_DATAGRAM_BYTES))
+
+    def _take_hint(self, hint: Hint, sender: tuple[str, int]) -> None:
+        address = f"{sender[0]}:{sender[1]}"
+        vm_id = self._fleet.heard(address)
+        if self.watching and vm_id is not None and vm_id < self._fleet.vm_id:
+            self._yielded_to = address
+        if not self.watching and self._source is None:
+            self._source = address
+        if hint.revision > self._catalog.revision:
+            self._hint = address
+            self._wake.set()
+
+    def _draw_patience(self) -> float:
+        return TAKE_OVER_S + self._rng.uniform(0.0, TAKE_OVER_SPREAD_S)
--- /dev/null
+++ b/lacewingpond/entry/model/__init__.py
@@ -0,0 +1,1 @@
+"""What operators and targets have stated, as the entry daemon holds it."""
--- /dev/null
+++ b/lacewingpond/entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams and streams between the daemons of a fleet."""
--- /dev/null
+++ b/lacewingpond/entry/peers/channel.py
@@ -0,0 +1,121 @@
+"""Sends and receives datagrams between daemons."""
+
+import itertools
+import random
+import socket
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent import socket as gsocket
+from gevent.event import AsyncResult
+
+from lacewingpond.entry.peers.messages import Message, decode, encode
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.address import parse_address
+
+MAX_DATAGRAM_BYTES = 1_200  # fits into one packet on any path
+
+Handler = Callable[[Message, tuple[str, int]], None]
+
+
+class PeerChannel:
+    """One datagram socket, with one greenlet that receives.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Where to listen.
+    rng : random.Random
+        Draws the first number of a question, which differs after a restart.
+    log : DecisionLog
+        Takes messages that can't be read.
+    """
+
+    __slots__ = ("_sock", "_log", "_numbers", "_waiting", "_handlers", "_greenlet")
+
+    def __init__(
+        self, host: str, port: int, rng: random.Random, log: DecisionLog
+    ) -> None:
+        self._sock = gsocket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind((host, port))
+        self._log = log
+        self._numbers = itertools.count(rng.getrandbits(32))
+        self._waiting: dict[int, AsyncResult] = {}
+        self._handlers: dict[type, Handler] = {}
+        self._greenlet: gevent.Greenlet | None = None
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the socket."""
+        host, port = self._sock.getsockname()
+        return f"{host}:{port}"
+
+    def on(self, kind: type, handler: Handler) -> None:
+        """Call `handler` with each message of `kind` and its sender."""
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """Receive from now on."""
+        self._greenlet = gevent.spawn(self._receive)
+
+    def stop(self) -> None:
+        """Receive no more."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self._sock.close()
+
+    def send(self, to: tuple[str, int], message: Message) -> None:
+        """Send a message, which may be lost."""
+        self._send(to, encode(message))
+
+    def broadcast(self, addresses: list[str], message: Message) -> None:
+        """Send one message to several peers."""
+        data = encode(message)
+        for address in addresses:
+            self._send(parse_address(address), data)
+
+    def ask(
+        self, address: str, make: Callable[[int], Message], timeout_s: float
+    ) -> Message | None:
+        """Send the question that `make` builds and return its answer, if any."""
+        number = next(self._numbers)
+        waiter = self._waiting[number] = AsyncResult()
+        try:
+            self.send(parse_address(address), make(number))
+            return waiter.get(timeout=timeout_s)
+        except gevent.Timeout:
+            return None
+        finally:
+            del self._waiting[number]
+
+    def _send(self, to: tuple[str, int], data: bytes) -> None:
+        try:
+            self._sock.sendto(data, to)
+        except OSError as exc:
+            self._log.decision("peer", f"{to[0]}:{to[1]}", f"not sent: {exc}")
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, sender = self._sock.recvfrom(65_535)
+            except OSError as exc:
+                self._log.decision("peer", "socket", str(exc))
+                gevent.sleep(0.1)
+                continue
+            try:
+                self._take(decode(data), sender)
+            except msgspec.MsgspecError as exc:
+                self._log.decision("peer", sender[0], f"unreadable message: {exc}")
+            except Exception as exc:
+                # One bad message must not end the receiver.
+                self._log.decision("peer", sender[0], f"message failed: {exc!r}")
+
+    def _take(self, message: Message, sender: tuple[str, int]) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message, sender)
+            return
+        waiter = self._waiting.get(getattr(message, "number", -1))
+        if waiter is not None and not waiter.ready():
+            waiter.set(message)
--- /dev/null
+++ b/lacewingpond/entry/peers/messages.py
@@ -0,0 +1,101 @@
+"""Messages between daemons, as msgpack arrays."""
+
+import msgspec
+from msgspec import Struct
+
+from lacewingpond.store.base import WatchEvent
+
+
+class NewsAsk(Struct, frozen=True, array_like=True, tag=1):
+    """Asks what has changed after a revision of the store."""
+
+    number: int
+    after: int
+
+
+class News(Struct, frozen=True, array_like=True, tag=2):
+    """What the sender knows after the revision that was asked for.
+
+    Parameters
+    ----------
+    number : int
+        Of the question.
+    revision : int
+        Up to where the sender knows everything.
+    proof_age_s : float
+        Age of its proof of freshness.
+    from_store : bool
+        Whether it has that from the store itself.
+    whole : bool
+        False when the events do not fit and must be fetched over a stream.
+    events : tuple of WatchEvent
+        The changes.
+    """
+
+    number: int
+    revision: int
+    proof_age_s: float
+    from_store: bool
+    whole: bool
+    events: tuple[WatchEvent, ...] = ()
+
+
+class Hint(Struct, frozen=True, array_like=True, tag=3):
+    """Tells that the sender has just learned of a change."""
+
+    revision: int
+
+
+class OutcomeRow(Struct, frozen=True, array_like=True):
+    """What became of one daemon's requests at one target since its last report.
+
+    Parameters
+    ----------
+    target_id : str
+        The target.
+    good, bad : int
+        Requests that the target served, and those that it failed.
+    in_flight : int
+        Requests that are at it now; -1 when the report does not tell.
+    """
+
+    target_id: str
+    good: int
+    bad: int
+    in_flight: int = 0
+
+
+class Outcomes(Struct, frozen=True, array_like=True, tag=4):
+    """A report on targets.
+
+    Parameters
+    ----------
+    rows : tuple of OutcomeRow
+        One for each target.
+    relay : bool
+        Whether the receiver passes it on to its own failure domain.
+    """
+
+    rows: tuple[OutcomeRow, ...]
+    relay: bool = False
+
+
+class TokenAsk(Struct, frozen=True, array_like=True, tag=5):
+    """Asks for tokens of a bucket."""
+
+    number: int
+    bucket: str
+
+
+class TokenGrant(Struct, frozen=True, array_like=True, tag=6):
+    """Hands out a token, or tells when one may be there."""
+
+    number: int
+    granted: bool
+    wait_s: float
+
+
+Message = NewsAsk | News | Hint | Outcomes | TokenAsk | TokenGrant
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Message).decode
--- /dev/null
+++ b/lacewingpond/entry/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts of workspaces over the whole fleet."""
--- /dev/null
+++ b/lacewingpond/entry/quota/limiter.py
@@ -0,0 +1,222 @@
+"""Admits requests of workspaces by tokens that a few daemons hold for all.
+
+A workspace's bucket is split into shares of a few tokens. Every daemon ranks the
+members in the store in the same way for each workspace, and the first ones hold a
+share each. The others ask a holder for a token; it leaves the bucket before the
+answer is sent, so a lost answer loses a token and nothing is admitted twice. A share
+whose holder has gone stays idle until its entry in the store ends; only where two
+holders of everything would still keep the bound does the next in rank step in.
+"""
+
+import random
+from collections.abc import Callable
+
+from lacewingpond.entry.fleet import Fleet
+from lacewingpond.entry.model.fleet_config import FleetConfig
+from lacewingpond.entry.model.workspace import EntryWorkspace
+from lacewingpond.entry.peers.channel import PeerChannel
+from lacewingpond.entry.peers.messages import TokenAsk, TokenGrant
+from lacewingpond.entry.quota.admission import Admission
+from lacewingpond.entry.quota.rules import QuotaRules
+from lacewingpond.entry.quota.token_bucket import TokenBucket
+from lacewingpond.entry.world import World
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+from lacewingpond.util.rendezvous import ranked
+
+ASK_TIMEOUT_S = 0.06  # answers take 2 ms between domains; a loaded VM takes longer
+MAX_ASKS = 4  # finds a token among half-empty shares nearly always
+SILENT_S = 2.0  # a holder that did not answer is asked last for so long
+STARTUP_S = 8.0  # while members still register, shares move without a loss
+MIN_RETRY_S = 0.1  # below this a client returns before a token does
+
+HOLDERS_AWAY = "quota-holders-away"
+OVER_RATE = "over-rate"
+
+
+class QuotaLimiter:
+    """Takes a token for each request of a workspace with a rate.
+
+    Parameters
+    ----------
+    rules : QuotaRules
+        Bound and tolerance.
+    world : World
+        Source of workspaces and members.
+    fleet : Fleet
+        Knows where members are.
+    channel : PeerChannel
+        Asks holders.
+    clock : Clock
+        Fills buckets.
+    rng : random.Random
+        Spreads questions and returns.
+    log : DecisionLog
+        Takes refusals' causes.
+    """
+
+    __slots__ = ("_rules", "_world", "_fleet", "_channel", "_clock", "_rng", "_log")
+    __slots__ += ("_buckets", "_holders", "_silent_until", "_started_at")
+
+    def __init__(
+        self,
+        rules: QuotaRules,
+        world: World,
+        fleet: Fleet,
+        channel: PeerChannel,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+    ) -> None:
+        self._rules = rules
+        self._world = world
+        self._fleet = fleet
+        self._channel = channel
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._buckets: dict[str, TokenBucket] = {}
+        self._holders: dict[str, list[str]] = {}
+        self._silent_until: dict[str, float] = {}
+        self._started_at = clock.now()
+        world.on_config(self._take_config)
+        world.on_members(self._take_members)
+        channel.on(TokenAsk, self._take_ask)
+
+    def admit(self, workspace: EntryWorkspace) -> Admission:
+        """Take a token for one request of `workspace`."""
+        if workspace.rate <= 0.0:
+            return Admission(True)
+        holders = self._ranked(workspace)
+        count = self._rules.share_count(workspace, len(holders))
+        waits: list[float] = []
+        own = self._own_bucket(workspace, holders, count)
+        if own is not None:
+            now = self._clock.now()
+            if own.take(now):
+                return Admission(True)
+            waits.append(own.wait_s(now))
+        for vm_id in self._order(workspace, holders, count):
+            grant = self._ask(vm_id, workspace.name)
+            if grant is None:
+                continue
+            if grant.granted:
+                return Admission(True)
+            waits.append(grant.wait_s)
+        if not waits:
+            return Admission(False, HOLDERS_AWAY, SILENT_S / 2)
+        return Admission(False, OVER_RATE, self._retry_s(min(waits)))
+
+    def _retry_s(self, wait_s: float) -> float:
+        # Several clients wait for the same token.
+        return max(wait_s, MIN_RETRY_S) * self._rng.uniform(1.0, 3.0)
+
+    def _order(
+        self, workspace: EntryWorkspace, holders: list[str], count: int
+    ) -> list[str]:
+        """Return whom to ask: answering holders first, near ones before others."""
+        now = self._clock.now()
+        chosen = [vm_id for vm_id in holders[:count] if vm_id != self._fleet.vm_id]
+        self._rng.shuffle(chosen)
+        chosen.sort(key=lambda vm_id: not self._fleet.is_near(vm_id))
+        chosen.sort(key=lambda vm_id: self._silent_until.get(vm_id, now) > now)
+        if self._rules.may_double(workspace):
+            chosen += holders[count : count + 1]
+        return [vm_id for vm_id in chosen if vm_id != self._fleet.vm_id][:MAX_ASKS]
+
+    def _ask(self, vm_id: str, bucket: str) -> TokenGrant | None:
+        address = self._fleet.address(vm_id)
+        if address is None:
+            return None
+        make: Callable[[int], TokenAsk] = lambda number: TokenAsk(number, bucket)  # noqa: E731
+        answer = self._channel.ask(address, make, ASK_TIMEOUT_S)
+        if isinstance(answer, TokenGrant):
+            self._silent_until.pop(vm_id, None)
+            return answer
+        self._silent_until[vm_id] = self._clock.now() + SILENT_S
+        return None
+
+    def _take_ask(self, ask: TokenAsk, sender: tuple[str, int]) -> None:
+        self._fleet.heard(f"{sender[0]}:{sender[1]}")
+        bucket = self._bucket_for_peer(ask.bucket)
+        now = self._clock.now()
+        if bucket is None:
+            # The asker's list of members is another one; it asks the next.
+            grant = TokenGrant(ask.number, False, 1.0)
+        elif bucket.take(now):
+            grant = TokenGrant(ask.number, True, 0.0)
+        else:
+            grant = TokenGrant(ask.number, False, bucket.wait_s(now))
+        self._channel.send(sender, grant)
+
+    def _bucket_for_peer(self, name: str) -> TokenBucket | None:
+        cfg = self._world.config
+        workspace = cfg.workspaces.get(name) if cfg is not None else None
+        if workspace is None or workspace.rate <= 0.0:
+            return None
+        holders = self._ranked(workspace)
+        count = self._rules.share_count(workspace, len(holders))
+        own = self._own_bucket(workspace, holders, count)
+        if own is not None or not self._rules.may_double(workspace):
+            return own
+        return self._bucket(workspace, count)
+
+    def _own_bucket(
+        self, workspace: EntryWorkspace, holders: list[str], count: int
+    ) -> TokenBucket | None:
+        if self._fleet.vm_id not in holders[:count]:
+            return None
+        return self._bucket(workspace, count)
+
+    def _bucket(self, workspace: EntryWorkspace, count: int) -> TokenBucket:
+        now = self._clock.now()
+        rate, size = workspace.rate / count, workspace.burst / count
+        bucket = self._buckets.get(workspace.name)
+        if bucket is None:
+            starting = now - self._started_at <= STARTUP_S
+            tokens = self._rules.start_tokens(workspace) / count if starting else 0.0
+            bucket = TokenBucket(rate, size, tokens, now)
+            self._buckets[workspace.name] = bucket
+        elif (bucket.rate, bucket.size) != (rate, max(size, 1.0)):
+            bucket.resize(rate, size, now)
+        return bucket
+
+    def _ranked(self, workspace: EntryWorkspace) -> list[str]:
+        holders = self._holders.get(workspace.name)
+        if holders is None:
+            holders = ranked(workspace.name, self._world.members)
+            self._holders[workspace.name] = holders
+        return holders
+
+    def _take_members(self) -> None:
+        self._holders.clear()
+        members = self._world.members
+        self._silent_until = {
+            k: at for k, at in self._silent_until.items() if k in members
+        }
+        self._drop_lost_shares()
+
+    def _take_config(self, cfg: FleetConfig) -> None:
+        self._buckets = {k: b for k, b in self._buckets.items() if k in cfg.workspaces}
+        self._holders = {k: h for k, h in self._holders.items() if k in cfg.workspaces}
+        self._drop_lost_shares()
+        # A share that nobody asks for fills all the same.
+        for workspace in cfg.workspaces.values():
+            if workspace.rate > 0.0:
+                holders = self._ranked(workspace)
+                count = self._rules.share_count(workspace, len(holders))
+                self._own_bucket(workspace, holders, count)
+
+    def _drop_lost_shares(self) -> None:
+        """Forget buckets that the ranking gives to others now."""
+        cfg = self._world.config
+        if cfg is None:
+            return
+        for name in tuple(self._buckets):
+            workspace = cfg.workspaces.get(name)
+            if workspace is None or self._rules.may_double(workspace):
+                continue
+            holders = self._ranked(workspace)
+            count = self._rules.share_count(workspace, len(holders))
+            if self._fleet.vm_id not in holders[:count]:
+                del self._buckets[name]
--- /dev/null
+++ b/lacewingpond/entry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request through the entry daemon."""
--- /dev/null
+++ b/lacewingpond/entry/requests/delivery.py
@@ -0,0 +1,306 @@
+"""Brings one request to a target and its answer back."""
+
+from enum import Enum
+
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.requests.refusal import Refusal
+from lacewingpond.entry.requests.task import Task
+from lacewingpond.entry.targets.placer import Placer
+from lacewingpond.entry.targets.reporter import OutcomeReporter
+from lacewingpond.entry.targets.state import TargetState
+from lacewingpond.http.response import Response
+from lacewingpond.retries.budget import RetryBudget
+from lacewingpond.targets.client import TargetClient
+from lacewingpond.targets.errors import (
+    AnswerCutError,
+    SendError,
+    SendFailure,
+    SendReason,
+)
+from lacewingpond.targets.response import TargetResponse
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+
+MAX_HELD_BYTES = 262_144  # whole answers up to here are checked before they go on
+MAX_UNREACHED = 4  # targets that could not be connected to, before giving up
+RETRY_LEAST_S = 0.05  # a target can't answer in less
+BUSY_RETRY_S = 0.5  # about the time in which a busy target ends a request
+MISDIRECTED = 421
+FIRST_SERVER_ERROR = 500
+FIRST_ERROR = 400
+
+BLAMELESS = frozenset(
+    {
+        SendReason.CALLER_GONE,
+        SendReason.CALLER_BODY,
+        SendReason.CALLER_HEAD,
+        SendReason.OWNERSHIP_LOST,
+        SendReason.BUDGET,
+    }
+)
+"""Ends of an exchange that say nothing about the target."""
+FINAL = frozenset(
+    {
+        SendReason.CALLER_GONE,
+        SendReason.CALLER_BODY,
+        SendReason.CALLER_HEAD,
+        SendReason.OWNERSHIP_LOST,
+    }
+)
+"""Ends of an exchange after which no other target would serve better."""
+
+
+LATE = frozenset({SendReason.DEADLINE, SendReason.SILENT_CONNECTION})
+"""Ends of an exchange for want of an answer in time."""
+
+
+class Fate(Enum):
+    """What is known of an attempt without an answer to pass on."""
+
+    UNREACHED = "unreached"
+    """No byte has left this VM."""
+    NOT_RUN = "not-run"
+    """The target said that it did not run the request."""
+    UNKNOWN = "unknown"
+    """The target may have run it."""
+
+
+class Failure(Struct, frozen=True):
+    """An attempt without an answer to pass on.
+
+    Parameters
+    ----------
+    fate : Fate
+        What is known of it.
+    refusal : Refusal
+        The answer to the client if no other attempt is made.
+    final : bool
+        Whether no other target would serve better.
+    """
+
+    fate: Fate
+    refusal: Refusal
+    final: bool = False
+
+
+class DeliveryParts(Struct, frozen=True):
+    """What deliveries share."""
+
+    names: HeaderNames
+    placer: Placer
+    reporter: OutcomeReporter
+    client: TargetClient
+    retries: RetryBudget
+    clock: Clock
+    log: DecisionLog
+
+
+class Delivery:
+    """Sends one request to one target after another until one answers.
+
+    A non-idempotent request goes to another target only after proof that no earlier
+    one runs it: no byte has left, or the target said so.
+
+    Parameters
+    ----------
+    parts : DeliveryParts
+        What deliveries share.
+    task : Task
+        The request.
+    """
+
+    __slots__ = ("_parts", "_task", "_tried", "_reached", "_may_have_run")
+    __slots__ += ("_last_failure",)
+
+    def __init__(self, parts: DeliveryParts, task: Task) -> None:
+        self._parts = parts
+        self._task = task
+        self._tried: set[str] = set()
+        self._reached = 0
+        self._may_have_run = False
+        self._last_failure: Failure | None = None
+
+    def run(self) -> Result[Response, Refusal]:
+        """Return a target's answer, or why there is none."""
+        self._parts.retries.earn(self._task.service)
+        while True:
+            state = self._parts.placer.pick(self._task.service, self._tried)
+            if state is None:
+                return Err(self._give_up())
+            outcome = self._attempt(state)
+            if outcome.is_ok():
+                return outcome
+            failure = outcome.err_value
+            self._may_have_run |= failure.fate is Fate.UNKNOWN
+            self._last_failure = failure
+            if not self._may_try_again(failure):
+                return Err(self._give_up())
+
+    def _attempt(self, state: TargetState) -> Result[Response, Failure]:
+        parts, task = self._parts, self._task
+        target_id = state.instance.target_id
+        self._tried.add(target_id)
+        started = parts.clock.now()
+        state.in_flight += 1
+        try:
+            outcome = self._exchange(state)
+        finally:
+            state.in_flight -= 1
+        took_ms = round((parts.clock.now() - started) * 1000.0)
+        if outcome.is_ok():
+            why = str(outcome.ok_value.status)
+        else:
+            why = outcome.err_value.refusal.reason
+        parts.log.decision(
+            "attempt", task.request_id, why, target=target_id, ms=took_ms
+        )
+        return outcome
+
+    def _exchange(self, state: TargetState) -> Result[Response, Failure]:
+        request = self._task.attempt(
+            self._parts.names.expected_target, state.instance.target_id
+        )
+        sent = self._parts.client.send(state.target, request, self._task.deadline)
+        if sent.is_err():
+            return Err(self._not_answered(state, sent.err_value))
+        self._reached += 1
+        state.note_reached()
+        response = sent.ok_value
+        try:
+            return self._take(state, response)
+        except AnswerCutError as exc:
+            if exc.reason is not SendReason.CALLER_GONE:
+                self._parts.reporter.note(state, False, f"cut: {exc.reason.value}")
+            status = 504 if exc.reason is SendReason.DEADLINE else 502
+            detail = "The target's answer was cut short."
+            return Err(_failed(Refusal.unknown(status, "answer-cut", detail)))
+        finally:
+            response.close()
+
+    def _take(
+        self, state: TargetState, response: TargetResponse
+    ) -> Result[Response, Failure]:
+        names = self._parts.names
+        if response.headers.get(names.not_run) or response.status == MISDIRECTED:
+            return Err(self._not_run(state, response))
+        if not self._is_genuine(response):
+            self._parts.reporter.note(state, False, "not a target's answer")
+            detail = "The target's answer can't be trusted."
+            return Err(_failed(Refusal.unknown(502, "bad-answer", detail)))
+        response.limit_time(self._task.deadline)
+        blocks, size = [], 0
+        for block in response:
+            blocks.append(block)
+            size += len(block)
+            if size > MAX_HELD_BYTES:
+                return Ok(self._streamed(response, blocks))
+        failed = response.status >= FIRST_SERVER_ERROR
+        self._parts.reporter.note(state, not failed, str(response.status))
+        answer = Response(
+            response.status, response.headers, b"".join(blocks), response.reason
+        )
+        if failed and self._may_replace():
+            detail = "The target answered with an error."
+            refusal = Refusal.unknown(502, "target-error", detail)
+            return Err(_failed(refusal))
+        return Ok(answer)
+
+    def _streamed(self, response: TargetResponse, blocks: list[bytes]) -> Response:
+        def body():
+            yield from blocks
+            yield from response
+
+        return Response(response.status, response.headers, body(), response.reason)
+
+    def _is_genuine(self, response: TargetResponse) -> bool:
+        names = self._parts.names
+        headers = response.headers
+        return (
+            headers.get(names.request_id) == self._task.request_id
+            and bool(headers.get(names.signature))
+            and "Content-Encoding" not in headers
+        )
+
+    def _not_run(self, state: TargetState, response: TargetResponse) -> Failure:
+        if response.status == MISDIRECTED:
+            # The address belongs to another target now.
+            self._parts.reporter.note(state, False, "misdirected")
+            reason, detail = "misdirected", "The target has gone."
+        else:
+            reason, detail = "target-busy", "The target takes no more work now."
+        refusal = Refusal.not_run(503, reason, detail, BUSY_RETRY_S)
+        return Failure(Fate.NOT_RUN, refusal)
+
+    def _not_answered(self, state: TargetState, error: SendError) -> Failure:
+        reason = error.reason
+        final = reason in FINAL
+        if error.failure is SendFailure.NOT_SENT:
+            if reason is SendReason.CONNECT:
+                state.note_unreachable(self._parts.clock.now())
+            return Failure(Fate.UNREACHED, _unreached(reason), final)
+        self._reached += 1
+        if reason not in BLAMELESS:
+            self._parts.reporter.note(state, False, reason.value)
+        return Failure(Fate.UNKNOWN, _unanswered(reason), final)
+
+    def _may_try_again(self, failure: Failure) -> bool:
+        task = self._task
+        if failure.final or not task.body.can_send:
+            return False
+        if self._parts.clock.now() + RETRY_LEAST_S >= task.deadline:
+            return False
+        if failure.fate is Fate.UNREACHED:
+            return len(self._tried) - self._reached < MAX_UNREACHED
+        if self._may_have_run and not task.route.idempotent:
+            return False
+        return self._may_reach_another()
+
+    def _may_replace(self) -> bool:
+        """Return whether another target may be asked after an error of this one."""
+        task = self._task
+        if not task.route.idempotent or not task.body.can_send:
+            return False
+        if self._reached >= task.route.max_attempts:
+            return False
+        return self._parts.clock.now() + RETRY_LEAST_S < task.deadline
+
+    def _may_reach_another(self) -> bool:
+        if self._reached >= self._task.route.max_attempts:
+            return False
+        return self._parts.retries.spend(self._task.service)
+
+    def _give_up(self) -> Refusal:
+        if self._last_failure is None:
+            detail = "No target of the service takes work."
+            return Refusal.not_run(503, "no-target", detail, BUSY_RETRY_S)
+        refusal = self._last_failure.refusal
+        if self._may_have_run and self._last_failure.fate is not Fate.UNKNOWN:
+            return Refusal.unknown(502, refusal.reason, refusal.detail)
+        return refusal
+
+
+def _failed(refusal: Refusal) -> Failure:
+    return Failure(Fate.UNKNOWN, refusal)
+
+
+def _unreached(reason: SendReason) -> Refusal:
+    if reason in (SendReason.CALLER_BODY, SendReason.CALLER_HEAD):
+        return Refusal.not_run(400, reason.value, "The request can't be sent on.")
+    if reason is SendReason.OWNERSHIP_LOST:
+        detail = "This VM can't check keys now."
+        return Refusal.not_run(503, "stale-keys", detail, BUSY_RETRY_S)
+    detail = "The request did not reach a target."
+    return Refusal.not_run(503, f"unreached-{reason.value}", detail, BUSY_RETRY_S)
+
+
+def _unanswered(reason: SendReason) -> Refusal:
+    if reason is SendReason.CALLER_BODY:
+        return Refusal.unknown(400, reason.value, "The request's body was cut short.")
+    status = (
+        504 if reason in (SendReason.DEADLINE, SendReason.SILENT_CONNECTION) else 502
+    )
+    detail = "The request reached a target, which gave no answer."
+    return Refusal.unknown(status, f"unanswered-{reason.value}", detail)
--- /dev/null
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -0,0 +1,263 @@
+"""Decides what becomes of each request, from its route to its answer."""
+
+import random
+
+from result import Err, Ok, Result
+
+from lacewingpond.entry.freshness import Freshness
+from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.model.fleet_config import FleetConfig
+from lacewingpond.entry.model.route import EntryRoute
+from lacewingpond.entry.model.workspace import EntryWorkspace
+from lacewingpond.entry.quota.limiter import OVER_RATE, QuotaLimiter
+from lacewingpond.entry.requests.delivery import Delivery, DeliveryParts
+from lacewingpond.entry.requests.refusal import Refusal
+from lacewingpond.entry.requests.task import Task
+from lacewingpond.entry.world import World
+from lacewingpond.http.errors import RequestBodyError
+from lacewingpond.http.headers import Headers
+from lacewingpond.http.request import Request
+from lacewingpond.http.response import Response
+from lacewingpond.proxy.job_body import JobBody
+from lacewingpond.proxy.kept_body import KeptBody
+from lacewingpond.proxy.streamed_body import StreamedBody
+from lacewingpond.routing.hop_by_hop import headers_to_target
+from lacewingpond.routing.keys import presented_key
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+
+MAX_KEPT_BODY_BYTES = 1_048_576  # longer bodies pass through and can't be sent again
+STALE_RETRY_S = 1.0  # a peer's proof arrives within this, unless all are cut off
+MAX_DEADLINE_S = 600.0  # no client of the platform waits longer
+MAX_ID_CHARS = 200
+
+
+class Pipeline:
+    """Takes requests from the callers' server and returns their answers.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Fields that are read and set.
+    world : World
+        Holds the configuration.
+    freshness : Freshness
+        Proves that keys may be trusted.
+    limiter : QuotaLimiter
+        Admits requests of workspaces.
+    parts : DeliveryParts
+        For deliveries.
+    clock : Clock
+        Measures deadlines.
+    rng : random.Random
+        Draws parts of a split.
+    log : DecisionLog
+        Takes decisions.
+    """
+
+    __slots__ = ("_names", "_world", "_freshness", "_limiter", "_parts", "_clock")
+    __slots__ += ("_rng", "_log", "_own_fields")
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        world: World,
+        freshness: Freshness,
+        limiter: QuotaLimiter,
+        parts: DeliveryParts,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+    ) -> None:
+        self._names = names
+        self._world = world
+        self._freshness = freshness
+        self._limiter = limiter
+        self._parts = parts
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._own_fields = frozenset(
+            name.lower()
+            for name in (
+                names.deadline_ms,
+                names.expected_target,
+                names.target_id,
+                names.workspace,
+                names.signature,
+                names.not_run,
+                "Authorization",
+            )
+        )
+
+    def handle(self, req: Request) -> Response:
+        """Answer one request."""
+        request_id = req.headers.get(self._names.request_id) or ""
+        outcome = self._serve(req, request_id)
+        if outcome.is_ok():
+            return outcome.ok_value
+        refusal = outcome.err_value
+        self._log.decision(
+            "refuse",
+            request_id[:MAX_ID_CHARS],
+            refusal.reason,
+            status=refusal.status,
+            run=refusal.run.value,
+        )
+        response = refusal.response()
+        if request_id:
+            response.headers.add(self._names.request_id, request_id)
+        return response
+
+    def _serve(self, req: Request, request_id: str) -> Result[Response, Refusal]:
+        cfg = self._world.config
+        if cfg is None:
+            return Err(_unready("no-config", "There is no configuration yet."))
+        route = cfg.route(req.host, req.path)
+        if route is None:
+            detail = "No route takes this host and path."
+            return Err(Refusal.not_run(404, "no-route", detail))
+        identified = self._identify(req, cfg, route)
+        if identified.is_err():
+            return identified
+        workspace = identified.ok_value
+        fault = self._check_form(req, cfg, request_id)
+        if fault is not None:
+            return Err(fault)
+        deadline = self._deadline(req, route)
+        if deadline.is_err():
+            return deadline
+        refused = self._check_rate(workspace)
+        if refused is not None:
+            return Err(refused)
+        try:
+            body = _body_of(req)
+        except RequestBodyError as exc:
+            return Err(Refusal.not_run(exc.status, "bad-body", exc.detail))
+        task = self._task(req, request_id, route, workspace, body, deadline.ok_value)
+        if not task.may_send():
+            return Err(_unready("keys-changed", "The key can't be checked now."))
+        self._log_route(task, cfg)
+        return Delivery(self._parts, task).run()
+
+    def _identify(
+        self, req: Request, cfg: FleetConfig, route: EntryRoute
+    ) -> Result[EntryWorkspace | None, Refusal]:
+        if route.public or not cfg.has_workspaces:
+            return Ok(None)
+        if not self._freshness.is_fresh:
+            return Err(_unready("stale-keys", "This VM can't check keys now."))
+        key = presented_key(req.headers)
+        workspace = cfg.workspace_of(key) if key is not None else None
+        if workspace is None:
+            return Err(Refusal.not_run(401, "bad-key", "The route needs a known key."))
+        return Ok(workspace)
+
+    def _check_form(
+        self, req: Request, cfg: FleetConfig, request_id: str
+    ) -> Refusal | None:
+        if not request_id or len(request_id) > MAX_ID_CHARS:
+            return Refusal.not_run(400, "bad-id", "The request needs one id.")
+        if len(req.headers.get_all(self._names.request_id)) != 1:
+            return Refusal.not_run(400, "bad-id", "The request has several ids.")
+        if (req.body.content_length or 0) > cfg.limits.body_bytes:
+            return Refusal.not_run(413, "body-too-large", "The body is too long.")
+        return None
+
+    def _deadline(self, req: Request, route: EntryRoute) -> Result[float, Refusal]:
+        text = req.headers.get(self._names.deadline_ms)
+        left_s = MAX_DEADLINE_S
+        if text is not None:
+            if not (text.isascii() and text.isdigit() and len(text) <= 12):
+                detail = f"{self._names.deadline_ms} must be whole milliseconds."
+                return Err(Refusal.not_run(400, "bad-deadline", detail))
+            left_s = min(int(text) / 1000.0, left_s)
+        return Ok(req.received_at + min(left_s, route.timeout_s))
+
+    def _check_rate(self, workspace: EntryWorkspace | None) -> Refusal | None:
+        if workspace is None:
+            return None
+        admission = self._limiter.admit(workspace)
+        if admission.admitted:
+            return None
+        status = 429 if admission.reason == OVER_RATE else 503
+        detail = "The workspace's rate admits no request now."
+        return Refusal.not_run(
+            status, admission.reason, detail, admission.retry_after_s
+        )
+
+    def _task(
+        self,
+        req: Request,
+        request_id: str,
+        route: EntryRoute,
+        workspace: EntryWorkspace | None,
+        body: JobBody,
+        deadline: float,
+    ) -> Task:
+        headers = Headers(
+            (name, value)
+            for name, value in headers_to_target(req.headers)
+            if name.lower() not in self._own_fields
+        )
+        if workspace is not None:
+            headers.add(self._names.workspace, workspace.name)
+        return Task(
+            request_id=request_id,
+            route=route,
+            service=self._draw_service(route),
+            workspace=workspace.name if workspace is not None else "",
+            method=req.method,
+            path=req.path,
+            headers=headers,
+            body=body,
+            deadline=deadline,
+            is_disconnected=req.is_disconnected,
+            may_send=lambda: self._may_send(req, route, workspace),
+        )
+
+    def _may_send(
+        self, req: Request, route: EntryRoute, workspace: EntryWorkspace | None
+    ) -> bool:
+        """Check again what may have changed while the request waited."""
+        cfg = self._world.config
+        current = cfg.route(req.host, req.path)
+        if current is not route and (current is None or current.split != route.split):
+            return False
+        if workspace is None:
+            return route.public or not cfg.has_workspaces
+        if not self._freshness.is_fresh:
+            return False
+        key = presented_key(req.headers)
+        holder = cfg.workspace_of(key) if key is not None else None
+        return holder is not None and holder.name == workspace.name
+
+    def _draw_service(self, route: EntryRoute) -> str:
+        if len(route.split) == 1:
+            return route.split[0].service
+        weights = [part.weight for part in route.split]
+        return self._rng.choices(route.split, weights)[0].service
+
+    def _log_route(self, task: Task, cfg: FleetConfig) -> None:
+        self._log.decision(
+            "route",
+            task.request_id,
+            task.route.name,
+            service=task.service,
+            workspace=task.workspace,
+            version=cfg.version,
+            proof_age_s=round(self._freshness.age_s, 2),
+        )
+
+
+def _unready(reason: str, detail: str) -> Refusal:
+    return Refusal.not_run(503, reason, detail, STALE_RETRY_S)
+
+
+def _body_of(req: Request) -> JobBody:
+    if req.body.is_empty:
+        return KeptBody(b"")
+    length = req.body.content_length
+    if length is None or length > MAX_KEPT_BODY_BYTES:
+        return StreamedBody(req)
+    return KeptBody(b"".join(req.body))
--- /dev/null
+++ b/lacewingpond/entry/settings.py
@@ -0,0 +1,162 @@
+"""Settings of the entry daemon, in TOML."""
+
+from collections.abc import Mapping
+from pathlib import Path
+
+from msgspec import Struct, field
+from result import Err, Ok, Result
+
+from lacewingpond.util.address import parse_address
+from lacewingpond.util.convert import convert_struct
+from lacewingpond.util.duration import parse_duration
+from lacewingpond.util.findings import Finding
+from lacewingpond.util.toml_file import read_toml
+
+
+class VmSettings(Struct, frozen=True):
+    """The VM of this daemon, and where it runs."""
+
+    id: str
+    failure_domain: str
+    region: str
+    ip: str
+    memory_mb: int = 300
+    descriptors: int = 4096
+
+
+class ListenSettings(Struct, frozen=True):
+    """Addresses of the daemon; `peer_ports` are the first and last free port."""
+
+    callers: str
+    readiness: str
+    peer_ports: tuple[int, ...]
+
+
+class StoreSettings(Struct, frozen=True):
+    """Where the platform's store is."""
+
+    address: str
+
+
+class LogSettings(Struct, frozen=True):
+    """What is logged; the level `changes` leaves out the lines of single requests."""
+
+    level: str = "decisions"
+
+
+class BoundSettings(Struct, frozen=True):
+    """What the platform's users demand; durations are texts such as ``1500ms``.
+
+    Parameters
+    ----------
+    target_heartbeat : str
+        How often targets renew their entries.
+    store_return : str
+        How long after the store's return its missing entries may come back.
+    drain : str
+        How long after its notice a leaving target may get new work.
+    stop_grace : str
+        Time between SIGTERM and SIGKILL.
+    config_apply : str
+        How long a new configuration may take to be in force.
+    strict_revoke : bool
+        Whether a withdrawn key must stop working on cut-off VMs too.
+    revoke : str
+        How long a withdrawn key may go on working.
+    retry_ratio, retry_burst : float
+        Retries of the whole fleet per request of a service, and beside those.
+    quota_window : str
+        Span over which a workspace's requests are counted.
+    quota_overage, quota_slack : float
+        What may be admitted beyond a workspace's rate: a share and a number.
+    probes_per_s : float
+        Health checks a target may get in a second from the whole fleet.
+    min_share : float
+        Share of a service's sound targets that must stay in use.
+    """
+
+    target_heartbeat: str = "1500ms"
+    store_return: str = "2s"
+    drain: str = "2000ms"
+    stop_grace: str = "6s"
+    config_apply: str = "2000ms"
+    strict_revoke: bool = True
+    revoke: str = "5000ms"
+    retry_ratio: float = 0.2
+    retry_burst: float = 60.0
+    quota_window: str = "5s"
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
+    probes_per_s: float = 3.0
+    min_share: float = 0.7
+
+    def seconds(self, name: str) -> float:
+        """Return the duration called `name` in seconds."""
+        return parse_duration(getattr(self, name))
+
+
+DURATIONS = (
+    "target_heartbeat",
+    "store_return",
+    "drain",
+    "stop_grace",
+    "config_apply",
+    "revoke",
+    "quota_window",
+)
+
+
+class EntrySettings(Struct, frozen=True):
+    """All settings of an entry daemon."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    store: StoreSettings
+    bounds: BoundSettings = field(default_factory=BoundSettings)
+    log: LogSettings = field(default_factory=LogSettings)
+
+
+def load_entry_settings(path: Path) -> Result[EntrySettings, tuple[Finding, ...]]:
+    """Read and check the settings file at `path`."""
+    read = read_toml(path)
+    if isinstance(read, Err):
+        return Err((read.err_value,))
+    return check_entry_settings(read.ok_value, str(path))
+
+
+def check_entry_settings(
+    data: Mapping[str, object], place: str
+) -> Result[EntrySettings, tuple[Finding, ...]]:
+    """Turn parsed settings into `EntrySettings`, or return all findings."""
+    findings: list[Finding] = []
+    cfg = convert_struct(EntrySettings, data, place, findings)
+    if cfg is not None:
+        _check_addresses(cfg, place, findings)
+        _check_durations(cfg, place, findings)
+    return Err(tuple(findings)) if cfg is None or findings else Ok(cfg)
+
+
+def _check_addresses(cfg: EntrySettings, place: str, findings: list[Finding]) -> None:
+    wanted = {
+        "listen.callers": cfg.listen.callers,
+        "listen.readiness": cfg.listen.readiness,
+        "store.address": cfg.store.address,
+    }
+    for key, text in wanted.items():
+        try:
+            parse_address(text)
+        except ValueError as exc:
+            findings.append(Finding(f"{place}.{key}", f"{text!r}: {exc}"))
+    ports = cfg.listen.peer_ports
+    if len(ports) != 2 or not 0 <= ports[0] <= ports[-1] <= 65535:
+        findings.append(
+            Finding(f"{place}.listen.peer_ports", "must be a first and a last port")
+        )
+
+
+def _check_durations(cfg: EntrySettings, place: str, findings: list[Finding]) -> None:
+    for name in DURATIONS:
+        try:
+            cfg.bounds.seconds(name)
+        except ValueError as exc:
+            findings.append(Finding(f"{place}.bounds.{name}", str(exc)))
--- /dev/null
+++ b/lacewingpond/entry/targets/placer.py
@@ -0,0 +1,84 @@
+"""Chooses the target of a request."""
+
+import random
+
+from lacewingpond.entry.targets.state import TargetState
+from lacewingpond.entry.targets.suspicion import EJECT_AT, Standing
+from lacewingpond.entry.targets.table import TargetTable
+from lacewingpond.util.clock import Clock
+
+PROBATION_WEIGHT = 0.1  # a few trials in a second from the whole fleet
+COLD_WEIGHT = 0.5  # a target works half as fast just after its start
+NEAR_WEIGHT = 2.0  # bytes between failure domains cost, idle slots do not
+SAMPLES = 2  # the better of two drawn ones; see Mitzenmacher, TPDS 12(10), 2001
+
+
+class Placer:
+    """Draws two targets by weight and takes the less loaded one.
+
+    Parameters
+    ----------
+    table : TargetTable
+        The targets.
+    failure_domain : str
+        Where this VM runs.
+    min_share : float
+        Part of a service's targets that ejection leaves in use.
+    clock : Clock
+        Measures standings.
+    rng : random.Random
+        Draws.
+    """
+
+    __slots__ = ("_table", "_failure_domain", "_min_share", "_clock", "_rng")
+
+    def __init__(
+        self,
+        table: TargetTable,
+        failure_domain: str,
+        min_share: float,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._failure_domain = failure_domain
+        self._min_share = min_share
+        self._clock = clock
+        self._rng = rng
+
+    def pick(self, service: str, tried: set[str]) -> TargetState | None:
+        """Return a target that was not tried yet, or None."""
+        now = self._clock.now()
+        ready = self._table.ready(service)
+        ejected = self._ejected(ready, now)
+        fit = [s for s in ready if s.instance.target_id not in tried]
+        reachable = [s for s in fit if s.is_reachable(now)] or fit
+        usable = [s for s in reachable if s not in ejected] or reachable
+        if not usable:
+            return None
+        weights = [self._weight(state, now) for state in usable]
+        drawn = self._rng.choices(usable, weights, k=SAMPLES)
+        return min(drawn, key=lambda state: state.load(now))
+
+    def _ejected(
+        self, ready: tuple[TargetState, ...], now: float
+    ) -> frozenset[TargetState]:
+        """Return the worst of the ejected targets, as many as the floor allows."""
+        out = [s for s in ready if s.suspicion.standing(now) is Standing.EJECTED]
+        allowed = max(int(len(ready) * (1.0 - self._min_share)), 1)
+        if len(out) > allowed:
+            out.sort(key=lambda s: s.suspicion.score, reverse=True)
+            out = out[:allowed]
+        return frozenset(out)
+
+    def _weight(self, state: TargetState, now: float) -> float:
+        weight = float(state.instance.slots)
+        if state.instance.failure_domain == self._failure_domain:
+            weight *= NEAR_WEIGHT
+        if not state.is_warm(now):
+            weight *= COLD_WEIGHT
+        standing = state.suspicion.standing(now)
+        if standing is Standing.PROBATION:
+            return weight * PROBATION_WEIGHT
+        # Suspicion without an ejection yet turns requests away little by little.
+        return weight * max(1.0 - state.suspicion.score / EJECT_AT, PROBATION_WEIGHT)
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -3,8 +3,6 @@
 import socket
 from typing import TYPE_CHECKING
 
-from gevent.pywsgi import WSGIHandler
-
 from lacewingpond.http.body import RequestBody
 from lacewingpond.http.errors import BodyFailure, HeadError, RequestBodyError
 from lacewingpond.http.head import RequestHead, parse_head
@@ -27,7 +25,7 @@
 KEEPALIVE_PROBES = 3
 
 
-class CallerConnection(WSGIHandler):
+class CallerConnection:
     """One caller's connection; gevent's server runs it in its own greenlet.
 
     Parameters
@@ -40,6 +38,8 @@
         Holds the options and the handler of requests.
     """
 
+    __slots__ = ("socket", "address", "server", "idle", "_reader")
+
     def __init__(
         self, sock: socket.socket, address: str, server: "CallerServer"
     ) -> None:
--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import gevent
-from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 from lacewingpond.http.connection import CallerConnection
 from lacewingpond.http.options import HttpOptions
@@ -179,19 +179,12 @@
                 self.log.decision("caller-connection", conn.address, str(exc))
 
 
-class _Listener(WSGIServer):
+class _Listener(StreamServer):
     """gevent's server, which accepts and spawns."""
 
     def __init__(self, caller_server: CallerServer) -> None:
         options = caller_server.options
-        super().__init__(
-            (options.host, options.port),
-            backlog=options.backlog,
-            log=None,
-            error_log=None,
-            handler_class=CallerConnection,
-            environ={"SERVER_NAME": options.host},
-        )
+        super().__init__((options.host, options.port), backlog=options.backlog)
         self._caller_server = caller_server
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
--- a/lacewingpond/http/writer.py
+++ b/lacewingpond/http/writer.py
@@ -5,8 +5,7 @@
 import struct
 from collections.abc import Iterable
 
-from gevent.pywsgi import format_date_time
-
+from lacewingpond.http.date import http_date
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.response import Response
 from lacewingpond.util.clock import Clock
@@ -151,7 +150,7 @@
         if response.status == 204:
             headers.remove("Content-Length")
         if "Date" not in headers:
-            headers.add("Date", format_date_time(self._clock.wall()).decode())
+            headers.add("Date", http_date(self._clock.wall()))
         return headers
 
     def _head(self, response: Response, headers: Headers) -> bytes:
--- /dev/null
+++ b/lacewingpond/platform/config_document.py
@@ -0,0 +1,147 @@
+"""Decodes the platform's configuration document."""
+
+import msgspec
+from msgspec import Struct, field
+from result import Err, Ok, Result
+
+from lacewingpond.entry.model.caller_limits import CallerLimits
+from lacewingpond.entry.model.fleet_config import FleetConfig
+from lacewingpond.entry.model.route import EntryRoute, WeightedService
+from lacewingpond.entry.model.service import EntryService
+from lacewingpond.entry.model.workspace import EntryWorkspace
+from lacewingpond.util.duration import parse_duration
+
+IDEMPOTENT_KIND = "idempotent"
+
+
+class _Limits(Struct, rename="kebab"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class _Tenant(Struct, rename="kebab"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Part(Struct):
+    service: str
+    weight: float
+
+
+class _Action(Struct, rename="kebab"):
+    service: str = ""
+    traffic_split: tuple[_Part, ...] = ()
+    timeout: str = ""
+    max_attempts: int = 1
+
+
+class _Match(Struct):
+    prefix: str
+
+
+class _Rule(Struct, rename="kebab"):
+    name: str
+    match: _Match
+    action: _Action
+    kind: str = ""
+    target_latency: str = ""
+    priority: int = 0
+    public: bool = False
+
+
+class _Listener(Struct):
+    host: str
+    rules: tuple[_Rule, ...] = ()
+
+
+class _Cluster(Struct, rename="kebab"):
+    """A service; the platform calls it a cluster, though it names no machines."""
+
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 360
+
+
+class _Document(Struct):
+    version: int
+    limits: _Limits | None = None
+    tenants: tuple[_Tenant, ...] | None = None
+    listeners: tuple[_Listener, ...] = ()
+    clusters: tuple[_Cluster, ...] = field(default_factory=tuple)
+
+
+def decode_config(raw: bytes) -> Result[FleetConfig, str]:
+    """Return the configuration in `raw`, or why it can't be read."""
+    try:
+        document = msgspec.json.decode(raw, type=_Document)
+        return Ok(_config(document))
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
+
+
+def _config(document: _Document) -> FleetConfig:
+    tenants = document.tenants or ()
+    return FleetConfig(
+        version=document.version,
+        limits=_limits(document.limits),
+        has_workspaces=document.tenants is not None,
+        routes=tuple(
+            _route(listener.host, rule)
+            for listener in document.listeners
+            for rule in listener.rules
+        ),
+        services={
+            cluster.name: EntryService(
+                cluster.name, cluster.health_path, cluster.max_conns
+            )
+            for cluster in document.clusters
+        },
+        workspaces={
+            tenant.name: EntryWorkspace(
+                tenant.name,
+                tenant.api_keys,
+                tenant.priority,
+                tenant.rate_per_s,
+                tenant.burst,
+            )
+            for tenant in tenants
+        },
+    )
+
+
+def _limits(limits: _Limits | None) -> CallerLimits:
+    if limits is None:
+        return CallerLimits()
+    return CallerLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        parse_duration(limits.header_timeout),
+        parse_duration(limits.idle_timeout),
+    )
+
+
+def _route(host: str, rule: _Rule) -> EntryRoute:
+    action = rule.action
+    parts = action.traffic_split or (_Part(action.service, 1.0),)
+    return EntryRoute(
+        name=rule.name,
+        host=host.lower(),
+        prefix=rule.match.prefix,
+        split=tuple(WeightedService(part.service, part.weight) for part in parts),
+        idempotent=rule.kind == IDEMPOTENT_KIND,
+        public=rule.public,
+        priority=rule.priority,
+        target_latency_s=_duration(rule.target_latency, 2.0),
+        timeout_s=_duration(action.timeout, float("inf")),
+        max_attempts=max(action.max_attempts, 1),
+    )
+
+
+def _duration(text: str, otherwise: float) -> float:
+    return parse_duration(text) if text else otherwise
--- /dev/null
+++ b/lacewingpond/platform/instance_entry.py
@@ -0,0 +1,45 @@
+"""Decodes the entries that targets write about themselves."""
+
+from typing import Literal
+
+import msgspec
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from lacewingpond.entry.model.instance import Instance
+from lacewingpond.util.address import parse_address
+from lacewingpond.util.duration import parse_duration
+
+
+class _Entry(Struct, rename="kebab"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    warmup_left: str = "0ms"
+    # Unix milliseconds of the start; only ever compared for equality here.
+    born: int = 0
+
+
+def decode_instance(target_id: str, raw: bytes) -> Result[Instance, str]:
+    """Return the target that `raw` describes, or why it can't be read."""
+    try:
+        entry = msgspec.json.decode(raw, type=_Entry)
+        parse_address(entry.address)
+        if not target_id or entry.slots < 1:
+            return Err("no id or no slots")
+        return Ok(
+            Instance(
+                target_id=target_id,
+                service=entry.service,
+                address=entry.address,
+                failure_domain=entry.zone,
+                slots=entry.slots,
+                draining=entry.state == "draining",
+                warmup_left_s=parse_duration(entry.warmup_left),
+                incarnation=entry.born,
+            )
+        )
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
--- a/lacewingpond/retries/budget.py
+++ b/lacewingpond/retries/budget.py
@@ -27,6 +27,14 @@
         """Create a budget with the first retries of each service."""
         return cls(options)
 
+    def change(self, options: RetryOptions) -> None:
+        """Take over other settings; savings beyond the new reserve are lost."""
+        self._options = options
+        self._saved = {
+            service: min(saved, options.reserve)
+            for service, saved in self._saved.items()
+        }
+
     def earn(self, service: str) -> None:
         """Count one first attempt."""
         if service not in self._saved and self._is_full():
--- a/lacewingpond/store/base.py
+++ b/lacewingpond/store/base.py
@@ -20,6 +20,9 @@
     """Compare-and-swap found another revision than the expected one."""
     TOO_LARGE = "too-large"
     THROTTLED = "throttled"
+    COMPACTED = "compacted"
+    """The changes after the revision of a watch are no longer kept."""
+    LEASE_LAPSED = "lease-lapsed"
 
 
 class StoreError(Struct, frozen=True):
@@ -62,6 +65,47 @@
     revision: int
 
 
+class Listing(Struct, frozen=True):
+    """All entries below a prefix, and the revision to watch from."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+class ListingStore(Protocol):
+    """What the entry daemon needs of the platform's key-value service."""
+
+    def get_stale(self, key: str) -> Result[Entry | None, StoreError]:
+        """Read one key at a lower price; the answer may be seconds old."""
+        ...
+
+    def get(self, key: str) -> Result[Entry | None, StoreError]:
+        """Read one key; `Ok(None)` when it does not exist."""
+        ...
+
+    def listing(self, prefix: str) -> Result[Listing, StoreError]:
+        """Read all keys that start with `prefix`, and where to watch from."""
+        ...
+
+    def watch(
+        self, prefix: str, after_revision: int, timeout_s: float
+    ) -> Result[WatchBatch, StoreError]:
+        """Wait for changes below `prefix` after a revision, at most `timeout_s`."""
+        ...
+
+    def put(self, key: str, value: bytes, lease: str) -> Result[int, StoreError]:
+        """Write `key` whatever it held, bound to `lease`."""
+        ...
+
+    def grant_lease(self, ttl_s: float) -> Result[str, StoreError]:
+        """Create a lease; keys bound to it vanish when it lapses."""
+        ...
+
+    def keep_alive(self, lease: str) -> Result[None, StoreError]:
+        """Renew a lease."""
+        ...
+
+
 class Store(Protocol):
     """The platform's key-value service."""
 
--- a/lacewingpond/targets/client.py
+++ b/lacewingpond/targets/client.py
@@ -45,6 +45,7 @@
     """
 
     __slots__ = ("on_silent", "_options", "_clock", "_log", "_limits", "_pools")
+    __slots__ += ("_default_limit",)
 
     def __init__(
         self,
@@ -59,8 +60,10 @@
         self._log = log
         self._limits: dict[str, int] = {}
 
+        self._default_limit = options.connections_per_target
+
         def make(address: str) -> ConnectionPool:
-            limit = self._limits.get(address, options.connections_per_target)
+            limit = self._limits.get(address, self._default_limit)
             return ConnectionPool(address, limit, options, clock, rng)
 
         self._pools = PoolTable(make)
@@ -98,6 +101,16 @@
             else:
                 pool.limit = limit
 
+    def limit_all(self, connections: int) -> None:
+        """Bound the connections that this VM holds to any one target."""
+        self._default_limit = connections
+        for pool in self._pools:
+            pool.limit = connections
+
+    def close_target(self, address: str) -> None:
+        """Close the unused connections to a target that has gone or is new."""
+        self._pools.get(address).close_idle()
+
     def send(
         self, target: Target, req: TargetRequest, deadline: float
     ) -> Result[TargetResponse, SendError]:
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -7,7 +7,6 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
-from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER
 from lacewingpond.targets.errors import ExchangeError, SendReason
 from lacewingpond.targets.options import TargetOptions
 from lacewingpond.targets.request import TargetRequest
@@ -103,6 +102,10 @@
         self._deadline = deadline
         self._may_give_up = req.idempotent
         self._is_disconnected = req.is_disconnected if req.idempotent else None
+        self._wire.expect_answer(
+            self._options.answer_id_header,
+            req.headers.get(self._options.answer_id_header),
+        )
         if req.may_send is not None and not req.may_send():
             raise ExchangeError(SendReason.OWNERSHIP_LOST)
         self.sent_at = self._clock.now()
@@ -144,7 +147,7 @@
                 req.method,
                 req.path,
                 body=req.body,
-                headers=_wire_headers(req, self._remaining_ms()),
+                headers=self._headers(req),
                 chunked=req.body is not None and req.content_length is None,
                 preload_content=False,
                 decode_content=False,
@@ -154,6 +157,11 @@
             if not self._answered_early():
                 raise
 
+    def _headers(self, req: TargetRequest) -> HTTPHeaderDict:
+        headers = _wire_headers(req)
+        headers[self._options.deadline_header] = str(self._remaining_ms())
+        return headers
+
     def _check_stalled(self) -> None:
         if self._answered_early():
             raise BrokenPipeError("the target answered before it read the body")
@@ -208,11 +216,10 @@
     return True
 
 
-def _wire_headers(req: TargetRequest, remaining_ms: int) -> HTTPHeaderDict:
+def _wire_headers(req: TargetRequest) -> HTTPHeaderDict:
     headers = HTTPHeaderDict()
     for name, value in req.headers:
         headers.add(name, value)
-    headers[DEADLINE_HEADER] = str(remaining_ms)
     # The length of what is sent counts, not what the caller's framing was.
     headers.discard("Content-Length")
     if req.body is not None and req.content_length is not None:
--- a/lacewingpond/targets/options.py
+++ b/lacewingpond/targets/options.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from lacewingpond.routing.hop_by_hop import DEADLINE_HEADER
+
 
 class TargetOptions(Struct, frozen=True):
     """Timeouts and bounds of connections to targets.
@@ -38,6 +40,10 @@
         This VM's bound for targets that `TargetClient.apply` has not seen.
     read_bytes : int
         Largest block of an answer that is held.
+    deadline_header : str
+        Field that tells a target how many milliseconds are left.
+    answer_id_header : str
+        Field by which targets return the id of the request; empty if they do not.
     """
 
     connect_timeout_s: float = 1.0
@@ -54,3 +60,5 @@
     abandoned_body_s: float = 30.0
     connections_per_target: int = 9
     read_bytes: int = 65_536
+    deadline_header: str = DEADLINE_HEADER
+    answer_id_header: str = ""
--- a/lacewingpond/targets/wire.py
+++ b/lacewingpond/targets/wire.py
@@ -16,6 +16,9 @@
 KEEPALIVE_PROBES = 3
 MAX_INTERIM_ANSWERS = 16
 MAX_FIELDS = 200
+MAX_STRAY_ANSWERS = 8
+MAX_STRAY_BYTES = 1_048_576
+"""Longest answer to another request that is skipped to read the awaited one."""
 _MAX_FIELD_BYTES = 65_536
 _MAX_LINE_BYTES = 4_096
 _MAX_TRAILERS = 32
@@ -33,11 +36,52 @@
 
     leftover = False
     """True when the target sent bytes after the end of its answer."""
+    id_header = ""
+    expected_id: str | None = None
 
     def begin(self) -> None:
-        """Read the status line and the headers."""
+        """Read the status line and the headers, behind answers to other requests."""
         if self.headers is not None:
             return
+        for _ in range(MAX_STRAY_ANSWERS):
+            self._read_head()
+            if not self._is_stray():
+                return
+            self._skip_stray()
+        raise ExchangeError(SendReason.PROTOCOL, "too many answers to other requests")
+
+    def _is_stray(self) -> bool:
+        """Whether the answer names another request, such as an earlier one."""
+        if not self.id_header or self.expected_id is None:
+            return False
+        found = self.msg.get(self.id_header)
+        return found is not None and found != self.expected_id
+
+    def _skip_stray(self) -> None:
+        if self.chunked:
+            self._skip_chunks()
+        elif self.length is None or self.length > MAX_STRAY_BYTES:
+            raise ExchangeError(SendReason.PROTOCOL, "an endless stray answer")
+        elif len(self.fp.read(self.length)) < self.length:
+            raise ConnectionResetError("a stray answer was cut short")
+
+    def _skip_chunks(self) -> None:
+        left = MAX_STRAY_BYTES
+        while left >= 0:
+            match = _CHUNK_LINE.fullmatch(self.fp.readline(_MAX_LINE_BYTES))
+            if match is None:
+                raise self._head_error("malformed stray answer")
+            size = int(match[1], 16)
+            if size == 0:
+                self._skip_trailers()
+                return
+            left -= size
+            if left >= 0:
+                self.fp.read(size)
+                self._expect_line_end()
+        raise ExchangeError(SendReason.PROTOCOL, "an endless stray answer")
+
+    def _read_head(self) -> None:
         version, self.status, reason = self._read_status()
         self.code = self.status
         self.reason = reason.strip()
@@ -172,6 +216,13 @@
         self.answer: FinalAnswer | None = None
         self._wait_for_answer = wait
         self._check_stalled = check_stalled
+        self._id_header = ""
+        self._expected_id: str | None = None
+
+    def expect_answer(self, id_header: str, expected_id: str | None) -> None:
+        """Skip answers whose `id_header` names another request."""
+        self._id_header = id_header
+        self._expected_id = expected_id
 
     def connect(self) -> None:
         """Open the connection."""
@@ -190,6 +241,8 @@
         """Return the reader of the next answer."""
         source = AnswerSource(sock, self._wait_for_answer)
         self.answer = FinalAnswer(source, debuglevel, method, url)
+        self.answer.id_header = self._id_header
+        self.answer.expected_id = self._expected_id
         return self.answer
 
     def send(self, data: bytes) -> None:
--- a/lacewingpond/util/clock.py
+++ b/lacewingpond/util/clock.py
@@ -24,6 +24,10 @@
         """Return seconds since the Unix epoch."""
         ...
 
+    def boot(self) -> float:
+        """Return monotonic seconds that go on while the VM is suspended."""
+        ...
+
     def sleep(self, seconds: float) -> None:
         """Block the calling greenlet for `seconds`."""
         ...
@@ -42,6 +46,10 @@
         """Return seconds since the Unix epoch."""
         return time.time()
 
+    def boot(self) -> float:
+        """Return monotonic seconds that go on while the VM is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def sleep(self, seconds: float) -> None:
         """Block the calling greenlet for `seconds`."""
         gevent.sleep(seconds)
@@ -58,11 +66,12 @@
         First value of `wall`, in seconds since the Unix epoch.
     """
 
-    __slots__ = ("_now", "_wall_offset", "_sleepers", "_order")
+    __slots__ = ("_now", "_wall_offset", "_suspended_s", "_sleepers", "_order")
 
     def __init__(self, start: float = 1000.0, wall_start: float = 1.8e9) -> None:
         self._now = start
         self._wall_offset = wall_start - start
+        self._suspended_s = 0.0
         self._sleepers: list[tuple[float, int, Event]] = []
         self._order = itertools.count()
 
@@ -72,7 +81,15 @@
 
     def wall(self) -> float:
         """Return the paused time in seconds since the Unix epoch."""
-        return self._now + self._wall_offset
+        return self._now + self._wall_offset + self._suspended_s
+
+    def boot(self) -> float:
+        """Return the paused time in seconds with all suspensions."""
+        return self._now + self._suspended_s
+
+    def suspend(self, seconds: float) -> None:
+        """Let `seconds` pass as on a suspended VM, whose monotonic clock stands."""
+        self._suspended_s += seconds
 
     def sleep(self, seconds: float) -> None:
         """Block the calling greenlet until `advance` has passed its time."""
