--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -145,7 +145,7 @@
         )
         parts = DeliveryParts(
             names,
-            Placer(table, vm.failure_domain, bounds.min_share, clock, rng),
+            Placer(table, vm.failure_domain, clock, rng),
             self._reporter,
             self._client,
             self._retries,
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -224,8 +224,9 @@
         self._freshness.prove(asked_at - news.proof_age_s, address)
         if news.from_store:
             self._source = address
-        elif news.proof_age_s > self._patience_s:
-            self._forget(address)
+        elif self._source == address:
+            # Followers that ask one another would all grow stale together.
+            self._source = None
 
     def _fetch(self, address: str, after: int) -> News | None:
         try:
@@ -248,7 +249,7 @@
         vm_id = self._fleet.heard(address)
         if self.watching and vm_id is not None and vm_id < self._fleet.vm_id:
             self._yielded_to = address
-        if not self.watching and self._source is None:
+        if not self.watching:
             self._source = address
         if hint.revision > self._catalog.revision:
             self._hint = address
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -55,6 +55,10 @@
         The target.
     good, bad : int
         Requests that the target served, and those that it failed.
+    broken : int
+        Those of the failed ones that got no whole answer.
+    passed : int
+        Those of the served ones that were sent while the target was ejected.
     in_flight : int
         Requests that are at it now; -1 when the report does not tell.
     """
@@ -62,6 +66,8 @@
     target_id: str
     good: int
     bad: int
+    broken: int = 0
+    passed: int = 0
     in_flight: int = 0
 
 
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -11,6 +11,7 @@
 from lacewingpond.entry.targets.placer import Placer
 from lacewingpond.entry.targets.reporter import OutcomeReporter
 from lacewingpond.entry.targets.state import TargetState
+from lacewingpond.entry.targets.suspicion import Standing
 from lacewingpond.http.response import Response
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.targets.client import TargetClient
@@ -79,11 +80,14 @@
         The answer to the client if no other attempt is made.
     final : bool
         Whether no other target would serve better.
+    paid : bool
+        Whether the next attempt was taken from the retry budget already.
     """
 
     fate: Fate
     refusal: Refusal
     final: bool = False
+    paid: bool = False
 
 
 class DeliveryParts(Struct, frozen=True):
@@ -127,7 +131,9 @@
         """Return a target's answer, or why there is none."""
         self._parts.retries.earn(self._task.service)
         while True:
-            state = self._parts.placer.pick(self._task.service, self._tried)
+            state = self._parts.placer.pick(
+                self._task.service, self._tried, self._is_repeatable()
+            )
             if state is None:
                 return Err(self._give_up())
             outcome = self._attempt(state)
@@ -163,6 +169,8 @@
         request = self._task.attempt(
             self._parts.names.expected_target, state.instance.target_id
         )
+        standing = state.suspicion.standing(self._parts.clock.now())
+        on_trial = standing is Standing.EJECTED
         sent = self._parts.client.send(state.target, request, self._task.deadline)
         if sent.is_err():
             return Err(self._not_answered(state, sent.err_value))
@@ -170,10 +178,11 @@
         state.note_reached()
         response = sent.ok_value
         try:
-            return self._take(state, response)
+            return self._take(state, response, on_trial)
         except AnswerCutError as exc:
             if exc.reason is not SendReason.CALLER_GONE:
-                self._parts.reporter.note(state, False, f"cut: {exc.reason.value}")
+                broken = exc.reason not in LATE
+                self._parts.reporter.note_bad(state, f"cut: {exc.reason.value}", broken)
             status = 504 if exc.reason is SendReason.DEADLINE else 502
             detail = "The target's answer was cut short."
             return Err(_failed(Refusal.unknown(status, "answer-cut", detail)))
@@ -181,13 +190,13 @@
             response.close()
 
     def _take(
-        self, state: TargetState, response: TargetResponse
+        self, state: TargetState, response: TargetResponse, on_trial: bool
     ) -> Result[Response, Failure]:
         names = self._parts.names
         if response.headers.get(names.not_run) or response.status == MISDIRECTED:
             return Err(self._not_run(state, response))
         if not self._is_genuine(response):
-            self._parts.reporter.note(state, False, "not a target's answer")
+            self._parts.reporter.note_bad(state, "not a target's answer", True)
             detail = "The target's answer can't be trusted."
             return Err(_failed(Refusal.unknown(502, "bad-answer", detail)))
         response.limit_time(self._task.deadline)
@@ -198,14 +207,17 @@
             if size > MAX_HELD_BYTES:
                 return Ok(self._streamed(response, blocks))
         failed = response.status >= FIRST_SERVER_ERROR
-        self._parts.reporter.note(state, not failed, str(response.status))
+        if failed:
+            self._parts.reporter.note_bad(state, str(response.status), False)
+        else:
+            self._parts.reporter.note_good(state, on_trial)
         answer = Response(
             response.status, response.headers, b"".join(blocks), response.reason
         )
         if failed and self._may_replace():
             detail = "The target answered with an error."
             refusal = Refusal.unknown(502, "target-error", detail)
-            return Err(_failed(refusal))
+            return Err(Failure(Fate.UNKNOWN, refusal, paid=True))
         return Ok(answer)
 
     def _streamed(self, response: TargetResponse, blocks: list[bytes]) -> Response:
@@ -227,7 +239,7 @@
     def _not_run(self, state: TargetState, response: TargetResponse) -> Failure:
         if response.status == MISDIRECTED:
             # The address belongs to another target now.
-            self._parts.reporter.note(state, False, "misdirected")
+            self._parts.reporter.note_bad(state, "misdirected", True)
             reason, detail = "misdirected", "The target has gone."
         else:
             reason, detail = "target-busy", "The target takes no more work now."
@@ -243,31 +255,39 @@
             return Failure(Fate.UNREACHED, _unreached(reason), final)
         self._reached += 1
         if reason not in BLAMELESS:
-            self._parts.reporter.note(state, False, reason.value)
+            self._parts.reporter.note_bad(state, reason.value, reason not in LATE)
         return Failure(Fate.UNKNOWN, _unanswered(reason), final)
 
     def _may_try_again(self, failure: Failure) -> bool:
         task = self._task
-        if failure.final or not task.body.can_send:
-            return False
-        if self._parts.clock.now() + RETRY_LEAST_S >= task.deadline:
+        if failure.paid:
+            return True
+        if failure.final or not task.body.can_send or not self._has_time():
             return False
         if failure.fate is Fate.UNREACHED:
             return len(self._tried) - self._reached < MAX_UNREACHED
         if self._may_have_run and not task.route.idempotent:
             return False
-        return self._may_reach_another()
+        return self._pay_for_another()
 
     def _may_replace(self) -> bool:
-        """Return whether another target may be asked after an error of this one."""
+        """Return whether another target is asked after an error of this one."""
         task = self._task
         if not task.route.idempotent or not task.body.can_send:
             return False
-        if self._reached >= task.route.max_attempts:
+        return self._has_time() and self._pay_for_another()
+
+    def _is_repeatable(self) -> bool:
+        """Return whether the request could go on if the next target fails it."""
+        task = self._task
+        if not task.route.idempotent or not task.body.can_send:
             return False
-        return self._parts.clock.now() + RETRY_LEAST_S < task.deadline
+        return self._reached + 1 < task.route.max_attempts and self._has_time()
+
+    def _has_time(self) -> bool:
+        return self._parts.clock.now() + RETRY_LEAST_S < self._task.deadline
 
-    def _may_reach_another(self) -> bool:
+    def _pay_for_another(self) -> bool:
         if self._reached >= self._task.route.max_attempts:
             return False
         return self._parts.retries.spend(self._task.service)
--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -7,7 +7,9 @@
 from lacewingpond.entry.targets.table import TargetTable
 from lacewingpond.util.clock import Clock
 
-PROBATION_WEIGHT = 0.1  # a few trials in a second from the whole fleet
+PROBATION_WEIGHT = 0.25  # a trial a second or so from the whole fleet
+TRIAL_WEIGHT = 0.06  # of requests that can be repeated; one a second or so
+MAX_EJECTED_SHARE = 0.45  # three targets in ten fail at any time, by chance more
 COLD_WEIGHT = 0.5  # a target works half as fast just after its start
 NEAR_WEIGHT = 2.0  # bytes between failure domains cost, idle slots do not
 SAMPLES = 2  # the better of two drawn ones; see Mitzenmacher, TPDS 12(10), 2001
@@ -22,41 +24,52 @@
         The targets.
     failure_domain : str
         Where this VM runs.
-    min_share : float
-        Part of a service's targets that ejection leaves in use.
     clock : Clock
         Measures standings.
     rng : random.Random
         Draws.
     """
 
-    __slots__ = ("_table", "_failure_domain", "_min_share", "_clock", "_rng")
+    __slots__ = ("_table", "_failure_domain", "_clock", "_rng")
 
     def __init__(
         self,
         table: TargetTable,
         failure_domain: str,
-        min_share: float,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._table = table
         self._failure_domain = failure_domain
-        self._min_share = min_share
         self._clock = clock
         self._rng = rng
 
-    def pick(self, service: str, tried: set[str]) -> TargetState | None:
-        """Return a target that was not tried yet, or None."""
+    def pick(
+        self, service: str, tried: set[str], repeatable: bool
+    ) -> TargetState | None:
+        """Return a target that was not tried yet, or None.
+
+        Parameters
+        ----------
+        service : str
+            Where the request goes.
+        tried : set of str
+            Targets that it must not reach again.
+        repeatable : bool
+            Whether it may go to another target if this one fails it.
+        """
         now = self._clock.now()
         ready = self._table.ready(service)
         ejected = self._ejected(ready, now)
         fit = [s for s in ready if s.instance.target_id not in tried]
         reachable = [s for s in fit if s.is_reachable(now)] or fit
-        usable = [s for s in reachable if s not in ejected] or reachable
+        usable = [s for s in reachable if repeatable or s not in ejected] or reachable
         if not usable:
             return None
-        weights = [self._weight(state, now) for state in usable]
+        weights = [
+            self._weight(state, now) * (TRIAL_WEIGHT if state in ejected else 1.0)
+            for state in usable
+        ]
         drawn = self._rng.choices(usable, weights, k=SAMPLES)
         return min(drawn, key=lambda state: state.load(now))
 
@@ -65,7 +78,7 @@
     ) -> frozenset[TargetState]:
         """Return the worst of the ejected targets, as many as the floor allows."""
         out = [s for s in ready if s.suspicion.standing(now) is Standing.EJECTED]
-        allowed = max(int(len(ready) * (1.0 - self._min_share)), 1)
+        allowed = max(int(len(ready) * MAX_EJECTED_SHARE), 1)
         if len(out) > allowed:
             out.sort(key=lambda s: s.suspicion.score, reverse=True)
             out = out[:allowed]
@@ -77,8 +90,7 @@
             weight *= NEAR_WEIGHT
         if not state.is_warm(now):
             weight *= COLD_WEIGHT
-        standing = state.suspicion.standing(now)
-        if standing is Standing.PROBATION:
+        if state.suspicion.standing(now) is Standing.PROBATION:
             return weight * PROBATION_WEIGHT
         # Suspicion without an ejection yet turns requests away little by little.
         return weight * max(1.0 - state.suspicion.score / EJECT_AT, PROBATION_WEIGHT)
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -61,7 +61,7 @@
     def start(self) -> None:
         """Report from now on."""
         self._greenlets = [
-            gevent.spawn(self._report_failures),
+            gevent.spawn(self._report_urgent),
             gevent.spawn(self._report_loads),
         ]
 
@@ -69,20 +69,40 @@
         """Report no more."""
         gevent.killall(self._greenlets)
 
-    def note(self, state: TargetState, good: bool, why: str) -> None:
-        """Count one outcome of this VM."""
-        target_id = state.instance.target_id
-        counts = self._counts.setdefault(target_id, [0, 0])
-        counts[0 if good else 1] += 1
-        self._count(target_id, int(good), int(not good), f"here: {why}")
-        if not good:
+    def note_good(self, state: TargetState, on_trial: bool) -> None:
+        """Count a request that the target served, if `on_trial` while ejected."""
+        row = OutcomeRow(state.instance.target_id, 1, 0, 0, int(on_trial))
+        self._note(state, row, "")
+        if on_trial:
             self._urgent.set()
 
-    def _count(self, target_id: str, good: int, bad: int, whose: str) -> None:
-        state = self._table.get(target_id)
-        if state is not None and state.suspicion.add(self._clock.now(), good, bad):
+    def note_bad(self, state: TargetState, why: str, broken: bool) -> None:
+        """Count a request that the target failed.
+
+        Parameters
+        ----------
+        state : TargetState
+            The target.
+        why : str
+            For the log.
+        broken : bool
+            Whether there was no whole answer.
+        """
+        row = OutcomeRow(state.instance.target_id, 0, 1, int(broken))
+        self._note(state, row, f"here: {why}")
+        self._urgent.set()
+
+    def _note(self, state: TargetState, row: OutcomeRow, whose: str) -> None:
+        counts = self._counts.setdefault(row.target_id, [0, 0, 0, 0])
+        for place, number in enumerate((row.good, row.bad, row.broken, row.passed)):
+            counts[place] += number
+        self._count(state, row, whose)
+
+    def _count(self, state: TargetState, row: OutcomeRow, whose: str) -> None:
+        now = self._clock.now()
+        if state.suspicion.add(now, row.good, row.bad, row.broken, row.passed):
             score = round(state.suspicion.score, 1)
-            self._log.decision("eject", target_id, whose, score=score)
+            self._log.decision("eject", row.target_id, whose, score=score)
 
     def _take(self, report: Outcomes, sender: tuple[str, int]) -> None:
         address = f"{sender[0]}:{sender[1]}"
@@ -94,39 +114,43 @@
                 continue
             if row.in_flight >= 0:
                 state.note_load(address, row.in_flight, now)
-            self._count(row.target_id, row.good, row.bad, f"peer {address}")
+            self._count(state, row, f"peer {address}")
         if report.relay:
             self._channel.broadcast(self._fleet.near(), Outcomes(report.rows))
 
-    def _report_failures(self) -> None:
+    def _report_urgent(self) -> None:
         while True:
             self._urgent.wait()
             self._clock.sleep(URGENT_S)
             self._urgent.clear()
-            rows = self._rows(only_failed=True)
+            rows = self._rows(only_urgent=True)
             self._channel.broadcast(self._fleet.near(), Outcomes(rows))
             self._channel.broadcast(self._fleet.relays(), Outcomes(rows, relay=True))
 
     def _report_loads(self) -> None:
         while True:
             self._clock.sleep(REPORT_S)
-            rows = self._rows(only_failed=False)
+            rows = self._rows(only_urgent=False)
             if rows:
                 self._channel.broadcast(self._fleet.near(), Outcomes(rows))
 
-    def _rows(self, only_failed: bool) -> tuple[OutcomeRow, ...]:
-        rows = []
-        if only_failed:
-            ids = [target for target, (_, bad) in self._counts.items() if bad]
+    def _rows(self, only_urgent: bool) -> tuple[OutcomeRow, ...]:
+        if only_urgent:
+            ids = [
+                target_id
+                for target_id, (_, bad, _, passed) in self._counts.items()
+                if bad or passed
+            ]
         else:
             self._loads = {**dict.fromkeys(self._loads, 0), **self._current_loads()}
             ids = list(self._counts.keys() | self._loads.keys())
+        rows = []
         for target_id in ids[:MAX_ROWS]:
-            good, bad = self._counts.pop(target_id, (0, 0))
-            # A report on failures says nothing of loads.
-            load = -1 if only_failed else self._loads.get(target_id, 0)
-            rows.append(OutcomeRow(target_id, good, bad, load))
-        if not only_failed:
+            counts = self._counts.pop(target_id, (0, 0, 0, 0))
+            # An urgent report says nothing of loads.
+            load = -1 if only_urgent else self._loads.get(target_id, 0)
+            rows.append(OutcomeRow(target_id, *counts, load))
+        if not only_urgent:
             self._loads = {k: n for k, n in self._loads.items() if n}
         return tuple(rows)
 
--- a/lacewingpond/entry/targets/suspicion.py
+++ b/lacewingpond/entry/targets/suspicion.py
@@ -5,12 +5,12 @@
 
 HEALTHY_RATE = 0.03  # failures of sound targets: 1.2 in 100 and losses on the way
 SICK_RATE = 0.4  # the mildest gray failures that cost more than ejection does
-EJECT_AT = 4.4  # two failures within four outcomes; more false alarms below
+EJECT_AT = 4.4  # two errors within four outcomes; more false alarms below
 MAX_SCORE = 8.0  # lets a target that was long sick recover as fast as another
-PROBATION_SCORE = 2.5  # one more failure ejects, six good outcomes clear
-EJECT_S = 2.5  # gray spells last 5 s and more; trials are few
-MAX_EJECT_S = 10.0  # a target that is well again is missed for no longer
-FORGET_STRIKES_S = 15.0  # a spell after so long is a new one
+PROBATION_SCORE = 2.0  # one more failure ejects, four good outcomes clear
+EJECT_S = 4.0  # gray spells last 5 to 9 s, and half of one is over on average
+REPEAT_S = 6.0  # a target that fails its trial has most of a spell before it
+TRIALS_TO_RETURN = 2  # a target that fails 85 in 100 passes two in 2 in 100
 
 _FAILURE_WEIGHT = math.log(SICK_RATE / HEALTHY_RATE)
 _SUCCESS_WEIGHT = math.log((1.0 - SICK_RATE) / (1.0 - HEALTHY_RATE))
@@ -23,6 +23,7 @@
     PROBATION = "probation"
     """Back for few requests after an ejection."""
     EJECTED = "ejected"
+    """Tried only by requests that can be repeated elsewhere."""
 
 
 class Suspicion:
@@ -31,31 +32,49 @@
     Source: Page, "Continuous inspection schemes", Biometrika 41, 1954.
     """
 
-    __slots__ = ("score", "_ejected_until", "_ejected_at", "_strikes", "_on_trial")
+    __slots__ = ("score", "_ejected_until", "_on_trial", "_trials")
 
     def __init__(self) -> None:
         self.score = 0.0
         self._ejected_until = float("-inf")
-        self._ejected_at = float("-inf")
-        self._strikes = 0
         self._on_trial = False
+        self._trials = 0
 
-    def add(self, now: float, good: int, bad: int) -> bool:
-        """Count outcomes; return whether they eject the target."""
-        self.score += bad * _FAILURE_WEIGHT + good * _SUCCESS_WEIGHT
+    def add(
+        self, now: float, good: int, bad: int, broken: int = 0, passed: int = 0
+    ) -> bool:
+        """Count outcomes; return whether they eject the target.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        good, bad : int
+            Requests that it served, and those that it failed.
+        broken : int
+            Those of the failed ones whose connection broke or whose answer was no
+            answer. One is enough to eject: sound targets answer with an error.
+        passed : int
+            Those of the served ones that were sent to it while it was ejected.
+        """
+        if broken:
+            self.score = max(self.score, EJECT_AT)
+        self.score += (bad - broken) * _FAILURE_WEIGHT + good * _SUCCESS_WEIGHT
         self.score = min(max(self.score, 0.0), MAX_SCORE)
-        if self.score == 0.0:
+        ejected = now < self._ejected_until
+        if bad:
+            self._trials = 0
+        elif ejected and passed:
+            self._trials += passed
+            if self._trials >= TRIALS_TO_RETURN:
+                self._ejected_until = now
+        if self.score == 0.0 and not ejected:
             self._on_trial = False
-        if self.score < EJECT_AT or now < self._ejected_until:
+        if broken == 0 and (self.score < EJECT_AT or bad == 0):
             return False
-        if now - self._ejected_at > FORGET_STRIKES_S:
-            self._strikes = 0
-        length_s = min(EJECT_S * 2.0**self._strikes, MAX_EJECT_S)
-        self._strikes += 1
-        self._ejected_at = now
-        self._ejected_until = now + length_s
+        self._ejected_until = now + (REPEAT_S if self._on_trial else EJECT_S)
         self._on_trial = True
-        return True
+        return not ejected
 
     def standing(self, now: float) -> Standing:
         """Return how the target is to be used now."""
