Weigh failures by kind, and share only what changes a belief

Cause of the resets that went on after ejections: late answers counted as much as errors, so sound targets were ejected too and, by the cap on ejections, displaced those that reset. Cause of the many store calls: a watcher's proof is up to 1.9 s old, above the age at which followers took over.

--- a/lacewingpond/entry/catalog.py
+++ b/lacewingpond/entry/catalog.py
@@ -14,6 +14,11 @@
 class Catalog:
     """The newest known state of each key; never goes back.
 
+    Parameters
+    ----------
+    is_same : callable
+        Whether two values of a key mean the same; such a change is no news.
+
     Attributes
     ----------
     revision : int
@@ -21,9 +26,11 @@
     """
 
     __slots__ = ("revision", "_events", "_removed", "_forgotten", "_listeners")
+    __slots__ += ("_is_same",)
 
-    def __init__(self) -> None:
+    def __init__(self, is_same: Callable[[str, bytes, bytes], bool]) -> None:
         self.revision = 0
+        self._is_same = is_same
         self._events: OrderedDict[str, WatchEvent] = OrderedDict()
         self._removed = 0
         self._forgotten = 0
@@ -67,10 +74,15 @@
 
     def _take(self, event: WatchEvent) -> bool:
         known = self._events.get(event.key)
+        if event.revision <= self.revision:
+            # Everything up to there is known already.
+            return False
         if known is not None and known.revision >= event.revision:
             return False
         if known is None and event.value is None:
             return False
+        if known is not None and self._means_the_same(event, known):
+            return False
         if known is not None and known.value is None:
             self._removed -= 1
         self._events[event.key] = event
@@ -80,6 +92,11 @@
             self._forget_oldest()
         return True
 
+    def _means_the_same(self, event: WatchEvent, known: WatchEvent) -> bool:
+        if event.value is None or known.value is None:
+            return event.value is known.value
+        return self._is_same(event.key, known.value, event.value)
+
     def _forget_oldest(self) -> None:
         if self._removed <= MAX_REMOVED:
             return
--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -92,7 +92,7 @@
         self._greenlets: list[gevent.Greenlet] = []
         bounds, vm = cfg.bounds, cfg.vm
         host, port = vm.ip, cfg.listen.peer_ports[0]
-        catalog = Catalog()
+        catalog = Catalog(formats.is_same)
         max_age_s = (
             bounds.seconds("revoke") * PROOF_SHARE
             if bounds.strict_revoke
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -26,7 +26,8 @@
 WATCH_PAUSE_S = 0.5  # targets write 20 times a second; a quarter of the drain bound
 ASK_PERIOD_S = 0.4  # three questions may be lost within the bound of a drain notice
 ASK_TIMEOUT_S = 0.15  # peers answer within 2 ms
-TAKE_OVER_S = 1.4  # above the age of proofs from a daemon that watches
+TAKE_OVER_S = 2.2  # above the age of proofs from a daemon that watches, 1.9 s
+LOST_SOURCE_S = 0.8  # as before, when the daemon that watched does not answer
 TAKE_OVER_SPREAD_S = 0.8  # keeps the daemons of a domain from starting together
 RETRY_S = 0.5  # first pause after a call that failed
 MAX_RETRY_S = 2.0  # below the bounds for applying changes
@@ -224,6 +225,7 @@
         self._freshness.prove(asked_at - news.proof_age_s, address)
         if news.from_store:
             self._source = address
+            self._patience_s = max(self._patience_s, TAKE_OVER_S)
         elif self._source == address:
             # Followers that ask one another would all grow stale together.
             self._source = None
@@ -238,6 +240,7 @@
     def _forget(self, address: str) -> None:
         if self._source == address:
             self._source = None
+            self._patience_s = self._draw_patience(LOST_SOURCE_S)
             self._log.decision("source", address, "no answer")
 
     def _take_ask(self, ask: NewsAsk, sender: tuple[str, int]) -> None:
@@ -255,5 +258,5 @@
             self._hint = address
             self._wake.set()
 
-    def _draw_patience(self) -> float:
-        return TAKE_OVER_S + self._rng.uniform(0.0, TAKE_OVER_SPREAD_S)
+    def _draw_patience(self, least_s: float = TAKE_OVER_S) -> float:
+        return least_s + self._rng.uniform(0.0, TAKE_OVER_SPREAD_S)
--- a/lacewingpond/entry/formats.py
+++ b/lacewingpond/entry/formats.py
@@ -22,6 +22,8 @@
         Decodes the configuration.
     decode_instance : callable
         Decodes the entry of the target with the given id.
+    is_same : callable
+        Whether two values of a key mean the same to the daemon.
     """
 
     config_key: str
@@ -29,3 +31,4 @@
     members_prefix: str
     decode_config: Callable[[bytes], Result[FleetConfig, str]]
     decode_instance: Callable[[str, bytes], Result[Instance, str]]
+    is_same: Callable[[str, bytes, bytes], bool]
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -53,10 +53,10 @@
     ----------
     target_id : str
         The target.
-    good, bad : int
-        Requests that the target served, and those that it failed.
-    broken : int
-        Those of the failed ones that got no whole answer.
+    good : int
+        Requests that the target served.
+    blame : float
+        Evidence against the target, in natural logs of a likelihood ratio.
     passed : int
         Those of the served ones that were sent while the target was ejected.
     in_flight : int
@@ -65,8 +65,7 @@
 
     target_id: str
     good: int
-    bad: int
-    broken: int = 0
+    blame: float
     passed: int = 0
     in_flight: int = 0
 
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -11,7 +11,12 @@
 from lacewingpond.entry.targets.placer import Placer
 from lacewingpond.entry.targets.reporter import OutcomeReporter
 from lacewingpond.entry.targets.state import TargetState
-from lacewingpond.entry.targets.suspicion import Standing
+from lacewingpond.entry.targets.suspicion import (
+    BROKEN_BLAME,
+    ERROR_BLAME,
+    LATE_BLAME,
+    Standing,
+)
 from lacewingpond.http.response import Response
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.targets.client import TargetClient
@@ -30,8 +35,8 @@
 RETRY_LEAST_S = 0.05  # a target can't answer in less
 BUSY_RETRY_S = 0.5  # about the time in which a busy target ends a request
 MISDIRECTED = 421
+GATEWAY_TIMEOUT = 504
 FIRST_SERVER_ERROR = 500
-FIRST_ERROR = 400
 
 BLAMELESS = frozenset(
     {
@@ -181,8 +186,8 @@
             return self._take(state, response, on_trial)
         except AnswerCutError as exc:
             if exc.reason is not SendReason.CALLER_GONE:
-                broken = exc.reason not in LATE
-                self._parts.reporter.note_bad(state, f"cut: {exc.reason.value}", broken)
+                why = f"cut: {exc.reason.value}"
+                self._parts.reporter.note_bad(state, why, _blame(exc.reason))
             status = 504 if exc.reason is SendReason.DEADLINE else 502
             detail = "The target's answer was cut short."
             return Err(_failed(Refusal.unknown(status, "answer-cut", detail)))
@@ -196,7 +201,7 @@
         if response.headers.get(names.not_run) or response.status == MISDIRECTED:
             return Err(self._not_run(state, response))
         if not self._is_genuine(response):
-            self._parts.reporter.note_bad(state, "not a target's answer", True)
+            self._parts.reporter.note_bad(state, "not an answer", BROKEN_BLAME)
             detail = "The target's answer can't be trusted."
             return Err(_failed(Refusal.unknown(502, "bad-answer", detail)))
         response.limit_time(self._task.deadline)
@@ -208,7 +213,9 @@
                 return Ok(self._streamed(response, blocks))
         failed = response.status >= FIRST_SERVER_ERROR
         if failed:
-            self._parts.reporter.note_bad(state, str(response.status), False)
+            late = response.status == GATEWAY_TIMEOUT
+            blame = LATE_BLAME if late else ERROR_BLAME
+            self._parts.reporter.note_bad(state, str(response.status), blame)
         else:
             self._parts.reporter.note_good(state, on_trial)
         answer = Response(
@@ -239,7 +246,7 @@
     def _not_run(self, state: TargetState, response: TargetResponse) -> Failure:
         if response.status == MISDIRECTED:
             # The address belongs to another target now.
-            self._parts.reporter.note_bad(state, "misdirected", True)
+            self._parts.reporter.note_bad(state, "misdirected", BROKEN_BLAME)
             reason, detail = "misdirected", "The target has gone."
         else:
             reason, detail = "target-busy", "The target takes no more work now."
@@ -255,7 +262,7 @@
             return Failure(Fate.UNREACHED, _unreached(reason), final)
         self._reached += 1
         if reason not in BLAMELESS:
-            self._parts.reporter.note_bad(state, reason.value, reason not in LATE)
+            self._parts.reporter.note_bad(state, reason.value, _blame(reason))
         return Failure(Fate.UNKNOWN, _unanswered(reason), final)
 
     def _may_try_again(self, failure: Failure) -> bool:
@@ -302,6 +309,10 @@
         return refusal
 
 
+def _blame(reason: SendReason) -> float:
+    return LATE_BLAME if reason in LATE else BROKEN_BLAME
+
+
 def _failed(refusal: Refusal) -> Failure:
     return Failure(Fate.UNKNOWN, refusal)
 
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -52,7 +52,7 @@
         self._channel = channel
         self._clock = clock
         self._log = log
-        self._counts: dict[str, list[int]] = {}
+        self._counts: dict[str, list[float]] = {}
         self._loads: dict[str, int] = {}
         self._urgent = Event()
         self._greenlets: list[gevent.Greenlet] = []
@@ -71,36 +71,24 @@
 
     def note_good(self, state: TargetState, on_trial: bool) -> None:
         """Count a request that the target served, if `on_trial` while ejected."""
-        row = OutcomeRow(state.instance.target_id, 1, 0, 0, int(on_trial))
-        self._note(state, row, "")
+        self._note(state, OutcomeRow(state.instance.target_id, 1, 0.0, int(on_trial)))
         if on_trial:
             self._urgent.set()
 
-    def note_bad(self, state: TargetState, why: str, broken: bool) -> None:
-        """Count a request that the target failed.
-
-        Parameters
-        ----------
-        state : TargetState
-            The target.
-        why : str
-            For the log.
-        broken : bool
-            Whether there was no whole answer.
-        """
-        row = OutcomeRow(state.instance.target_id, 0, 1, int(broken))
-        self._note(state, row, f"here: {why}")
+    def note_bad(self, state: TargetState, why: str, blame: float) -> None:
+        """Count a request that the target failed; `blame` is one of suspicion's."""
+        self._note(state, OutcomeRow(state.instance.target_id, 0, blame), why)
         self._urgent.set()
 
-    def _note(self, state: TargetState, row: OutcomeRow, whose: str) -> None:
-        counts = self._counts.setdefault(row.target_id, [0, 0, 0, 0])
-        for place, number in enumerate((row.good, row.bad, row.broken, row.passed)):
+    def _note(self, state: TargetState, row: OutcomeRow, why: str = "") -> None:
+        counts = self._counts.setdefault(row.target_id, [0, 0.0, 0])
+        for place, number in enumerate((row.good, row.blame, row.passed)):
             counts[place] += number
-        self._count(state, row, whose)
+        self._count(state, row, f"here: {why}")
 
     def _count(self, state: TargetState, row: OutcomeRow, whose: str) -> None:
         now = self._clock.now()
-        if state.suspicion.add(now, row.good, row.bad, row.broken, row.passed):
+        if state.suspicion.add(now, row.good, row.blame, row.passed):
             score = round(state.suspicion.score, 1)
             self._log.decision("eject", row.target_id, whose, score=score)
 
@@ -138,15 +126,15 @@
         if only_urgent:
             ids = [
                 target_id
-                for target_id, (_, bad, _, passed) in self._counts.items()
-                if bad or passed
+                for target_id, (_, blame, passed) in self._counts.items()
+                if blame or passed
             ]
         else:
             self._loads = {**dict.fromkeys(self._loads, 0), **self._current_loads()}
             ids = list(self._counts.keys() | self._loads.keys())
         rows = []
         for target_id in ids[:MAX_ROWS]:
-            counts = self._counts.pop(target_id, (0, 0, 0, 0))
+            counts = self._counts.pop(target_id, (0, 0.0, 0))
             # An urgent report says nothing of loads.
             load = -1 if only_urgent else self._loads.get(target_id, 0)
             rows.append(OutcomeRow(target_id, *counts, load))
--- a/lacewingpond/entry/targets/suspicion.py
+++ b/lacewingpond/entry/targets/suspicion.py
@@ -12,7 +12,12 @@
 REPEAT_S = 6.0  # a target that fails its trial has most of a spell before it
 TRIALS_TO_RETURN = 2  # a target that fails 85 in 100 passes two in 2 in 100
 
-_FAILURE_WEIGHT = math.log(SICK_RATE / HEALTHY_RATE)
+ERROR_BLAME = math.log(SICK_RATE / HEALTHY_RATE)
+"""An answer that says that the target failed."""
+BROKEN_BLAME = EJECT_AT + 1.6
+"""A connection that broke, or bytes that are no answer; sound targets do neither."""
+LATE_BLAME = ERROR_BLAME / 2
+"""No answer in time, which may be the request's fault or the link's."""
 _SUCCESS_WEIGHT = math.log((1.0 - SICK_RATE) / (1.0 - HEALTHY_RATE))
 
 
@@ -40,29 +45,24 @@
         self._on_trial = False
         self._trials = 0
 
-    def add(
-        self, now: float, good: int, bad: int, broken: int = 0, passed: int = 0
-    ) -> bool:
+    def add(self, now: float, good: int, blame: float, passed: int) -> bool:
         """Count outcomes; return whether they eject the target.
 
         Parameters
         ----------
         now : float
             Monotonic seconds.
-        good, bad : int
-            Requests that it served, and those that it failed.
-        broken : int
-            Those of the failed ones whose connection broke or whose answer was no
-            answer. One is enough to eject: sound targets answer with an error.
+        good : int
+            Requests that it served.
+        blame : float
+            Sum over those that it failed, as the constants above weigh them.
         passed : int
             Those of the served ones that were sent to it while it was ejected.
         """
-        if broken:
-            self.score = max(self.score, EJECT_AT)
-        self.score += (bad - broken) * _FAILURE_WEIGHT + good * _SUCCESS_WEIGHT
+        self.score += blame + good * _SUCCESS_WEIGHT
         self.score = min(max(self.score, 0.0), MAX_SCORE)
         ejected = now < self._ejected_until
-        if bad:
+        if blame:
             self._trials = 0
         elif ejected and passed:
             self._trials += passed
@@ -70,7 +70,7 @@
                 self._ejected_until = now
         if self.score == 0.0 and not ejected:
             self._on_trial = False
-        if broken == 0 and (self.score < EJECT_AT or bad == 0):
+        if not blame or self.score < EJECT_AT:
             return False
         self._ejected_until = now + (REPEAT_S if self._on_trial else EJECT_S)
         self._on_trial = True
