Blame late answers only above a route's target latency; close idle connections early in a stop

Cause of the false ejections that were left: a route whose time-out is 0.4 s, below the work of its target.

Idle connections close 2.5 s after SIGTERM now, at the end of the notice.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -39,7 +39,8 @@
 
 SWEEP_S = 0.5  # an eighth of the bound for targets that are missing after an outage
 NOTICE_S = 2.2  # the balancer takes a VM out after two checks a second apart
-STOP_MARGIN_S = 0.6  # of the stop's grace, to close and to exit
+STOP_MARGIN_S = 0.4  # of the stop's grace, to close and to exit
+DRAIN_IDLE_S = 0.3  # a request that is on its way then arrives within the notice
 CONNECT_TIMEOUT_S = 0.3  # an open port answers in 2 ms; a cut one never does
 CALLER_CHECK_S = 0.2  # a client that has left frees its target within half a second
 FRESH_S = 3.0  # targets close connections after 10 s; a shorter life costs handshakes
@@ -103,7 +104,7 @@
             catalog, formats, freshness, clock, log, bounds.seconds("store_return")
         )
         self._fleet = Fleet(vm.id, vm.failure_domain, self.world, clock, rng)
-        self._channel = PeerChannel(host, port, rng, log)
+        self._channel = PeerChannel(host, port, clock, rng, log)
         self.follower = Follower(
             store,
             catalog,
@@ -248,6 +249,7 @@
         port=port,
         body_timeout_s=BODY_TIMEOUT_S,
         write_timeout_s=WRITE_TIMEOUT_S,
+        drain_idle_s=DRAIN_IDLE_S,
     )
 
 
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -21,6 +21,7 @@
 from lacewingpond.store.base import ListingStore, StoreFailure
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
+from lacewingpond.util.waiting import wait_for
 
 WATCH_S = 1.0  # a quarter of the shortest revocation bound, for other delays besides
 WATCH_PAUSE_S = 0.5  # targets write 20 times a second; a quarter of the drain bound
@@ -199,7 +200,7 @@
     def _follow_peers(self) -> None:
         while True:
             # A datagram wakes this greenlet as soon as there is news.
-            self._wake.wait(timeout=ASK_PERIOD_S)
+            wait_for(self._wake, self._clock, ASK_PERIOD_S)
             self._wake.clear()
             if self._catalog.revision == 0:
                 continue
--- a/lacewingpond/entry/peers/channel.py
+++ b/lacewingpond/entry/peers/channel.py
@@ -8,17 +8,29 @@
 import gevent
 import msgspec
 from gevent import socket as gsocket
-from gevent.event import AsyncResult
+from gevent.event import Event
 
 from lacewingpond.entry.peers.messages import Message, decode, encode
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.address import parse_address
+from lacewingpond.util.clock import Clock
+from lacewingpond.util.waiting import wait_for
 
 MAX_DATAGRAM_BYTES = 1_200  # fits into one packet on any path
 
 Handler = Callable[[Message, tuple[str, int]], None]
 
 
+class _Waiting:
+    """A question without an answer yet."""
+
+    __slots__ = ("arrived", "answer")
+
+    def __init__(self) -> None:
+        self.arrived = Event()
+        self.answer: Message | None = None
+
+
 class PeerChannel:
     """One datagram socket, with one greenlet that receives.
 
@@ -26,22 +38,38 @@
     ----------
     host, port : str, int
         Where to listen.
+    clock : Clock
+        Measures how long answers take.
     rng : random.Random
         Draws the first number of a question, which differs after a restart.
     log : DecisionLog
         Takes messages that can't be read.
     """
 
-    __slots__ = ("_sock", "_log", "_numbers", "_waiting", "_handlers", "_greenlet")
+    __slots__ = (
+        "_sock",
+        "_clock",
+        "_log",
+        "_numbers",
+        "_waiting",
+        "_handlers",
+        "_greenlet",
+    )
 
     def __init__(
-        self, host: str, port: int, rng: random.Random, log: DecisionLog
+        self,
+        host: str,
+        port: int,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
     ) -> None:
+        self._clock = clock
         self._sock = gsocket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((host, port))
         self._log = log
         self._numbers = itertools.count(rng.getrandbits(32))
-        self._waiting: dict[int, AsyncResult] = {}
+        self._waiting: dict[int, _Waiting] = {}
         self._handlers: dict[type, Handler] = {}
         self._greenlet: gevent.Greenlet | None = None
 
@@ -80,12 +108,11 @@
     ) -> Message | None:
         """Send the question that `make` builds and return its answer, if any."""
         number = next(self._numbers)
-        waiter = self._waiting[number] = AsyncResult()
+        waiting = self._waiting[number] = _Waiting()
         try:
             self.send(parse_address(address), make(number))
-            return waiter.get(timeout=timeout_s)
-        except gevent.Timeout:
-            return None
+            wait_for(waiting.arrived, self._clock, timeout_s)
+            return waiting.answer
         finally:
             del self._waiting[number]
 
@@ -116,6 +143,7 @@
         if handler is not None:
             handler(message, sender)
             return
-        waiter = self._waiting.get(getattr(message, "number", -1))
-        if waiter is not None and not waiter.ready():
-            waiter.set(message)
+        waiting = self._waiting.get(getattr(message, "number", -1))
+        if waiting is not None:
+            waiting.answer = message
+            waiting.arrived.set()
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -157,7 +157,7 @@
         started = parts.clock.now()
         state.in_flight += 1
         try:
-            outcome = self._exchange(state)
+            outcome = self._exchange(state, started)
         finally:
             state.in_flight -= 1
         took_ms = round((parts.clock.now() - started) * 1000.0)
@@ -170,24 +170,30 @@
         )
         return outcome
 
-    def _exchange(self, state: TargetState) -> Result[Response, Failure]:
+    def _exchange(
+        self, state: TargetState, started: float
+    ) -> Result[Response, Failure]:
         request = self._task.attempt(
             self._parts.names.expected_target, state.instance.target_id
         )
-        standing = state.suspicion.standing(self._parts.clock.now())
+        standing = state.suspicion.standing(started)
         on_trial = standing is Standing.EJECTED
-        sent = self._parts.client.send(state.target, request, self._task.deadline)
+        deadline = self._attempt_deadline(state)
+        sent = self._parts.client.send(state.target, request, deadline)
         if sent.is_err():
-            return Err(self._not_answered(state, sent.err_value))
+            return Err(self._not_answered(state, sent.err_value, started))
         self._reached += 1
         state.note_reached()
         response = sent.ok_value
         try:
-            return self._take(state, response, on_trial)
+            response.limit_time(deadline)
+            return self._take(state, response, started, on_trial)
         except AnswerCutError as exc:
             if exc.reason is not SendReason.CALLER_GONE:
                 why = f"cut: {exc.reason.value}"
-                self._parts.reporter.note_bad(state, why, _blame(exc.reason))
+                self._parts.reporter.note_bad(
+                    state, why, self._blame(exc.reason, started)
+                )
             status = 504 if exc.reason is SendReason.DEADLINE else 502
             detail = "The target's answer was cut short."
             return Err(_failed(Refusal.unknown(status, "answer-cut", detail)))
@@ -195,7 +201,11 @@
             response.close()
 
     def _take(
-        self, state: TargetState, response: TargetResponse, on_trial: bool
+        self,
+        state: TargetState,
+        response: TargetResponse,
+        started: float,
+        on_trial: bool,
     ) -> Result[Response, Failure]:
         names = self._parts.names
         if response.headers.get(names.not_run) or response.status == MISDIRECTED:
@@ -204,7 +214,6 @@
             self._parts.reporter.note_bad(state, "not an answer", BROKEN_BLAME)
             detail = "The target's answer can't be trusted."
             return Err(_failed(Refusal.unknown(502, "bad-answer", detail)))
-        response.limit_time(self._task.deadline)
         blocks, size = [], 0
         for block in response:
             blocks.append(block)
@@ -214,7 +223,7 @@
         failed = response.status >= FIRST_SERVER_ERROR
         if failed:
             late = response.status == GATEWAY_TIMEOUT
-            blame = LATE_BLAME if late else ERROR_BLAME
+            blame = self._late_blame(started) if late else ERROR_BLAME
             self._parts.reporter.note_bad(state, str(response.status), blame)
         else:
             self._parts.reporter.note_good(state, on_trial)
@@ -253,7 +262,9 @@
         refusal = Refusal.not_run(503, reason, detail, BUSY_RETRY_S)
         return Failure(Fate.NOT_RUN, refusal)
 
-    def _not_answered(self, state: TargetState, error: SendError) -> Failure:
+    def _not_answered(
+        self, state: TargetState, error: SendError, started: float
+    ) -> Failure:
         reason = error.reason
         final = reason in FINAL
         if error.failure is SendFailure.NOT_SENT:
@@ -262,9 +273,19 @@
             return Failure(Fate.UNREACHED, _unreached(reason), final)
         self._reached += 1
         if reason not in BLAMELESS:
-            self._parts.reporter.note_bad(state, reason.value, _blame(reason))
+            self._parts.reporter.note_bad(
+                state, reason.value, self._blame(reason, started)
+            )
         return Failure(Fate.UNKNOWN, _unanswered(reason), final)
 
+    def _blame(self, reason: SendReason, started: float) -> float:
+        return self._late_blame(started) if reason in LATE else BROKEN_BLAME
+
+    def _late_blame(self, started: float) -> float:
+        """Return the evidence of a late answer; a short time-out is no evidence."""
+        took_s = self._parts.clock.now() - started
+        return LATE_BLAME if took_s >= self._task.route.target_latency_s else 0.0
+
     def _may_try_again(self, failure: Failure) -> bool:
         task = self._task
         if failure.paid:
@@ -289,7 +310,20 @@
         task = self._task
         if not task.route.idempotent or not task.body.can_send:
             return False
-        return self._reached + 1 < task.route.max_attempts and self._has_time()
+        if self._reached + 1 >= task.route.max_attempts or not self._has_time():
+            return False
+        return self._parts.retries.can_spend(task.service)
+
+    def _attempt_deadline(self, state: TargetState) -> float:
+        """Return when this attempt must end.
+
+        A suspect target gets half of the time, so that another one has a chance. A
+        sound one gets all of it: what takes long there takes as long elsewhere.
+        """
+        if state.suspicion.score < LATE_BLAME or not self._is_repeatable():
+            return self._task.deadline
+        now = self._parts.clock.now()
+        return now + (self._task.deadline - now) / 2
 
     def _has_time(self) -> bool:
         return self._parts.clock.now() + RETRY_LEAST_S < self._task.deadline
@@ -309,10 +343,6 @@
         return refusal
 
 
-def _blame(reason: SendReason) -> float:
-    return LATE_BLAME if reason in LATE else BROKEN_BLAME
-
-
 def _failed(refusal: Refusal) -> Failure:
     return Failure(Fate.UNKNOWN, refusal)
 
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -103,6 +103,7 @@
             refusal.reason,
             status=refusal.status,
             run=refusal.run.value,
+            detail=refusal.detail,
         )
         response = refusal.response()
         if request_id:
@@ -181,7 +182,9 @@
         if admission.admitted:
             return None
         status = 429 if admission.reason == OVER_RATE else 503
-        detail = "The workspace's rate admits no request now."
+        detail = (
+            f"Workspace {workspace.name} may send {workspace.rate:g} requests a second."
+        )
         return Refusal.not_run(
             status, admission.reason, detail, admission.retry_after_s
         )
--- a/lacewingpond/retries/budget.py
+++ b/lacewingpond/retries/budget.py
@@ -42,12 +42,15 @@
         saved = self._saved.get(service, self._options.first) + self._options.share
         self._saved[service] = min(saved, self._options.reserve)
 
+    def can_spend(self, service: str) -> bool:
+        """Return whether a retry may be made now."""
+        return self._saved.get(service, 0.0) >= 1.0
+
     def spend(self, service: str) -> bool:
         """Return whether a retry may be made, and count it."""
-        saved = self._saved.get(service, 0.0)
-        if saved < 1.0:
+        if not self.can_spend(service):
             return False
-        self._saved[service] = saved - 1.0
+        self._saved[service] -= 1.0
         return True
 
     def keep_only(self, services: frozenset[str]) -> None:
