--- a/lacewingpond/store/memory.py
+++ b/lacewingpond/store/memory.py
@@ -9,6 +9,7 @@
 from lacewingpond.store.base import (
     MAX_VALUE_BYTES,
     Entry,
+    Listing,
     StoreError,
     StoreFailure,
     VmRecord,
@@ -82,6 +83,21 @@
         keys = sorted(key for key in self._entries if key.startswith(prefix))
         return Ok(tuple(self._entries[key] for key in keys))
 
+    def get_stale(self, key: str) -> Result[Entry | None, StoreError]:
+        """Read one key; here it is never old."""
+        return self.get(key)
+
+    def listing(self, prefix: str) -> Result[Listing, StoreError]:
+        """Read all keys that start with `prefix`, and where to watch from."""
+        entries = self.scan(prefix)
+        return entries.map(lambda found: Listing(found, self._revision))
+
+    def put(self, key: str, value: bytes, lease: str) -> Result[int, StoreError]:
+        """Write `key` whatever it held, bound to `lease`."""
+        known = self._entries.get(key)
+        revision = known.revision if known is not None else 0
+        return self.put_if(key, value, revision, lease or None)
+
     def put_if(
         self, key: str, value: bytes, expected_revision: int, lease: str | None = None
     ) -> Result[int, StoreError]:
--- /dev/null
+++ b/tests/entry/test_entry_follower.py
@@ -0,0 +1,134 @@
+"""Tests of how VMs learn from the store and from one another."""
+
+import gevent
+import msgspec
+import pytest
+from entry_helper import FaultyListing, Network, Vm, decisions, instance
+
+from lacewingpond.entry.follower import Follower
+from lacewingpond.store.memory import MemoryStore
+
+STEP_S = 0.05
+SETTLE_S = 6.0
+
+
+class Following:
+    """A VM that follows a store, which may turn it away."""
+
+    def __init__(self, vm, store):
+        self.vm = vm
+        self.store = FaultyListing(store)
+        self.follower = Follower(
+            self.store,
+            vm.catalog,
+            vm.freshness,
+            vm.world,
+            vm.fleet,
+            vm.channel,
+            vm.clock,
+            vm.rng,
+            vm.log,
+        )
+
+    @property
+    def version(self):
+        cfg = self.vm.world.config
+        return cfg.version if cfg is not None else 0
+
+
+@pytest.fixture
+def store(clock):
+    memory = MemoryStore(clock)
+    memory.put("config", b"1", "")
+    return memory
+
+
+@pytest.fixture
+def fleet(clock, store):
+    network = Network()
+    vms = [Vm(f"vm-{n}", n, network, clock) for n in range(1, 6)]
+    for vm in vms:
+        store.put(f"members/{vm.name}", vm.member.encode(), "")
+    fleet = [Following(vm, store) for vm in vms]
+    for each in fleet:
+        each.follower.start()
+    run(clock, SETTLE_S)
+    yield fleet
+    for each in fleet:
+        each.follower.stop()
+
+
+def run(clock, seconds):
+    for _ in range(round(seconds / STEP_S)):
+        clock.advance(STEP_S)
+        gevent.sleep(0)
+
+
+def watching(fleet):
+    return [each for each in fleet if each.follower.watching]
+
+
+def test_one_vm_watches_and_all_are_fresh(fleet, clock):
+    run(clock, SETTLE_S)
+    assert len(watching(fleet)) == 1
+    assert all(each.vm.freshness.is_fresh for each in fleet)
+
+
+def test_change_reaches_all_within_a_second(fleet, clock, store):
+    store.put("config", b"2", "")
+    run(clock, 1.0)
+    assert [each.version for each in fleet] == [2] * 5
+
+
+def test_vm_that_the_store_turns_away_learns_from_peers(fleet, clock, store):
+    cut = next(each for each in fleet if not each.follower.watching)
+    cut.store.away = True
+    run(clock, SETTLE_S)
+    store.put("config", b"2", "")
+    store.put("targets/t1", msgspec.json.encode(instance(draining=True)), "")
+    run(clock, 1.0)
+    assert cut.version == 2
+    assert cut.vm.world.instances["t1"].draining
+    assert cut.vm.freshness.is_fresh
+
+
+def test_loss_of_the_watching_vm_is_made_up_for(fleet, clock, store):
+    lost = watching(fleet)[0]
+    lost.store.away = True
+    lost.vm.channel.network.cut.add(lost.vm.address)
+    run(clock, 3.0)
+    store.put("config", b"2", "")
+    run(clock, 1.0)
+    others = [each for each in fleet if each is not lost]
+    assert [each.version for each in others] == [2] * 4
+    assert all(each.vm.freshness.is_fresh for each in others)
+
+
+def test_proof_is_lost_while_the_store_is_away_for_all(fleet, clock):
+    for each in fleet:
+        each.store.away = True
+    run(clock, SETTLE_S)
+    assert not any(each.vm.freshness.is_fresh for each in fleet)
+    for each in fleet:
+        each.store.away = False
+    run(clock, 3.0)
+    assert all(each.vm.freshness.is_fresh for each in fleet)
+    assert ("reachable", "answers again") in [
+        line for each in fleet for line in decisions(each.vm.log, "store")
+    ]
+
+
+def test_forgotten_history_leads_to_a_listing(fleet, clock, store):
+    watcher = watching(fleet)[0]
+    store.put("targets/t1", msgspec.json.encode(instance()), "")
+    run(clock, 1.0)
+    watcher.store.forgets = True
+    store.delete_if("targets/t1", store.get("targets/t1").ok_value.revision)
+    run(clock, 1.5)
+    assert all(each.vm.world.instances == {} for each in fleet)
+
+
+def test_calls_do_not_grow_with_the_fleet(fleet, clock):
+    before = sum(each.store.watches for each in fleet)
+    run(clock, 10.0)
+    assert sum(each.store.watches for each in fleet) - before <= 2 * 10
--- /dev/null
+++ b/tests/platform/test_platform_config.py
@@ -0,0 +1,124 @@
+"""Tests of decoding the platform's configuration document."""
+
+import msgspec
+import pytest
+
+from lacewingpond.platform.config_document import decode_config
+
+DOCUMENT = {
+    "version": 7,
+    "limits": {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 67108864,
+        "header-timeout": "3000ms",
+        "idle-timeout": "15s",
+    },
+    "tenants": [
+        {
+            "name": "sese880",
+            "api-keys": ["first-key", "second-key"],
+            "priority": 1,
+            "rate-per-s": 31,
+            "burst": 31,
+        }
+    ],
+    "base-version": 5,
+    "listeners": [
+        {
+            "host": "Jepu9.example",
+            "rules": [
+                {
+                    "name": "r-1",
+                    "kind": "idempotent",
+                    "target-latency": "2000ms",
+                    "priority": 2,
+                    "public": False,
+                    "match": {"prefix": "/lepu270/"},
+                    "action": {
+                        "traffic-split": [
+                            {"service": "one", "weight": 90},
+                            {"service": "two", "weight": 10},
+                        ],
+                        "timeout": "3000ms",
+                        "max-attempts": 2,
+                    },
+                },
+                {
+                    "name": "r-2",
+                    "kind": "non_idempotent",
+                    "match": {"prefix": "/lepu270/ny95/"},
+                    "action": {"service": "two"},
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {"name": "one", "health-path": "/health", "max-conns": 360, "tls": False},
+        {"name": "two", "health-path": "/health", "max-conns": 360},
+    ],
+}
+
+
+def decoded(**changes):
+    return decode_config(msgspec.json.encode({**DOCUMENT, **changes}))
+
+
+def test_routes_and_splits_are_read():
+    cfg = decoded().unwrap()
+    first, second = cfg.routes
+    assert (cfg.version, first.idempotent, second.idempotent) == (7, True, False)
+    assert [(p.service, p.weight) for p in first.split] == [("one", 90), ("two", 10)]
+    assert (first.timeout_s, second.timeout_s) == (3.0, float("inf"))
+    assert (cfg.limits.head_timeout_s, cfg.limits.idle_timeout_s) == (3.0, 15.0)
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/lepu270/2f", "r-1"),
+        ("/lepu270/ny95/2f?q=/x/", "r-2"),
+        ("/lepu270/ny95", "r-1"),
+        ("/lepu270", None),
+        ("/lepu270x/2f", None),
+        ("/?/lepu270/", None),
+    ],
+)
+def test_longest_prefix_that_begins_the_path_decides(path, name):
+    found = decoded().unwrap().route("jepu9.example", path)
+    assert (found.name if found else None) == name
+
+
+def test_keys_lead_to_their_workspace_and_are_never_shown():
+    cfg = decoded().unwrap()
+    assert cfg.workspace_of("second-key").name == "sese880"
+    assert cfg.workspace_of("third-key") is None
+    assert "key" not in repr(cfg) + repr(cfg.workspaces["sese880"])
+
+
+def test_without_workspaces_no_key_is_needed():
+    document = {k: v for k, v in DOCUMENT.items() if k != "tenants"}
+    assert not decode_config(msgspec.json.encode(document)).unwrap().has_workspaces
+
+
+def test_unknown_fields_are_ignored():
+    assert decoded(novelty={"a": 1}).is_ok()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"{}",
+        b"\xff\xfe",
+        msgspec.json.encode(DOCUMENT)[:-40],
+        msgspec.json.encode({**DOCUMENT, "version": "seven"}),
+        msgspec.json.encode({**DOCUMENT, "listeners": [{"rules": []}]}),
+    ],
+)
+def test_document_that_cannot_be_read_is_an_error(raw):
+    assert decode_config(raw).is_err()
+
+
+def test_bad_duration_is_an_error():
+    limits = {**DOCUMENT["limits"], "idle-timeout": "15 minutes"}
+    assert decoded(limits=limits).is_err()
--- /dev/null
+++ b/tests/platform/test_platform_instances.py
@@ -0,0 +1,65 @@
+"""Tests of decoding what targets write about themselves."""
+
+import msgspec
+import pytest
+
+from lacewingpond.platform.formats import is_same
+from lacewingpond.platform.instance_entry import decode_instance
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "bagmati-a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "warmup-left": "1500ms",
+    "sequence": 4,
+    "born": 1772512925314,
+}
+
+
+def raw(**changes):
+    return msgspec.json.encode({**ENTRY, **changes})
+
+
+def test_entry_is_read():
+    found = decode_instance("i-1", raw()).unwrap()
+    assert (found.target_id, found.service, found.slots) == ("i-1", "huvo11a", 6)
+    assert (found.draining, found.warmup_left_s) == (False, 1.5)
+    assert found.incarnation == ENTRY["born"]
+
+
+def test_leaving_target_drains():
+    assert decode_instance("i-1", raw(state="draining")).unwrap().draining
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"\x00\x01",
+        b"[]",
+        raw()[:-3],
+        raw(state="resting"),
+        raw(slots="six"),
+        raw(slots=0),
+        raw(address="somewhere"),
+        raw(address=None),
+        msgspec.json.encode({k: v for k, v in ENTRY.items() if k != "service"}),
+        raw(**{"warmup-left": 3}),
+    ],
+)
+def test_entry_of_another_writer_names_no_target(bad):
+    assert decode_instance("i-1", bad).is_err()
+
+
+def test_beat_alone_means_the_same():
+    later = raw(sequence=5, **{"warmup-left": "0ms"})
+    assert is_same("servers/i-1", raw(), later)
+
+
+@pytest.mark.parametrize(
+    "change", [{"state": "draining"}, {"address": "10.128.0.9:8081"}, {"born": 5}]
+)
+def test_change_that_matters_does_not(change):
+    assert not is_same("servers/i-1", raw(), raw(**change))
