--- /dev/null
+++ b/tests/entry/stack_helper.py
@@ -0,0 +1,148 @@
+"""The whole path of a request on one VM, with real targets on loopback."""
+
+import random
+from contextlib import contextmanager
+
+import msgspec
+from entry_helper import FORMATS, KEY, Network, Vm
+from path_helper import CLOCK, exchange
+
+from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.quota.limiter import QuotaLimiter
+from lacewingpond.entry.quota.rules import QuotaRules
+from lacewingpond.entry.requests.delivery import DeliveryParts
+from lacewingpond.entry.requests.pipeline import Pipeline
+from lacewingpond.entry.targets.placer import Placer
+from lacewingpond.entry.targets.reporter import OutcomeReporter
+from lacewingpond.entry.targets.table import TargetTable
+from lacewingpond.http.headers import Headers
+from lacewingpond.http.options import HttpOptions
+from lacewingpond.http.response import Response
+from lacewingpond.http.server import CallerServer
+from lacewingpond.retries.budget import RetryBudget
+from lacewingpond.retries.options import RetryOptions
+from lacewingpond.store.base import WatchEvent
+from lacewingpond.targets.client import TargetClient
+from lacewingpond.targets.options import TargetOptions
+
+NAMES = HeaderNames(
+    request_id="X-Id",
+    deadline_ms="X-Deadline-Ms",
+    expected_target="X-Expected",
+    target_id="X-Target",
+    workspace="X-Workspace",
+    signature="X-Signature",
+    not_run="X-Not-Run",
+)
+RULES = QuotaRules(window_s=5.0, overage=0.1, slack=20.0)
+
+
+def signed(req, status=200, body=b"done", **fields):
+    """Answer as a target does."""
+    headers = Headers((("X-Id", req.headers.get("X-Id")), ("X-Signature", "s")))
+    for name, value in fields.items():
+        headers.set(name.replace("_", "-"), value)
+    return Response(status, headers, body)
+
+
+def not_run(req):
+    return signed(req, 503, b"", X_Not_Run="1")
+
+
+class Stack:
+    """One VM's pipeline behind a real server."""
+
+    def __init__(self, config, reserve=10.0):
+        self.vm = Vm("vm-1", 1, Network(), CLOCK)
+        vm = self.vm
+        self.client = TargetClient.from_options(
+            TargetOptions(
+                connect_timeout_s=0.3,
+                deadline_header=NAMES.deadline_ms,
+                answer_id_header=NAMES.request_id,
+            ),
+            CLOCK,
+            random.Random(1),
+            vm.log,
+        )
+        self.table = TargetTable(vm.world, self.client, CLOCK)
+        reporter = OutcomeReporter(self.table, vm.fleet, vm.channel, CLOCK, vm.log)
+        self.retries = RetryBudget(RetryOptions(0.2, reserve, reserve))
+        parts = DeliveryParts(
+            NAMES,
+            Placer(self.table, vm.domain, CLOCK, vm.rng),
+            reporter,
+            self.client,
+            self.retries,
+            CLOCK,
+            vm.log,
+        )
+        limiter = QuotaLimiter(
+            RULES, vm.world, vm.fleet, vm.channel, CLOCK, vm.rng, vm.log
+        )
+        self.pipeline = Pipeline(
+            NAMES, vm.world, vm.freshness, limiter, parts, CLOCK, vm.rng, vm.log
+        )
+        self.server = CallerServer.from_options(
+            HttpOptions(), self.pipeline.handle, vm.log, CLOCK
+        )
+        vm.world._formats = msgspec.structs.replace(
+            FORMATS, decode_config=lambda raw: _Decoded(config)
+        )
+        vm.freshness.prove(CLOCK.boot(), "test")
+        self.put("members/vm-1", vm.member.encode())
+        if config is not None:
+            self.put("config", b"1")
+
+    def put(self, key, value):
+        catalog = self.vm.catalog
+        revision = catalog.revision + 1
+        catalog.apply([WatchEvent(key, value, revision)], revision)
+
+    def add_target(self, instance):
+        self.put(f"targets/{instance.target_id}", msgspec.json.encode(instance))
+
+    def call(self, method="POST", path="/a/x", body=b"", **fields):
+        """Send one request and return status, lower-case headers and body."""
+        wanted = {
+            "Host": "shop.example",
+            "X-Id": "id-1",
+            "Authorization": f"Bearer {KEY}",
+            "Content-Length": str(len(body)),
+            "Connection": "close",
+        }
+        wanted.update((k.replace("_", "-"), v) for k, v in fields.items())
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{k}: {v}" for k, v in wanted.items() if v is not None]
+        raw = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        return parse_answer(exchange(self.server.port, raw))
+
+
+class _Decoded:
+    """Stands in for a decoded document."""
+
+    def __init__(self, config):
+        self.ok_value = config
+
+    def is_err(self):
+        return False
+
+
+def parse_answer(raw):
+    head, _, body = raw.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    return int(lines[0].split()[1]), headers, body
+
+
+@contextmanager
+def running(stack):
+    stack.server.start()
+    try:
+        yield stack
+    finally:
+        stack.server.stop()
+        stack.client.close()
--- /dev/null
+++ b/tests/entry/test_entry_requests.py
@@ -0,0 +1,291 @@
+"""Tests of requests on their way to targets: at most once, and true refusals."""
+
+from contextlib import ExitStack
+
+import pytest
+from entry_helper import config, instance, route, workspace
+from path_helper import caller_server, raw_target, read_head
+from stack_helper import Stack, not_run, running, signed
+
+from lacewingpond.entry.model.route import WeightedService
+from lacewingpond.entry.quota.admission import Admission
+from lacewingpond.entry.targets.suspicion import Standing
+from lacewingpond.http.headers import Headers
+from lacewingpond.http.response import Response
+from lacewingpond.util.clock import RuntimeClock
+
+TEXT = Headers((("Content-Type", "text/plain"),))
+
+
+class Target:
+    """Counts the requests that it gets."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.seen = []
+
+    def handle(self, req):
+        body = b"".join(req.body)
+        self.seen.append((req, body))
+        return self.answer(req)
+
+
+@pytest.fixture
+def serve():
+    """Return a function that runs a stack in front of targets."""
+    with ExitStack() as exits:
+
+        def start(*answers, cfg=None, **options):
+            stack = exits.enter_context(running(Stack(cfg or config(), **options)))
+            targets = [Target(answer) for answer in answers]
+            for number, target in enumerate(targets):
+                server = exits.enter_context(caller_server(target.handle))
+                address = f"127.0.0.1:{server.port}"
+                stack.add_target(instance(f"t{number}", address))
+            return stack, targets
+
+        yield start
+
+
+def idempotent(**fields):
+    return config(routes=(route(idempotent=True, **fields),))
+
+
+def breaks_off(req):
+    raise ConnectionError("the target crashes")
+
+
+def runs(targets):
+    return sum(len(target.seen) for target in targets)
+
+
+def cut_body(req):
+    def body():
+        yield b"half"
+        raise ConnectionError("the target crashes")
+
+    headers = Headers((("X-Id", req.headers.get("X-Id")), ("X-Signature", "s")))
+    headers.add("Content-Length", "100")
+    return Response(200, headers, body())
+
+
+def test_answer_passes_unchanged(serve):
+    stack, targets = serve(lambda req: signed(req, 201, b"whole"))
+    status, headers, body = stack.call(body=b"data")
+    assert (status, body, headers["x-signature"]) == (201, b"whole", "s")
+    assert headers["x-id"] == "id-1"
+    assert targets[0].seen[0][1] == b"data"
+
+
+def test_target_sees_workspace_and_deadline_but_no_key(serve):
+    stack, targets = serve(signed)
+    stack.call(X_Workspace="forged", X_Deadline_Ms="2000", X_Expected="forged")
+    req = targets[0].seen[0][0]
+    assert req.headers.get_all("X-Workspace") == ["acme"]
+    assert req.headers.get_all("X-Expected") == ["t0"]
+    assert 0 < int(req.headers.get("X-Deadline-Ms")) <= 2000
+    assert "Authorization" not in req.headers
+
+
+def test_non_idempotent_request_is_not_sent_again_after_a_broken_connection(serve):
+    stack, targets = serve(cut_body, cut_body)
+    status, headers, _ = stack.call()
+    assert (status, runs(targets)) == (502, 1)
+    assert "retry-after" not in headers
+
+
+def test_idempotent_request_goes_to_another_target(serve):
+    stack, targets = serve(cut_body, signed, cfg=idempotent())
+    answers = [stack.call("GET")[0] for _ in range(4)]
+    assert answers == [200] * 4
+
+
+def test_request_that_no_target_ran_goes_to_another_one(serve):
+    stack, targets = serve(not_run, signed)
+    assert [stack.call()[0] for _ in range(4)] == [200] * 4
+    assert len(targets[1].seen) == 4
+
+
+def test_refusal_after_targets_refused_says_not_run(serve):
+    stack, targets = serve(not_run, not_run)
+    status, headers, body = stack.call()
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert b"not-run" in body
+    assert runs(targets) == 2
+
+
+def test_no_more_targets_than_the_route_allows(serve):
+    cfg = idempotent(max_attempts=2)
+    stack, targets = serve(cut_body, cut_body, cut_body, cfg=cfg)
+    assert stack.call("GET")[0] == 502
+    assert runs(targets) == 2
+
+
+def test_dry_retry_budget_ends_the_tries(serve):
+    stack, targets = serve(cut_body, cut_body, cfg=idempotent(), reserve=0.0)
+    assert stack.call("GET")[0] == 502
+    assert runs(targets) == 1
+
+
+def test_error_of_a_target_passes_when_it_cannot_be_replaced(serve):
+    stack, targets = serve(lambda req: signed(req, 500, b"why"))
+    status, headers, body = stack.call()
+    assert (status, body, headers["x-signature"]) == (500, b"why", "s")
+
+
+def test_error_is_passed_on_when_the_budget_is_dry(serve):
+    failing = [lambda req: signed(req, 500, b"why")] * 2
+    stack, targets = serve(*failing, cfg=idempotent(), reserve=0.0)
+    assert stack.call("GET")[0] == 500
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        lambda req: Response(200, TEXT.copy(), b"not a target's"),
+        lambda req: signed(req, X_Id="another"),
+        lambda req: signed(req, Content_Encoding="gzip"),
+        cut_body,
+    ],
+    ids=["unsigned", "another-id", "encoded", "cut"],
+)
+def test_answer_that_cannot_be_trusted_never_looks_complete(serve, answer):
+    stack, targets = serve(answer)
+    status, headers, body = stack.call(X_Deadline_Ms="800")
+    assert status in (502, 504)
+    assert "x-signature" not in headers
+    assert runs(targets) == 1
+
+
+def test_late_answer_to_an_earlier_request_is_skipped():
+    def late(sock):
+        read_head(sock)
+        for request_id, body in (("id-0", b"stray"), ("id-1", b"right")):
+            head = f"HTTP/1.1 200 OK\r\nX-Id: {request_id}\r\nX-Signature: s\r\n"
+            length = f"Content-Length: {len(body)}\r\n\r\n"
+            sock.sendall((head + length).encode() + body)
+
+    with running(Stack(config())) as stack, raw_target(late) as target:
+        stack.add_target(instance("t0", target.address))
+        assert stack.call()[::2] == (200, b"right")
+
+
+def test_bytes_behind_an_answer_belong_to_no_request():
+    def twice(sock):
+        while read_head(sock):
+            head = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s\r\n"
+            answer = (head + "Content-Length: 2\r\n\r\nok").encode()
+            sock.sendall(answer + answer)
+
+    with running(Stack(config())) as stack, raw_target(twice) as target:
+        stack.add_target(instance("t0", target.address))
+        assert [stack.call()[::2] for _ in range(3)] == [(200, b"ok")] * 3
+
+
+def test_misdirected_request_has_not_run_and_goes_on(serve):
+    gone = lambda req: Response(421, Headers((("X-Target", "other"),)))  # noqa: E731
+    stack, targets = serve(gone, signed)
+    assert [stack.call()[0] for _ in range(3)] == [200] * 3
+
+
+def test_closed_port_is_no_run(serve):
+    stack, targets = serve(signed)
+    stack.add_target(instance("dead", "127.0.0.1:1"))
+    assert [stack.call()[0] for _ in range(6)] == [200] * 6
+
+
+def test_target_that_breaks_off_is_ejected(serve):
+    stack, targets = serve(cut_body, signed)
+    while not targets[0].seen:
+        stack.call()
+    state = stack.table.get("t0")
+    assert state.suspicion.standing(RuntimeClock().now()) is Standing.EJECTED
+
+
+def test_draining_target_gets_nothing(serve):
+    stack, targets = serve(signed, signed)
+    address = stack.table.get("t0").instance.address
+    stack.add_target(instance("t0", address, draining=True))
+    assert [stack.call()[0] for _ in range(5)] == [200] * 5
+    assert not targets[0].seen
+
+
+def test_route_timeout_ends_the_wait(serve):
+    def slow(req):
+        RuntimeClock().sleep(5.0)
+        return signed(req)
+
+    stack, targets = serve(slow, cfg=config(routes=(route(timeout_s=0.3),)))
+    status, _, body = stack.call()
+    assert status == 504
+    assert b"unknown" in body
+
+
+def test_no_target_is_a_refusal_with_a_time_to_return(serve):
+    stack, _ = serve()
+    status, headers, _ = stack.call()
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+
+
+def test_without_a_configuration_nothing_is_said_about_keys(serve):
+    with running(Stack(None)) as stack:
+        assert stack.call()[0] == 503
+
+
+def test_unknown_key_and_unknown_route_are_told(serve):
+    stack, targets = serve(signed)
+    assert stack.call(Authorization="Bearer nobody")[0] == 401
+    assert stack.call(Authorization=None)[0] == 401
+    assert stack.call(path="/b/x")[0] == 404
+    assert runs(targets) == 0
+
+
+def test_stale_proof_refuses_keyed_requests_only(serve):
+    routes = (route(), route(name="open", prefix="/open/", public=True))
+    stack, targets = serve(signed, cfg=config(routes=routes))
+    stack.vm.freshness._proved_at = float("-inf")
+    status, headers, _ = stack.call()
+    assert (status, "retry-after" in headers) == (503, True)
+    assert stack.call(path="/open/x")[0] == 200
+    assert runs(targets) == 1
+
+
+def test_key_withdrawn_while_the_body_comes_stops_the_request(serve):
+    stack, targets = serve(signed)
+    stack.vm.freshness.prove(RuntimeClock().boot(), "test")
+    # The limiter is the last part that is asked before the body is read.
+    stack.pipeline._limiter = Withdrawing(stack.vm.world)
+    assert stack.call(body=b"data")[0] == 503
+    assert runs(targets) == 0
+
+
+class Withdrawing:
+    """Admits a request just as its key is withdrawn."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def admit(self, _):
+        holder = workspace(keys=("other",))
+        self.world.config = config(version=2, workspaces=(holder,))
+        return Admission(True)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"X_Id": None}, {"X_Deadline_Ms": "soon"}, {"X_Deadline_Ms": "-5"}],
+)
+def test_bad_fields_are_refused(serve, fields):
+    stack, targets = serve(signed)
+    assert stack.call(**fields)[0] == 400
+    assert runs(targets) == 0
+
+
+def test_split_follows_its_weights(serve):
+    split = (WeightedService("svc", 3.0), WeightedService("none", 1.0))
+    stack, targets = serve(signed, cfg=config(routes=(route(split=split),)))
+    answers = [stack.call()[0] for _ in range(80)]
+    assert 50 <= answers.count(200) <= 70
+    assert answers.count(503) == 80 - answers.count(200)
