--- a/lacewingpond/entry/__main__.py
+++ b/lacewingpond/entry/__main__.py
@@ -9,6 +9,7 @@
 import sys
 from pathlib import Path
 
+import gevent
 from gevent import monkey
 
 monkey.patch_socket(dns=False)
@@ -18,11 +19,12 @@
 
 from lacewingpond.entry.daemon import EntryDaemon  # noqa: E402
 from lacewingpond.entry.settings import EntrySettings, load_entry_settings  # noqa: E402
+from lacewingpond.entry.settings_file import SettingsFile  # noqa: E402
 from lacewingpond.platform.formats import FORMATS  # noqa: E402
 from lacewingpond.platform.names import HEADERS, READY_PATH  # noqa: E402
 from lacewingpond.platform.store import PlatformStore  # noqa: E402
 from lacewingpond.telemetry.json_decisions import JsonDecisionLog  # noqa: E402
-from lacewingpond.ui.signals import wait_for_stop  # noqa: E402
+from lacewingpond.ui.signals import on_reload, wait_for_stop  # noqa: E402
 from lacewingpond.util.address import parse_address  # noqa: E402
 from lacewingpond.util.clock import RuntimeClock  # noqa: E402
 
@@ -41,11 +43,11 @@
         for finding in loaded.err_value:
             print(f"lacewingpond: {finding}", file=sys.stderr)
         return USAGE_STATUS
-    return serve(loaded.ok_value)
+    return serve(loaded.ok_value, Path(path))
 
 
-def serve(cfg: EntrySettings) -> int:
-    """Run the daemon with checked settings."""
+def serve(cfg: EntrySettings, path: Path) -> int:
+    """Run the daemon with the checked settings from `path`."""
     clock, rng = RuntimeClock(), random.Random()
     log = JsonDecisionLog(sys.stdout.fileno(), cfg.vm.id, clock)
     store = PlatformStore(*parse_address(cfg.store.address))
@@ -56,6 +58,9 @@
         print(f"lacewingpond: can't listen: {exc}", file=sys.stderr)
         return 1
     log.decision("start", cfg.vm.id, "serving", domain=cfg.vm.failure_domain)
+    settings_file = SettingsFile(path, daemon.reconfigure, clock, log)
+    on_reload(settings_file.reload)
+    gevent.spawn(settings_file.run)
     wait_for_stop()
     daemon.stop()
     log.flush()
--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -21,7 +21,7 @@
 from lacewingpond.entry.registration import Registration
 from lacewingpond.entry.requests.delivery import DeliveryParts
 from lacewingpond.entry.requests.pipeline import Pipeline
-from lacewingpond.entry.settings import EntrySettings
+from lacewingpond.entry.settings import BoundSettings, EntrySettings
 from lacewingpond.entry.targets.placer import Placer
 from lacewingpond.entry.targets.reporter import OutcomeReporter
 from lacewingpond.entry.targets.table import TargetTable
@@ -77,6 +77,7 @@
     __slots__ = ("server", "readiness", "follower", "world", "_cfg", "_clock", "_log")
     __slots__ += ("_channel", "_news", "_ready_server", "_reporter", "_client")
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets", "_rng")
+    __slots__ += ("_freshness", "_limiter")
 
     def __init__(
         self,
@@ -94,12 +95,7 @@
         bounds, vm = cfg.bounds, cfg.vm
         host, port = vm.ip, cfg.listen.peer_ports[0]
         catalog = Catalog(formats.is_same)
-        max_age_s = (
-            bounds.seconds("revoke") * PROOF_SHARE
-            if bounds.strict_revoke
-            else float("inf")
-        )
-        freshness = Freshness(clock, log, max_age_s)
+        freshness = self._freshness = Freshness(clock, log, _proof_age_s(bounds))
         self.world = World(
             catalog, formats, freshness, clock, log, bounds.seconds("store_return")
         )
@@ -131,12 +127,8 @@
         table = TargetTable(self.world, self._client, clock)
         self._reporter = OutcomeReporter(table, self._fleet, self._channel, clock, log)
         self._retries = RetryBudget.from_options(RetryOptions())
-        limiter = QuotaLimiter(
-            QuotaRules(
-                bounds.seconds("quota_window"),
-                bounds.quota_overage,
-                bounds.quota_slack,
-            ),
+        limiter = self._limiter = QuotaLimiter(
+            _quota_rules(bounds),
             self.world,
             self._fleet,
             self._channel,
@@ -182,6 +174,20 @@
             gevent.spawn(self._sweep),
         ]
 
+    def reconfigure(self, cfg: EntrySettings) -> None:
+        """Take over the bounds of changed settings; addresses need a restart."""
+        if (cfg.vm, cfg.listen, cfg.store) != (
+            self._cfg.vm,
+            self._cfg.listen,
+            self._cfg.store,
+        ):
+            self._log.decision("reload", cfg.vm.id, "addresses change at a restart")
+        self._cfg = cfg
+        self._freshness.max_age_s = _proof_age_s(cfg.bounds)
+        self._limiter.rules = _quota_rules(cfg.bounds)
+        self.world.missing_grace_s = cfg.bounds.seconds("store_return")
+        self._share_bounds()
+
     def stop(self) -> int:
         """Stop as planned and return how many requests were cut."""
         grace_s = self._cfg.bounds.seconds("stop_grace")
@@ -242,6 +248,18 @@
             self._client.limit_all(max(share, MIN_CONNECTIONS))
 
 
+def _proof_age_s(bounds: BoundSettings) -> float:
+    if not bounds.strict_revoke:
+        return float("inf")
+    return bounds.seconds("revoke") * PROOF_SHARE
+
+
+def _quota_rules(bounds: BoundSettings) -> QuotaRules:
+    return QuotaRules(
+        bounds.seconds("quota_window"), bounds.quota_overage, bounds.quota_slack
+    )
+
+
 def _http_options(address: str) -> HttpOptions:
     host, port = parse_address(address)
     return HttpOptions(
--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -55,7 +55,7 @@
         Takes refusals' causes.
     """
 
-    __slots__ = ("_rules", "_world", "_fleet", "_channel", "_clock", "_rng", "_log")
+    __slots__ = ("rules", "_world", "_fleet", "_channel", "_clock", "_rng", "_log")
     __slots__ += ("_buckets", "_holders", "_silent_until", "_started_at")
 
     def __init__(
@@ -68,7 +68,7 @@
         rng: random.Random,
         log: DecisionLog,
     ) -> None:
-        self._rules = rules
+        self.rules = rules
         self._world = world
         self._fleet = fleet
         self._channel = channel
@@ -88,7 +88,7 @@
         if workspace.rate <= 0.0:
             return Admission(True)
         holders = self._ranked(workspace)
-        count = self._rules.share_count(workspace, len(holders))
+        count = self.rules.share_count(workspace, len(holders))
         waits: list[float] = []
         own = self._own_bucket(workspace, holders, count)
         if own is not None:
@@ -120,7 +120,7 @@
         self._rng.shuffle(chosen)
         chosen.sort(key=lambda vm_id: not self._fleet.is_near(vm_id))
         chosen.sort(key=lambda vm_id: self._silent_until.get(vm_id, now) > now)
-        if self._rules.may_double(workspace):
+        if self.rules.may_double(workspace):
             chosen += holders[count : count + 1]
         return [vm_id for vm_id in chosen if vm_id != self._fleet.vm_id][:MAX_ASKS]
 
@@ -155,9 +155,9 @@
         if workspace is None or workspace.rate <= 0.0:
             return None
         holders = self._ranked(workspace)
-        count = self._rules.share_count(workspace, len(holders))
+        count = self.rules.share_count(workspace, len(holders))
         own = self._own_bucket(workspace, holders, count)
-        if own is not None or not self._rules.may_double(workspace):
+        if own is not None or not self.rules.may_double(workspace):
             return own
         return self._bucket(workspace, count)
 
@@ -174,7 +174,7 @@
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             starting = now - self._started_at <= STARTUP_S
-            tokens = self._rules.start_tokens(workspace) / count if starting else 0.0
+            tokens = self.rules.start_tokens(workspace) / count if starting else 0.0
             bucket = TokenBucket(rate, size, tokens, now)
             self._buckets[workspace.name] = bucket
         elif (bucket.rate, bucket.size) != (rate, max(size, 1.0)):
@@ -204,7 +204,7 @@
         for workspace in cfg.workspaces.values():
             if workspace.rate > 0.0:
                 holders = self._ranked(workspace)
-                count = self._rules.share_count(workspace, len(holders))
+                count = self.rules.share_count(workspace, len(holders))
                 self._own_bucket(workspace, holders, count)
 
     def _drop_lost_shares(self) -> None:
@@ -214,9 +214,9 @@
             return
         for name in tuple(self._buckets):
             workspace = cfg.workspaces.get(name)
-            if workspace is None or self._rules.may_double(workspace):
+            if workspace is None or self.rules.may_double(workspace):
                 continue
             holders = self._ranked(workspace)
-            count = self._rules.share_count(workspace, len(holders))
+            count = self.rules.share_count(workspace, len(holders))
             if self._fleet.vm_id not in holders[:count]:
                 del self._buckets[name]
--- a/lacewingpond/entry/world.py
+++ b/lacewingpond/entry/world.py
@@ -42,7 +42,13 @@
     """
 
     __slots__ = ("config", "instances", "members", "_formats", "_freshness", "_clock")
-    __slots__ += ("_log", "_grace_s", "_outage_seen_at", "_missing", "_on_config")
+    __slots__ += (
+        "_log",
+        "missing_grace_s",
+        "_outage_seen_at",
+        "_missing",
+        "_on_config",
+    )
     __slots__ += ("_on_targets", "_on_members")
 
     def __init__(
@@ -61,7 +67,7 @@
         self._freshness = freshness
         self._clock = clock
         self._log = log
-        self._grace_s = missing_grace_s
+        self.missing_grace_s = missing_grace_s
         self._outage_seen_at = float("-inf")
         self._missing: dict[str, float] = {}
         self._on_config: list[Callable[[FleetConfig], None]] = []
@@ -154,10 +160,10 @@
         if known is None or known.draining or self._is_calm(now):
             self._drop(target_id, "removed")
         else:
-            self._missing.setdefault(target_id, now + self._grace_s)
+            self._missing.setdefault(target_id, now + self.missing_grace_s)
 
     def _is_calm(self, now: float) -> bool:
-        return now - self._outage_seen_at > self._grace_s
+        return now - self._outage_seen_at > self.missing_grace_s
 
     def _drop(self, target_id: str, why: str) -> None:
         if self.instances.pop(target_id, None) is not None:
--- /dev/null
+++ b/tests/entry/test_entry_settings.py
@@ -0,0 +1,98 @@
+"""Tests of the settings, their template and changes of the file."""
+
+import gevent
+import pytest
+
+from lacewingpond.entry.settings import check_entry_settings, load_entry_settings
+from lacewingpond.entry.settings_file import SettingsFile
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
+
+TEXT = """
+[vm]
+id = "front-a-1"
+failure_domain = "zone-a"
+region = "region-1"
+ip = "10.1.0.30"
+
+[listen]
+callers = "10.1.0.30:8782"
+readiness = "10.1.0.30:8789"
+peer_ports = [7340, 7355]
+
+[store]
+address = "10.200.1.7:8784"
+
+[bounds]
+revoke = "5000ms"
+"""
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT)
+    return path
+
+
+def test_settings_are_read(path):
+    cfg = load_entry_settings(path).unwrap()
+    assert cfg.listen.peer_ports == (7340, 7355)
+    assert cfg.bounds.seconds("revoke") == 5.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "place"),
+    [
+        ('"5000ms"', '"5 s"', "bounds.revoke"),
+        ('"10.200.1.7:8784"', '"store:8784"', "store.address"),
+        ("[7340, 7355]", "[7340]", "listen.peer_ports"),
+        ('region = "region-1"', "", "vm.region"),
+        ("[bounds]", "[bounds]\nnovelty = 1", "bounds.novelty"),
+    ],
+)
+def test_findings_name_their_place(path, old, new, place):
+    path.write_text(TEXT.replace(old, new))
+    findings = load_entry_settings(path).unwrap_err()
+    assert [f.place for f in findings] == [f"{path}.{place}"]
+
+
+def test_all_findings_come_at_once():
+    findings = check_entry_settings({"vm": {}, "store": 5}, "s").unwrap_err()
+    assert len(findings) >= 5
+
+
+def follow(path, clock):
+    taken, log = [], RecordingDecisionLog()
+    settings_file = SettingsFile(path, taken.append, clock, log)
+    follower = gevent.spawn(settings_file.run)
+    gevent.sleep(0)
+    return settings_file, taken, log, follower
+
+
+def test_changed_file_is_taken_without_a_signal(path, clock):
+    _, taken, _, follower = follow(path, clock)
+    path.write_text(TEXT.replace("5000ms", "7500ms"))
+    clock.advance(1.1)
+    assert [cfg.bounds.revoke for cfg in taken] == ["7500ms"]
+    clock.advance(5.0)
+    assert len(taken) == 1
+    follower.kill()
+
+
+def test_signal_reads_the_file_again(path, clock):
+    settings_file, taken, _, follower = follow(path, clock)
+    settings_file.reload()
+    clock.advance(0.1)
+    assert len(taken) == 1
+    follower.kill()
+
+
+def test_bad_file_leaves_the_last_settings_in_force(path, clock):
+    _, taken, log, follower = follow(path, clock)
+    path.write_text("[vm")
+    clock.advance(1.1)
+    path.unlink()
+    clock.advance(1.1)
+    assert taken == []
+    assert any(why == "kept the last settings" for _, _, why, _ in log.lines)
+    follower.kill()
