Stop requests that crash the targets that run them, over the whole fleet

A fingerprint is stopped after three broken connections anywhere and cleared by one answer anywhere; no owner of a shard is needed.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -21,6 +21,7 @@
 from lacewingpond.entry.registration import Registration
 from lacewingpond.entry.requests.delivery import DeliveryParts
 from lacewingpond.entry.requests.pipeline import Pipeline
+from lacewingpond.entry.requests.quarantine import Quarantine
 from lacewingpond.entry.settings import BoundSettings, EntrySettings
 from lacewingpond.entry.targets.placer import Placer
 from lacewingpond.entry.targets.reporter import OutcomeReporter
@@ -142,6 +143,7 @@
             self._reporter,
             self._client,
             self._retries,
+            Quarantine(self._fleet, self._channel, clock, log),
             clock,
             log,
         )
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -100,7 +100,25 @@
     wait_s: float
 
 
-Message = NewsAsk | News | Hint | Outcomes | TokenAsk | TokenGrant
+class CrashNotice(Struct, frozen=True, array_like=True, tag=7):
+    """Tells that a request broke a target's connection, or that one answered it.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Names the request.
+    crashed : bool
+        False when a target has answered it.
+    relay : bool
+        Whether the receiver passes it on to its own failure domain.
+    """
+
+    fingerprint: str
+    crashed: bool
+    relay: bool = False
+
+
+Message = NewsAsk | News | Hint | Outcomes | TokenAsk | TokenGrant | CrashNotice
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.requests.quarantine import Quarantine
 from lacewingpond.entry.requests.refusal import Refusal
 from lacewingpond.entry.requests.task import Task
 from lacewingpond.entry.targets.placer import Placer
@@ -34,6 +35,7 @@
 MAX_UNREACHED = 4  # targets that could not be connected to, before giving up
 RETRY_LEAST_S = 0.05  # a target can't answer in less
 BUSY_RETRY_S = 0.5  # about the time in which a busy target ends a request
+QUARANTINE_RETRY_S = 30.0  # half of the time for which a request stays stopped
 MISDIRECTED = 421
 GATEWAY_TIMEOUT = 504
 FIRST_SERVER_ERROR = 500
@@ -103,6 +105,7 @@
     reporter: OutcomeReporter
     client: TargetClient
     retries: RetryBudget
+    quarantine: Quarantine
     clock: Clock
     log: DecisionLog
 
@@ -134,6 +137,8 @@
 
     def run(self) -> Result[Response, Refusal]:
         """Return a target's answer, or why there is none."""
+        if self._parts.quarantine.is_stopped(self._task.fingerprint):
+            return Err(_quarantined())
         self._parts.retries.earn(self._task.service)
         while True:
             state = self._parts.placer.pick(
@@ -149,6 +154,8 @@
             self._last_failure = failure
             if not self._may_try_again(failure):
                 return Err(self._give_up())
+            if self._parts.quarantine.is_stopped(self._task.fingerprint):
+                return Err(self._give_up())
 
     def _attempt(self, state: TargetState) -> Result[Response, Failure]:
         parts, task = self._parts, self._task
@@ -189,6 +196,8 @@
             response.limit_time(deadline)
             return self._take(state, response, started, on_trial)
         except AnswerCutError as exc:
+            if exc.reason is SendReason.BROKEN:
+                self._parts.quarantine.note_crash(self._task.fingerprint)
             if exc.reason is not SendReason.CALLER_GONE:
                 why = f"cut: {exc.reason.value}"
                 self._parts.reporter.note_bad(
@@ -227,6 +236,7 @@
             self._parts.reporter.note_bad(state, str(response.status), blame)
         else:
             self._parts.reporter.note_good(state, on_trial)
+        self._parts.quarantine.note_answer(self._task.fingerprint)
         answer = Response(
             response.status, response.headers, b"".join(blocks), response.reason
         )
@@ -272,6 +282,8 @@
                 state.note_unreachable(self._parts.clock.now())
             return Failure(Fate.UNREACHED, _unreached(reason), final)
         self._reached += 1
+        if reason is SendReason.BROKEN:
+            self._parts.quarantine.note_crash(self._task.fingerprint)
         if reason not in BLAMELESS:
             self._parts.reporter.note_bad(
                 state, reason.value, self._blame(reason, started)
@@ -347,6 +359,11 @@
     return Failure(Fate.UNKNOWN, refusal)
 
 
+def _quarantined() -> Refusal:
+    detail = "Earlier runs of this request broke the targets that ran it."
+    return Refusal.not_run(503, "quarantined", detail, QUARANTINE_RETRY_S)
+
+
 def _unreached(reason: SendReason) -> Refusal:
     if reason in (SendReason.CALLER_BODY, SendReason.CALLER_HEAD):
         return Refusal.not_run(400, reason.value, "The request can't be sent on.")
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -2,6 +2,7 @@
 
 import random
 
+import xxhash
 from result import Err, Ok, Result
 
 from lacewingpond.entry.freshness import Freshness
@@ -21,6 +22,7 @@
 from lacewingpond.proxy.job_body import JobBody
 from lacewingpond.proxy.kept_body import KeptBody
 from lacewingpond.proxy.streamed_body import StreamedBody
+from lacewingpond.quarantine.fingerprint import fingerprint
 from lacewingpond.routing.hop_by_hop import headers_to_target
 from lacewingpond.routing.keys import presented_key
 from lacewingpond.telemetry.decisions import DecisionLog
@@ -215,6 +217,7 @@
             headers=headers,
             body=body,
             deadline=deadline,
+            fingerprint=_fingerprint(req, route, workspace, body),
             is_disconnected=req.is_disconnected,
             may_send=lambda: self._may_send(req, route, workspace),
         )
@@ -257,6 +260,16 @@
     return Refusal.not_run(503, reason, detail, STALE_RETRY_S)
 
 
+def _fingerprint(
+    req: Request, route: EntryRoute, workspace: EntryWorkspace | None, body: JobBody
+) -> str:
+    if not isinstance(body, KeptBody):
+        return ""
+    identity = xxhash.xxh3_128_digest(body.data)
+    name = workspace.name if workspace is not None else ""
+    return fingerprint(name, route.name, req.method, req.path, identity)
+
+
 def _body_of(req: Request) -> JobBody:
     if req.body.is_empty:
         return KeptBody(b"")
--- a/lacewingpond/entry/requests/task.py
+++ b/lacewingpond/entry/requests/task.py
@@ -25,6 +25,8 @@
         As they go to the target, apart from fields that differ by attempt.
     deadline : float
         When the answer is due, in monotonic seconds.
+    fingerprint : str
+        Names the request and its repeats; empty when its body passes through.
     is_disconnected : callable
         Whether the client has gone.
     may_send : callable
@@ -33,6 +35,7 @@
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
     __slots__ += ("headers", "body", "deadline", "is_disconnected", "may_send")
+    __slots__ += ("fingerprint",)
 
     def __init__(
         self,
@@ -45,6 +48,7 @@
         headers: Headers,
         body: JobBody,
         deadline: float,
+        fingerprint: str,
         is_disconnected: Callable[[], bool],
         may_send: Callable[[], bool],
     ) -> None:
@@ -57,6 +61,7 @@
         self.headers = headers
         self.body = body
         self.deadline = deadline
+        self.fingerprint = fingerprint
         self.is_disconnected = is_disconnected
         self.may_send = may_send
 
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -12,6 +12,7 @@
 from lacewingpond.entry.quota.rules import QuotaRules
 from lacewingpond.entry.requests.delivery import DeliveryParts
 from lacewingpond.entry.requests.pipeline import Pipeline
+from lacewingpond.entry.requests.quarantine import Quarantine
 from lacewingpond.entry.targets.placer import Placer
 from lacewingpond.entry.targets.reporter import OutcomeReporter
 from lacewingpond.entry.targets.table import TargetTable
@@ -74,6 +75,7 @@
             reporter,
             self.client,
             self.retries,
+            Quarantine(vm.fleet, vm.channel, CLOCK, vm.log),
             CLOCK,
             vm.log,
         )
--- a/tests/entry/test_entry_requests.py
+++ b/tests/entry/test_entry_requests.py
@@ -289,3 +289,18 @@
     answers = [stack.call()[0] for _ in range(80)]
     assert 50 <= answers.count(200) <= 70
     assert answers.count(503) == 80 - answers.count(200)
+
+
+def test_request_that_crashes_targets_is_stopped_after_three_crashes(serve):
+    stack, targets = serve(*[cut_body] * 5, cfg=idempotent(), reserve=50.0)
+    answers = [stack.call("GET", X_Id=f"id-{n}")[0] for n in range(6)]
+    assert runs(targets) == 3
+    assert answers == [502, 502, 503, 503, 503, 503]
+
+
+def test_other_requests_run_beside_a_stopped_one(serve):
+    stack, targets = serve(cut_body, cfg=idempotent(max_attempts=1))
+    for _ in range(4):
+        stack.call("GET")
+    targets[0].answer = signed
+    assert stack.call("GET", path="/a/other")[0] == 200
