--- a/lacewingpond/entry/quota/rules.py
+++ b/lacewingpond/entry/quota/rules.py
@@ -6,6 +6,7 @@
 
 TOKENS_PER_SHARE = 4.0  # smaller shares run dry beside others that overflow
 START_SHARE = 0.4  # two restarts of the whole fleet in one window stay in bounds
+RATE_SHARE = 0.5  # of the overage, so that uneven shares refuse nobody wrongly
 
 
 class QuotaRules(Struct, frozen=True):
@@ -32,6 +33,10 @@
         """Return into how many shares a workspace's bucket is split."""
         return min(max(int(workspace.burst / TOKENS_PER_SHARE), 1), fleet_size)
 
+    def rate(self, workspace: EntryWorkspace) -> float:
+        """Return the tokens a second that all shares together get."""
+        return workspace.rate * (1.0 + self.overage * RATE_SHARE)
+
     def start_tokens(self, workspace: EntryWorkspace) -> float:
         """Return the tokens with which the whole fleet may start."""
         return min(workspace.burst, self.tolerance(workspace) * START_SHARE)
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -34,7 +34,9 @@
 MAX_HELD_BYTES = 262_144  # whole answers up to here are checked before they go on
 MAX_UNREACHED = 4  # targets that could not be connected to, before giving up
 RETRY_LEAST_S = 0.05  # a target can't answer in less
-BUSY_RETRY_S = 0.5  # about the time in which a busy target ends a request
+BUSY_RETRY_S = 0.6  # about the time in which a busy target ends a request
+IDLE_RETRY_S = 0.15  # when targets refuse though they have room, others may not
+FULL_LOAD = 0.9  # known requests for each slot above which a service counts as busy
 QUARANTINE_RETRY_S = 30.0  # half of the time for which a request stays stopped
 MISDIRECTED = 421
 GATEWAY_TIMEOUT = 504
@@ -269,7 +271,7 @@
             reason, detail = "misdirected", "The target has gone."
         else:
             reason, detail = "target-busy", "The target takes no more work now."
-        refusal = Refusal.not_run(503, reason, detail, BUSY_RETRY_S)
+        refusal = Refusal.not_run(503, reason, detail, self._retry_s())
         return Failure(Fate.NOT_RUN, refusal)
 
     def _not_answered(
@@ -280,7 +282,8 @@
         if error.failure is SendFailure.NOT_SENT:
             if reason is SendReason.CONNECT:
                 state.note_unreachable(self._parts.clock.now())
-            return Failure(Fate.UNREACHED, _unreached(reason), final)
+            refusal = _unreached(reason, self._retry_s())
+            return Failure(Fate.UNREACHED, refusal, final)
         self._reached += 1
         if reason is SendReason.BROKEN:
             self._parts.quarantine.note_crash(self._task.fingerprint)
@@ -298,6 +301,11 @@
         took_s = self._parts.clock.now() - started
         return LATE_BLAME if took_s >= self._task.route.target_latency_s else 0.0
 
+    def _retry_s(self) -> float:
+        """Return when a client should come back: soon, unless targets are full."""
+        load = self._parts.placer.load(self._task.service)
+        return BUSY_RETRY_S if load >= FULL_LOAD else IDLE_RETRY_S
+
     def _may_try_again(self, failure: Failure) -> bool:
         task = self._task
         if failure.paid:
@@ -348,7 +356,7 @@
     def _give_up(self) -> Refusal:
         if self._last_failure is None:
             detail = "No target of the service takes work."
-            return Refusal.not_run(503, "no-target", detail, BUSY_RETRY_S)
+            return Refusal.not_run(503, "no-target", detail, self._retry_s())
         refusal = self._last_failure.refusal
         if self._may_have_run and self._last_failure.fate is not Fate.UNKNOWN:
             return Refusal.unknown(502, refusal.reason, refusal.detail)
@@ -364,14 +372,14 @@
     return Refusal.not_run(503, "quarantined", detail, QUARANTINE_RETRY_S)
 
 
-def _unreached(reason: SendReason) -> Refusal:
+def _unreached(reason: SendReason, retry_s: float) -> Refusal:
     if reason in (SendReason.CALLER_BODY, SendReason.CALLER_HEAD):
         return Refusal.not_run(400, reason.value, "The request can't be sent on.")
     if reason is SendReason.OWNERSHIP_LOST:
         detail = "This VM can't check keys now."
         return Refusal.not_run(503, "stale-keys", detail, BUSY_RETRY_S)
     detail = "The request did not reach a target."
-    return Refusal.not_run(503, f"unreached-{reason.value}", detail, BUSY_RETRY_S)
+    return Refusal.not_run(503, f"unreached-{reason.value}", detail, retry_s)
 
 
 def _unanswered(reason: SendReason) -> Refusal:
--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -73,6 +73,14 @@
         drawn = self._rng.choices(usable, weights, k=SAMPLES)
         return min(drawn, key=lambda state: state.load(now))
 
+    def load(self, service: str) -> float:
+        """Return the known requests for each slot of a service's targets."""
+        now = self._clock.now()
+        ready = self._table.ready(service)
+        if not ready:
+            return 0.0
+        return sum(state.load(now) for state in ready) / len(ready)
+
     def _ejected(
         self, ready: tuple[TargetState, ...], now: float
     ) -> frozenset[TargetState]:
