--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -62,7 +62,7 @@
     __slots__ = ("watching", "_store", "_catalog", "_freshness", "_world", "_fleet")
     __slots__ += ("_channel", "_clock", "_rng", "_log", "_source", "_hint", "_wake")
     __slots__ += ("_retry_at", "_retry_s", "_reachable", "_greenlets", "_patience_s")
-    __slots__ += ("_yielded_to",)
+    __slots__ += ("_yielded_to", "_listed")
 
     def __init__(
         self,
@@ -92,6 +92,7 @@
         self._retry_at = float("-inf")
         self._retry_s = RETRY_S
         self._reachable = True
+        self._listed = False
         self._greenlets: list[gevent.Greenlet] = []
         self._patience_s = self._draw_patience()
         self._yielded_to: str | None = None
@@ -126,7 +127,7 @@
 
     def _follow_store(self) -> None:
         while True:
-            if self._catalog.revision == 0:
+            if not self._listed:
                 self._list()
             elif self._should_watch():
                 self._watch()
@@ -178,6 +179,7 @@
             self._clock.sleep(max(self._retry_at - self._clock.now(), 0.0))
             return
         self._note_success()
+        self._listed = True
         self._catalog.replace(listing.ok_value)
         self._freshness.prove(asked_at, "store")
 
@@ -202,7 +204,7 @@
             # A datagram wakes this greenlet as soon as there is news.
             wait_for(self._wake, self._clock, ASK_PERIOD_S)
             self._wake.clear()
-            if self._catalog.revision == 0:
+            if not self._listed:
                 continue
             if self.watching and self._hint is None:
                 continue
--- /dev/null
+++ b/tests/entry/test_entry_daemon.py
@@ -0,0 +1,123 @@
+"""Tests of a whole entry daemon: start, readiness and the planned stop."""
+
+import random
+from contextlib import ExitStack
+
+import gevent
+import msgspec
+import pytest
+from entry_helper import FORMATS, KEY, instance
+from path_helper import CLOCK, caller_server, connect, read_all
+from stack_helper import NAMES, signed
+
+from lacewingpond.entry.daemon import EntryDaemon
+from lacewingpond.entry.settings import check_entry_settings
+from lacewingpond.store.memory import MemoryStore
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
+
+SETTINGS = {
+    "vm": {
+        "id": "vm-1",
+        "failure_domain": "zone-a",
+        "region": "region-1",
+        "ip": "127.0.0.1",
+    },
+    "listen": {
+        "callers": "127.0.0.1:0",
+        "readiness": "127.0.0.1:0",
+        "peer_ports": [0, 0],
+    },
+    "store": {"address": "127.0.0.1:1"},
+    "bounds": {"stop_grace": "1500ms"},
+}
+REQUEST = (
+    "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-1\r\n"
+    f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+).encode()
+
+
+class Slow:
+    """A target that answers once it is told to."""
+
+    def __init__(self):
+        self.began = gevent.event.Event()
+        self.may_end = gevent.event.Event()
+
+    def handle(self, req):
+        self.began.set()
+        self.may_end.wait()
+        return signed(req)
+
+
+@pytest.fixture
+def store():
+    return MemoryStore(CLOCK)
+
+
+@pytest.fixture
+def daemon(store):
+    cfg = check_entry_settings(SETTINGS, "settings").unwrap()
+    daemon = EntryDaemon(
+        cfg,
+        NAMES,
+        FORMATS,
+        "/ready",
+        store,
+        CLOCK,
+        random.Random(1),
+        RecordingDecisionLog(),
+    )
+    daemon.start()
+    yield daemon
+    daemon.close()
+
+
+def ready_status(daemon):
+    sock = connect(daemon._ready_server.port)
+    sock.sendall(b"GET /ready HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n")
+    return int(read_all(sock).split(b" ")[1])
+
+
+def configure(daemon, store, target):
+    address = f"127.0.0.1:{target.port}"
+    store.put("targets/t0", msgspec.json.encode(instance("t0", address)), "")
+    store.put("config", b"1", "")
+    with gevent.Timeout(10):
+        while ready_status(daemon) != 200:
+            gevent.sleep(0.02)
+
+
+def test_not_ready_before_a_configuration(daemon):
+    assert ready_status(daemon) == 503
+
+
+def test_planned_stop_cuts_no_request(daemon, store):
+    slow = Slow()
+    with ExitStack() as exits:
+        target = exits.enter_context(caller_server(slow.handle))
+        configure(daemon, store, target)
+        busy, idle = connect(daemon.server.port), connect(daemon.server.port)
+        busy.sendall(REQUEST)
+        slow.began.wait()
+        stopping = gevent.spawn(daemon.stop)
+        gevent.sleep(0)
+        assert ready_status(daemon) == 503
+        assert idle.recv(1) == b""
+        slow.may_end.set()
+        answer = read_all(busy)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in answer
+        assert stopping.get() == 0
+
+
+def test_request_in_the_notice_is_served_and_ends_its_connection(daemon, store):
+    with caller_server(signed) as target:
+        configure(daemon, store, target)
+        kept = connect(daemon.server.port)
+        stopping = gevent.spawn(daemon.stop)
+        gevent.sleep(0)
+        kept.sendall(REQUEST)
+        answer = read_all(kept)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in answer
+        assert stopping.get() == 0
