Let a workspace use its burst once in each window of the quota

Cause of refusals within the quota: a token bucket gives a burst once and then the rate alone, but the platform's quota is rate x window + burst in any window.

--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -170,7 +170,8 @@
 
     def _bucket(self, workspace: EntryWorkspace, count: int) -> TokenBucket:
         now = self._clock.now()
-        rate, size = self.rules.rate(workspace) / count, workspace.burst / count
+        rate = self.rules.rate(workspace) / count
+        size = self.rules.size(workspace) / count
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             starting = now - self._started_at <= STARTUP_S
