Eject targets for 8 s

Gray spells last 5 to 9 s, so a target that came back after 4 s cost another request more often than not.

--- a/lacewingpond/entry/targets/suspicion.py
+++ b/lacewingpond/entry/targets/suspicion.py
@@ -8,8 +8,8 @@
 EJECT_AT = 4.4  # two errors within four outcomes; more false alarms below
 MAX_SCORE = 8.0  # lets a target that was long sick recover as fast as another
 PROBATION_SCORE = 2.0  # one more failure ejects, four good outcomes clear
-EJECT_S = 4.0  # gray spells last 5 to 9 s, and half of one is over on average
-REPEAT_S = 6.0  # a target that fails its trial has most of a spell before it
+EJECT_S = 8.0  # gray spells last 5 to 9 s; a trial costs a request
+REPEAT_S = 8.0  # a target that fails its trial is in another spell
 TRIALS_TO_RETURN = 2  # a target that fails 85 in 100 passes two in 2 in 100
 
 ERROR_BLAME = math.log(SICK_RATE / HEALTHY_RATE)
