--- a/lacewingpond/ui/application.py
+++ b/lacewingpond/ui/application.py
@@ -17,6 +17,7 @@
     "check": "check.CheckCommand",
     "confirm": "confirm.ConfirmCommand",
     "demo": "demo.DemoCommand",
+    "explain": "explain.ExplainCommand",
     "key grant": "key.KeyGrantCommand",
     "key withdraw": "key.KeyWithdrawCommand",
     "load": "load.LoadCommand",
--- /dev/null
+++ b/lacewingpond/ui/commands/explain.py
@@ -0,0 +1,60 @@
+"""`lacewingpond explain`: the story of one request from the daemons' logs."""
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from lacewingpond.explain.log_line import parse_line
+from lacewingpond.explain.story import Story
+from lacewingpond.util.errors import UserError
+
+NOT_FOUND_STATUS = 1
+
+
+class ExplainCommand(Command):
+    """Reads logs and tells what became of a request, and why."""
+
+    name = "explain"
+    description = "Tell the story of one request from the daemons' logs."
+    help = (
+        "Example: <info>lacewingpond explain 9c41d07be2a35f68 front-*.log</info>\n"
+        "Without files, lines are read from standard input. Lines that can't be read\n"
+        "are counted and skipped. The exit status is 1 when no line names the request."
+    )
+    arguments = [
+        argument("id", "Id of the request."),
+        argument("files", "Files with log lines.", optional=True, multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        story, skipped = Story(self.argument("id")), 0
+        for text in _lines(self.argument("files")):
+            parsed = parse_line(text)
+            if parsed.is_ok():
+                story.take(parsed.ok_value)
+            elif text.strip():
+                skipped += 1
+        for line in story.lines:
+            self.line(line)
+        if skipped:
+            self.line_error(f"{skipped} lines could not be read")
+        if not story.lines:
+            self.line_error(f"no line names {self.argument('id')}")
+            return NOT_FOUND_STATUS
+        return 0
+
+
+def _lines(files: list[str]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+        return
+    for name in files:
+        try:
+            with Path(name).open(encoding="utf-8", errors="replace") as lines:
+                yield from lines
+        except OSError as exc:
+            raise UserError(f"{name}: {exc.strerror}") from exc
