--- a/lacewingpond/entry/__main__.py
+++ b/lacewingpond/entry/__main__.py
@@ -30,6 +30,8 @@
 
 SETTINGS_VARIABLE = "LACEWINGPOND_SETTINGS"
 USAGE_STATUS = 2
+OF_EACH_REQUEST = frozenset({"route", "attempt"})
+"""Kinds of decision of which a busy daemon logs hundreds a second."""
 
 
 def main() -> int:
@@ -49,7 +51,8 @@
 def serve(cfg: EntrySettings, path: Path) -> int:
     """Run the daemon with the checked settings from `path`."""
     clock, rng = RuntimeClock(), random.Random()
-    log = JsonDecisionLog(sys.stdout.fileno(), cfg.vm.id, clock)
+    left_out = frozenset() if cfg.log.level == "decisions" else OF_EACH_REQUEST
+    log = JsonDecisionLog(sys.stdout.fileno(), cfg.vm.id, clock, left_out)
     store = PlatformStore(*parse_address(cfg.store.address))
     try:
         daemon = EntryDaemon(cfg, HEADERS, FORMATS, READY_PATH, store, clock, rng, log)
--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -49,6 +49,8 @@
 WRITE_TIMEOUT_S = 10.0  # a client that takes no bytes for longer has gone
 CONNECTION_SHARE = 0.9  # of the connections that targets take from the fleet
 MIN_CONNECTIONS = 4  # a VM needs a few whatever the size of the fleet
+OTHER_DESCRIPTORS = 200  # the platform reserves these for files
+CLIENT_SHARE = 0.7  # the rest is for targets, peers and the store
 BODY_TIMEOUT_S = 10.0  # a body that stops for longer does not come
 
 
@@ -151,13 +153,19 @@
             names, self.world, freshness, limiter, parts, clock, rng, log
         )
         self.server = CallerServer.from_options(
-            _http_options(cfg.listen.callers), pipeline.handle, log, clock
+            _http_options(cfg.listen.callers, vm.descriptors),
+            pipeline.handle,
+            log,
+            clock,
         )
         self.readiness = Readiness(
             ready_path, lambda: self.world.config is not None and freshness.is_fresh
         )
         self._ready_server = CallerServer.from_options(
-            _http_options(cfg.listen.readiness), self.readiness.handle, log, clock
+            _http_options(cfg.listen.readiness, vm.descriptors),
+            self.readiness.handle,
+            log,
+            clock,
         )
         self.world.on_config(self._take_config)
         self.world.on_members(self._take_members)
@@ -262,14 +270,17 @@
     )
 
 
-def _http_options(address: str) -> HttpOptions:
+def _http_options(address: str, descriptors: int) -> HttpOptions:
     host, port = parse_address(address)
+    connections = max(int((descriptors - OTHER_DESCRIPTORS) * CLIENT_SHARE), 1)
     return HttpOptions(
         host=host,
         port=port,
         body_timeout_s=BODY_TIMEOUT_S,
         write_timeout_s=WRITE_TIMEOUT_S,
         drain_idle_s=DRAIN_IDLE_S,
+        max_connections=connections,
+        max_connections_per_address=connections,
     )
 
 
--- a/lacewingpond/entry/settings.py
+++ b/lacewingpond/entry/settings.py
@@ -20,7 +20,6 @@
     failure_domain: str
     region: str
     ip: str
-    memory_mb: int = 300
     descriptors: int = 4096
 
 
@@ -38,6 +37,9 @@
     address: str
 
 
+LOG_LEVELS = ("decisions", "changes")
+
+
 class LogSettings(Struct, frozen=True):
     """What is logged; the level `changes` leaves out the lines of single requests."""
 
@@ -49,16 +51,10 @@
 
     Parameters
     ----------
-    target_heartbeat : str
-        How often targets renew their entries.
     store_return : str
         How long after the store's return its missing entries may come back.
-    drain : str
-        How long after its notice a leaving target may get new work.
     stop_grace : str
         Time between SIGTERM and SIGKILL.
-    config_apply : str
-        How long a new configuration may take to be in force.
     strict_revoke : bool
         Whether a withdrawn key must stop working on cut-off VMs too.
     revoke : str
@@ -69,17 +65,10 @@
         Span over which a workspace's requests are counted.
     quota_overage, quota_slack : float
         What may be admitted beyond a workspace's rate: a share and a number.
-    probes_per_s : float
-        Health checks a target may get in a second from the whole fleet.
-    min_share : float
-        Share of a service's sound targets that must stay in use.
     """
 
-    target_heartbeat: str = "1500ms"
     store_return: str = "2s"
-    drain: str = "2000ms"
     stop_grace: str = "6s"
-    config_apply: str = "2000ms"
     strict_revoke: bool = True
     revoke: str = "5000ms"
     retry_ratio: float = 0.2
@@ -87,8 +76,6 @@
     quota_window: str = "5s"
     quota_overage: float = 0.1
     quota_slack: float = 20.0
-    probes_per_s: float = 3.0
-    min_share: float = 0.7
 
     def seconds(self, name: str) -> float:
         """Return the duration called `name` in seconds."""
@@ -96,11 +83,8 @@
 
 
 DURATIONS = (
-    "target_heartbeat",
     "store_return",
-    "drain",
     "stop_grace",
-    "config_apply",
     "revoke",
     "quota_window",
 )
@@ -133,6 +117,9 @@
     if cfg is not None:
         _check_addresses(cfg, place, findings)
         _check_durations(cfg, place, findings)
+        if cfg.log.level not in LOG_LEVELS:
+            choices = ", ".join(LOG_LEVELS)
+            findings.append(Finding(f"{place}.log.level", f"must be one of {choices}"))
     return Err(tuple(findings)) if cfg is None or findings else Ok(cfg)
 
 
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -37,13 +37,6 @@
     deleted: bool = False
 
 
-class _OneItem(Struct, rename="kebab"):
-    key: str
-    value: bytes
-    revision: int
-    current_rev: int = 0
-
-
 class _Range(Struct, rename="kebab"):
     # The last key on the page is where the next one starts.
     items: tuple[_Item, ...]
@@ -85,22 +78,13 @@
         Address of the store.
     """
 
-    __slots__ = ("_pool", "calls")
+    __slots__ = ("_pool",)
 
     def __init__(self, host: str, port: int) -> None:
-        self.calls = 0
         self._pool = urllib3.HTTPConnectionPool(
             host, port, maxsize=MAX_CONNECTIONS, block=False, retries=False
         )
 
-    def get(self, key: str) -> Result[Entry | None, StoreError]:
-        """Read one key; `Ok(None)` when it does not exist."""
-        return self._get({"key": key})
-
-    def get_stale(self, key: str) -> Result[Entry | None, StoreError]:
-        """Read one key at a tenth of the price; the answer may be seconds old."""
-        return self._get({"key": key, "serializable": 1})
-
     def listing(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys that start with `prefix`, and where to watch from.
 
@@ -161,17 +145,9 @@
         answer = self._call("POST", f"/api/kv-keep/{int(lease)}")
         return answer.map(lambda _: None)
 
-    def _get(self, query: dict[str, object]) -> Result[Entry | None, StoreError]:
-        answer = self._call("GET", f"/api/kv-key?{urlencode(query)}")
-        if answer.is_err() and answer.err_value.failure is StoreFailure.LEASE_LAPSED:
-            return Ok(None)
-        item = _decoded(answer, _OneItem)
-        return item.map(lambda i: Entry(i.key, i.value, i.revision))
-
     def _call(
         self, method: str, path: str, body: bytes | None = None, wait_s: float = 0.0
     ) -> Result[bytes, StoreError]:
-        self.calls += 1
         headers = {"Content-Type": "application/json"} if body is not None else None
         try:
             answer = self._pool.request(
--- a/lacewingpond/store/base.py
+++ b/lacewingpond/store/base.py
@@ -75,14 +75,6 @@
 class ListingStore(Protocol):
     """What the entry daemon needs of the platform's key-value service."""
 
-    def get_stale(self, key: str) -> Result[Entry | None, StoreError]:
-        """Read one key at a lower price; the answer may be seconds old."""
-        ...
-
-    def get(self, key: str) -> Result[Entry | None, StoreError]:
-        """Read one key; `Ok(None)` when it does not exist."""
-        ...
-
     def listing(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys that start with `prefix`, and where to watch from."""
         ...
--- a/lacewingpond/store/memory.py
+++ b/lacewingpond/store/memory.py
@@ -83,10 +83,6 @@
         keys = sorted(key for key in self._entries if key.startswith(prefix))
         return Ok(tuple(self._entries[key] for key in keys))
 
-    def get_stale(self, key: str) -> Result[Entry | None, StoreError]:
-        """Read one key; here it is never old."""
-        return self.get(key)
-
     def listing(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys that start with `prefix`, and where to watch from."""
         entries = self.scan(prefix)
--- a/lacewingpond/telemetry/json_decisions.py
+++ b/lacewingpond/telemetry/json_decisions.py
@@ -22,11 +22,17 @@
         Added to each line.
     clock : Clock
         Dates lines.
+    left_out : frozenset of str
+        Kinds of decision that are not written.
     """
 
     __slots__ = ("_fd", "_vm_id", "_clock", "_held", "_size", "_dropped", "_flusher")
+    __slots__ += ("_left_out",)
 
-    def __init__(self, fd: int, vm_id: str, clock: Clock) -> None:
+    def __init__(
+        self, fd: int, vm_id: str, clock: Clock, left_out: frozenset[str] = frozenset()
+    ) -> None:
+        self._left_out = left_out
         self._fd = fd
         self._vm_id = vm_id
         self._clock = clock
@@ -38,6 +44,8 @@
 
     def decision(self, what: str, which: str, why: str, **fields: object) -> None:
         """Write one decision; `fields` hold plain values and never a key."""
+        if what in self._left_out:
+            return
         line = {"t": round(self._clock.wall(), 3), "vm": self._vm_id}
         line.update(what=what, which=which, why=why, **fields)
         self._hold(msgspec.json.encode(line) + b"\n")
