--- /dev/null
+++ b/tests/platform/test_platform_store.py
@@ -0,0 +1,132 @@
+"""Tests of the store's calls against a small server that speaks its protocol."""
+
+import base64
+import socket
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import pytest
+from path_helper import caller_server, raw_target, read_head
+
+from lacewingpond.http.response import Response
+from lacewingpond.platform.store import PlatformStore
+from lacewingpond.store.base import StoreFailure
+
+
+def b64(data):
+    return base64.b64encode(data).decode()
+
+
+class Platform:
+    """Answers calls from a table of path to status and body."""
+
+    def __init__(self, **answers):
+        self.answers = answers
+        self.seen = []
+
+    def handle(self, req):
+        parts = urlsplit(req.path)
+        query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+        body = b"".join(req.body)
+        self.seen.append((req.method, parts.path, query, body))
+        name = parts.path.split("/")[2].replace("-", "_")
+        status, answer = self.answers[name](query)
+        return Response(status, body=msgspec.json.encode(answer))
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(**answers):
+        platform = Platform(**answers)
+        context = caller_server(platform.handle)
+        server = context.__enter__()
+        servers.append(context)
+        return PlatformStore("127.0.0.1", server.port), platform
+
+    yield start
+    for context in servers:
+        context.__exit__(None, None, None)
+
+
+def item(key, value, revision):
+    return {"key": key, "value": b64(value), "revision": revision, "lease": 0}
+
+
+def test_listing_reads_all_pages_and_keeps_the_first_revision(serve):
+    pages = {
+        None: {"items": [item("a", b"1", 3)], "more-pages": True, "current-rev": 9},
+        "a": {"items": [item("b", b"2", 4)], "more-pages": False, "current-rev": 12},
+    }
+    store, _ = serve(kv_range=lambda query: (200, pages[query.get("after")]))
+    listing = store.listing("").unwrap()
+    assert [(e.key, e.value, e.revision) for e in listing.entries] == [
+        ("a", b"1", 3),
+        ("b", b"2", 4),
+    ]
+    assert listing.revision == 9
+
+
+def test_watch_returns_changes_and_removals(serve):
+    events = [item("a", b"1", 5), {"key": "b", "revision": 6, "deleted": True}]
+    answer = {"events": events, "current-rev": 7}
+    store, platform = serve(kv_watch=lambda query: (200, answer))
+    batch = store.watch("", 4, 1.5).unwrap()
+    assert [(e.key, e.value) for e in batch.events] == [("a", b"1"), ("b", None)]
+    assert batch.revision == 7
+    assert platform.seen[0][2] == {"after": "4", "wait-ms": "1500"}
+
+
+def test_entry_is_written_under_its_lease(serve):
+    store, platform = serve(
+        kv_lease=lambda query: (200, {"lease": 77, "ttl_time": "120000ms"}),
+        kv_txn=lambda query: (200, {"revision": 8}),
+        kv_keep=lambda query: (200, {"ttl_time": "120000ms"}),
+    )
+    lease = store.grant_lease(120.0).unwrap()
+    assert store.put("fleet/vm-1", b"me", lease).unwrap() == 8
+    assert store.keep_alive(lease).is_ok()
+    change = msgspec.json.decode(platform.seen[1][3])
+    assert change["puts"] == [{"key": "fleet/vm-1", "value": b64(b"me"), "lease": 77}]
+    assert platform.seen[2][1] == "/api/kv-keep/77"
+
+
+@pytest.mark.parametrize(
+    ("status", "failure"),
+    [
+        (410, StoreFailure.COMPACTED),
+        (429, StoreFailure.THROTTLED),
+        (503, StoreFailure.UNAVAILABLE),
+        (500, StoreFailure.UNAVAILABLE),
+    ],
+)
+def test_refused_watch_is_sorted(serve, status, failure):
+    store, _ = serve(kv_watch=lambda query: (status, {}))
+    assert store.watch("", 1, 0.1).unwrap_err().failure is failure
+
+
+def test_lapsed_lease_is_told(serve):
+    store, _ = serve(kv_keep=lambda query: (404, {}))
+    error = store.keep_alive("5").unwrap_err()
+    assert error.failure is StoreFailure.LEASE_LAPSED
+
+
+def test_unreadable_answer_is_an_error(serve):
+    store, _ = serve(kv_watch=lambda query: (200, {"events": "none"}))
+    assert store.watch("", 1, 0.1).is_err()
+
+
+def test_lost_answer_of_a_write_may_have_been_done():
+    with raw_target(lambda sock: (read_head(sock), sock.close())) as target:
+        port = int(target.address.rpartition(":")[2])
+        error = PlatformStore("127.0.0.1", port).grant_lease(5.0).unwrap_err()
+    assert error.failure is StoreFailure.UNKNOWN
+
+
+def test_write_that_never_left_had_no_effect():
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        store = PlatformStore("127.0.0.1", unused.getsockname()[1])
+        error = store.grant_lease(5.0).unwrap_err()
+    assert error.failure is StoreFailure.UNAVAILABLE
