--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -376,8 +376,8 @@
     if reason in (SendReason.CALLER_BODY, SendReason.CALLER_HEAD):
         return Refusal.not_run(400, reason.value, "The request can't be sent on.")
     if reason is SendReason.OWNERSHIP_LOST:
-        detail = "This VM can't check keys now."
-        return Refusal.not_run(503, "stale-keys", detail, BUSY_RETRY_S)
+        detail = "The route or the key changed before the request was sent."
+        return Refusal.not_run(503, "route-changed", detail, IDLE_RETRY_S)
     detail = "The request did not reach a target."
     return Refusal.not_run(503, f"unreached-{reason.value}", detail, retry_s)
 
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -18,6 +18,7 @@
 
 CONNECT_TIMEOUT_S = 1.0  # a connection opens in milliseconds; a cut one hangs
 READ_TIMEOUT_S = 2.0  # the store answers in 4 ms, and 60 times slower when loaded
+WATCH_SLACK_S = 0.8  # a cut watch hangs; the proof must be renewed within 3.5 s
 MAX_CONNECTIONS = 2  # a watch holds one
 MAX_PAGES = 1_000  # 500 items each; bounds a listing whose pages never end
 
@@ -118,7 +119,8 @@
             "wait-ms": int(timeout_s * 1000.0),
         }
         path = f"/api/kv-watch?{urlencode(query)}"
-        batch = _decoded(self._call("GET", path, wait_s=timeout_s), _Events)
+        answer = self._call("GET", path, timeout_s=timeout_s + WATCH_SLACK_S)
+        batch = _decoded(answer, _Events)
         if batch.is_err():
             return batch
         events = tuple(
@@ -146,7 +148,11 @@
         return answer.map(lambda _: None)
 
     def _call(
-        self, method: str, path: str, body: bytes | None = None, wait_s: float = 0.0
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float = READ_TIMEOUT_S,
     ) -> Result[bytes, StoreError]:
         headers = {"Content-Type": "application/json"} if body is not None else None
         try:
@@ -156,9 +162,7 @@
                 body=body,
                 headers=headers,
                 redirect=False,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S + wait_s
-                ),
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             not_sent = method == "GET" or isinstance(exc, _NOT_SENT)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -8,7 +8,10 @@
 import pytest
 from path_helper import caller_server, raw_target, read_head
 
+from lacewingpond.entry.follower import MAX_RETRY_S, WATCH_S
+from lacewingpond.entry.freshness import PROOF_SHARE
 from lacewingpond.http.response import Response
+from lacewingpond.platform import store as module
 from lacewingpond.platform.store import PlatformStore
 from lacewingpond.store.base import StoreFailure
 
@@ -130,3 +133,21 @@
         store = PlatformStore("127.0.0.1", unused.getsockname()[1])
         error = store.grant_lease(5.0).unwrap_err()
     assert error.failure is StoreFailure.UNAVAILABLE
+
+
+def test_hanging_watch_ends_soon_enough_to_renew_the_proof(monkeypatch):
+    monkeypatch.setattr(module, "WATCH_SLACK_S", 0.05)
+
+    def hang(sock):
+        read_head(sock)
+        sock.recv(1)
+
+    with raw_target(hang) as target:
+        port = int(target.address.rpartition(":")[2])
+        error = PlatformStore("127.0.0.1", port).watch("", 1, 0.05).unwrap_err()
+    assert error.failure is StoreFailure.UNAVAILABLE
+
+
+def test_a_hung_watch_and_a_pause_fit_into_a_proof():
+    hung_s = WATCH_S + module.WATCH_SLACK_S
+    assert hung_s + MAX_RETRY_S / 2 < 5.0 * PROOF_SHARE
