--- a/lacewingpond/entry/fleet.py
+++ b/lacewingpond/entry/fleet.py
@@ -6,6 +6,7 @@
 from lacewingpond.util.clock import Clock
 
 HEARD_S = 2.0  # a peer says something several times a second while it runs
+NEAR_SHARE = 0.75  # of the questions without a known source; bytes between domains cost
 
 
 class Fleet:
@@ -24,7 +25,7 @@
     """
 
     __slots__ = ("vm_id", "failure_domain", "_world", "_clock", "_rng", "_heard")
-    __slots__ += ("_ids",)
+    __slots__ += ("_ids", "_near", "_far")
 
     def __init__(
         self,
@@ -41,6 +42,8 @@
         self._rng = rng
         self._heard: dict[str, float] = {}
         self._ids: dict[str, str] = {}
+        self._near: list[str] = []
+        self._far: dict[str, list[str]] = {}
         world.on_members(self._take_members)
 
     @property
@@ -72,41 +75,33 @@
 
     def near(self) -> list[str]:
         """Return the addresses of the peers in this failure domain."""
-        return [
-            member.address
-            for vm_id, member in self._world.members.items()
-            if member.failure_domain == self.failure_domain and vm_id != self.vm_id
-        ]
+        return self._near
 
     def relays(self) -> list[str]:
         """Return one peer of each other failure domain, heard ones first."""
-        domains: dict[str, list[str]] = {}
-        for vm_id, member in self._world.members.items():
-            if member.failure_domain != self.failure_domain:
-                domains.setdefault(member.failure_domain, []).append(vm_id)
         chosen = []
-        for ids in domains.values():
-            heard = [vm_id for vm_id in ids if self.is_heard(vm_id)]
-            chosen.append(self._world.members[self._rng.choice(heard or ids)].address)
+        for peers in self._far.values():
+            heard = [address for address in peers if self.is_heard(self._ids[address])]
+            chosen.append(self._rng.choice(heard or peers))
         return chosen
 
-    def pick_source(self, avoid: str | None) -> str | None:
-        """Return the address of a peer to ask for news, near ones mostly."""
-        near = [address for address in self.near() if address != avoid]
-        far = [
-            member.address
-            for member in self._world.members.values()
-            if member.failure_domain != self.failure_domain and member.address != avoid
-        ]
-        if near and (not far or self._rng.random() < NEAR_SHARE):
-            return self._rng.choice(near)
-        return self._rng.choice(far) if far else None
+    def pick_source(self) -> str | None:
+        """Return the address of a peer to ask for news, a near one mostly."""
+        far = list(self._far.values())
+        if self._near and (not far or self._rng.random() < NEAR_SHARE):
+            return self._rng.choice(self._near)
+        return self._rng.choice(self._rng.choice(far)) if far else None
 
     def _take_members(self) -> None:
         members = self._world.members
         self._ids = {member.address: vm_id for vm_id, member in members.items()}
         self._heard = {k: at for k, at in self._heard.items() if k in members}
-
-
-NEAR_SHARE = 0.75
-"""Part of the questions without a known source that stay in the failure domain."""
+        self._near = []
+        self._far = {}
+        for vm_id, member in members.items():
+            if vm_id == self.vm_id:
+                continue
+            if member.failure_domain == self.failure_domain:
+                self._near.append(member.address)
+            else:
+                self._far.setdefault(member.failure_domain, []).append(member.address)
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -209,7 +209,7 @@
             if self.watching and self._hint is None:
                 continue
             hinted, self._hint = self._hint, None
-            self._ask(hinted or self._source or self._fleet.pick_source(None))
+            self._ask(hinted or self._source or self._fleet.pick_source())
 
     def _ask(self, address: str | None) -> None:
         if address is None:
--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -9,7 +9,6 @@
 """
 
 import random
-from collections.abc import Callable
 
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.model.fleet_config import FleetConfig
@@ -128,8 +127,9 @@
         address = self._fleet.address(vm_id)
         if address is None:
             return None
-        make: Callable[[int], TokenAsk] = lambda number: TokenAsk(number, bucket)  # noqa: E731
-        answer = self._channel.ask(address, make, ASK_TIMEOUT_S)
+        answer = self._channel.ask(
+            address, lambda number: TokenAsk(number, bucket), ASK_TIMEOUT_S
+        )
         if isinstance(answer, TokenGrant):
             self._silent_until.pop(vm_id, None)
             return answer
