--- a/lacewingpond/entry/registration.py
+++ b/lacewingpond/entry/registration.py
@@ -86,6 +86,6 @@
         if renewed.is_ok():
             return True
         self._log.decision("registration", "renewal", renewed.err_value.detail)
-        if renewed.err_value.failure is StoreFailure.LEASE_LAPSED:
+        if renewed.err_value.failure is StoreFailure.CONFLICT:
             self._lease = None
         return False
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -175,7 +175,7 @@
 
 
 _FAILURES = {
-    404: StoreFailure.LEASE_LAPSED,
+    404: StoreFailure.CONFLICT,  # no such lease
     410: StoreFailure.COMPACTED,
     412: StoreFailure.CONFLICT,
     413: StoreFailure.TOO_LARGE,
--- a/lacewingpond/store/base.py
+++ b/lacewingpond/store/base.py
@@ -22,7 +22,6 @@
     THROTTLED = "throttled"
     COMPACTED = "compacted"
     """The changes after the revision of a watch are no longer kept."""
-    LEASE_LAPSED = "lease-lapsed"
 
 
 class StoreError(Struct, frozen=True):
