Notice a store that went back before a watch saw the change

A store that went back between a change and the next watch shows no such sign, and answers that were slow hid that in the stand-in. A watch without events now reads the head while this VM holds more than it has seen there.

--- a/lacewingpond/config/store_watch.py
+++ b/lacewingpond/config/store_watch.py
@@ -43,7 +43,7 @@
 
     __slots__ = ("_repository", "_holder", "_contacts", "_on_news", "_options")
     __slots__ += ("_clock", "_rng", "_log", "_metrics", "_after", "_failures")
-    __slots__ += ("_republisher",)
+    __slots__ += ("_republisher", "_stored_revision")
 
     def __init__(
         self,
@@ -67,6 +67,7 @@
         self._log = log
         self._metrics = metrics
         self._after = 0
+        self._stored_revision = 0
         self._failures = 0
         self._republisher = Republisher(
             repository, holder, options, clock, rng, log, metrics
@@ -130,6 +131,11 @@
                 return False
             self._after = batch.revision
             return True
+        if not batch.events and self._holder.revision > self._stored_revision:
+            # What peers pushed here should be in the store by now. A store that
+            # went back before this watch saw the change shows no other sign.
+            self._after = batch.revision
+            return self.catch_up(at_once=False).is_ok()
         for event in batch.events:
             if event.key == HEAD_KEY and not self._take_event(event):
                 return False
@@ -149,6 +155,7 @@
 
     def _take(self, stored: StoredHead, at_once: bool = False) -> bool:
         held = self._holder.state
+        self._stored_revision = stored.head.revision
         if stored.head.revision < held.revision:
             self._republisher.note_older(stored.head)
             return True
--- a/lacewingpond/standin/platform.py
+++ b/lacewingpond/standin/platform.py
@@ -71,7 +71,9 @@
         )
         self._list = FaultyVmList(self.vms, self.faults, self.counts)
         self._image: StoreImage | None = None
-        self._server = StandinServer(options.host, options.port, self._build(), clock)
+        self._server = StandinServer(
+            options.host, options.port, self._build(), clock, no_delay=True
+        )
 
     @classmethod
     def from_options(cls, options: PlatformOptions, clock: Clock) -> "StandinPlatform":
