--- a/lacewingpond/entry/__main__.py
+++ b/lacewingpond/entry/__main__.py
@@ -27,6 +27,7 @@
 from lacewingpond.ui.signals import on_reload, wait_for_stop  # noqa: E402
 from lacewingpond.util.address import parse_address  # noqa: E402
 from lacewingpond.util.clock import RuntimeClock  # noqa: E402
+from lacewingpond.util.keep_running import keep_running  # noqa: E402
 
 SETTINGS_VARIABLE = "LACEWINGPOND_SETTINGS"
 USAGE_STATUS = 2
@@ -63,7 +64,7 @@
     log.decision("start", cfg.vm.id, "serving", domain=cfg.vm.failure_domain)
     settings_file = SettingsFile(path, daemon.reconfigure, clock, log)
     on_reload(settings_file.reload)
-    gevent.spawn(settings_file.run)
+    gevent.spawn(keep_running, "settings", settings_file.run, clock, log)
     wait_for_stop()
     daemon.stop()
     log.flush()
--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -37,6 +37,7 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.address import parse_address
 from lacewingpond.util.clock import Clock
+from lacewingpond.util.keep_running import keep_running
 
 SWEEP_S = 0.5  # an eighth of the bound for targets that are missing after an outage
 NOTICE_S = 2.2  # the balancer takes a VM out after two checks a second apart
@@ -180,8 +181,11 @@
         self.follower.start()
         self._reporter.start()
         self._greenlets = [
-            gevent.spawn(self._registration.run),
-            gevent.spawn(self._sweep),
+            gevent.spawn(keep_running, name, loop, self._clock, self._log)
+            for name, loop in (
+                ("registration", self._registration.run),
+                ("sweep", self._sweep),
+            )
         ]
 
     def reconfigure(self, cfg: EntrySettings) -> None:
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -21,6 +21,7 @@
 from lacewingpond.store.base import ListingStore, StoreFailure
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
+from lacewingpond.util.keep_running import keep_running
 from lacewingpond.util.waiting import wait_for
 
 WATCH_S = 0.6  # with the pause, half of the shortest bound for a change
@@ -102,8 +103,11 @@
     def start(self) -> None:
         """Learn everything and follow changes from now on."""
         self._greenlets = [
-            gevent.spawn(self._follow_peers),
-            gevent.spawn(self._follow_store),
+            gevent.spawn(keep_running, name, loop, self._clock, self._log)
+            for name, loop in (
+                ("follow-peers", self._follow_peers),
+                ("follow-store", self._follow_store),
+            )
         ]
 
     def stop(self) -> None:
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -10,6 +10,7 @@
 from lacewingpond.entry.targets.table import TargetTable
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
+from lacewingpond.util.keep_running import keep_running
 
 REPORT_S = 0.5  # requests last as long, so loads are seldom older than one of them
 URGENT_S = 0.03  # gathers failures of one moment in one message
@@ -61,8 +62,11 @@
     def start(self) -> None:
         """Report from now on."""
         self._greenlets = [
-            gevent.spawn(self._report_urgent),
-            gevent.spawn(self._report_loads),
+            gevent.spawn(keep_running, name, loop, self._clock, self._log)
+            for name, loop in (
+                ("report-urgent", self._report_urgent),
+                ("report-loads", self._report_loads),
+            )
         ]
 
     def stop(self) -> None:
