--- a/tests/daemon/test_daemon_fleet.py
+++ b/tests/daemon/test_daemon_fleet.py
@@ -67,6 +67,15 @@
     return pool.request(method, url, headers=KEYED, timeout=5)
 
 
+def refusals(fleet):
+    return [
+        (vm_id, *line)
+        for vm_id, log in fleet.logs.items()
+        for line in log.lines
+        if line[0] in ("refuse", "retry")
+    ]
+
+
 def runs(fleet):
     return sum(target.stats.run for target in fleet.targets.values())
 
@@ -231,7 +240,8 @@
     report = load.get()
     assert report.broken == ()
     tally = report.workspaces[0]
-    assert (tally.errors, tally.refused_unknown, tally.refused_not_run) == (0, 0, 0)
+    counts = (tally.errors, tally.refused_unknown, tally.refused_not_run)
+    assert counts == (0, 0, 0), refusals(fleet)
     assert tally.answered == tally.sent
 
 
