--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -221,8 +221,9 @@
         gevent.killall(self._greenlets)
         self.follower.stop()
         self._reporter.stop()
-        self._news.stop()
+        # A peer that is still told to fetch over a stream would wait for nothing.
         self._channel.stop()
+        self._news.stop()
         self._ready_server.stop()
         self.server.stop()
         self._client.close()
--- a/lacewingpond/entry/peers/stream.py
+++ b/lacewingpond/entry/peers/stream.py
@@ -12,7 +12,7 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.address import parse_address
 
-STREAM_TIMEOUT_S = 1.0  # a peer answers within milliseconds
+STREAM_TIMEOUT_S = 0.3  # a peer answers within 5 ms; a stopping one holds up all news
 MAX_MESSAGE_BYTES = 16_000_000  # bounds what a broken peer can make us hold
 _LENGTH = struct.Struct("!I")
 
