Remove a log and a source of chance that nothing used

The quota limiter's log and the daemon's own random source were stored and never read; the pipeline logs refusals. Behaviour is the same.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -80,7 +80,7 @@
 
     __slots__ = ("server", "readiness", "follower", "world", "_cfg", "_clock", "_log")
     __slots__ += ("_channel", "_news", "_ready_server", "_reporter", "_client")
-    __slots__ += ("_registration", "_fleet", "_retries", "_greenlets", "_rng")
+    __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
     __slots__ += ("_freshness", "_limiter")
 
     def __init__(
@@ -94,7 +94,7 @@
         rng: random.Random,
         log: DecisionLog,
     ) -> None:
-        self._cfg, self._clock, self._rng, self._log = cfg, clock, rng, log
+        self._cfg, self._clock, self._log = cfg, clock, log
         self._greenlets: list[gevent.Greenlet] = []
         bounds, vm = cfg.bounds, cfg.vm
         host, port = vm.ip, cfg.listen.peer_ports[0]
@@ -138,7 +138,6 @@
             self._channel,
             clock,
             rng,
-            log,
         )
         parts = DeliveryParts(
             names,
--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -19,7 +19,6 @@
 from lacewingpond.entry.quota.rules import QuotaRules
 from lacewingpond.entry.quota.token_bucket import TokenBucket
 from lacewingpond.entry.world import World
-from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.rendezvous import ranked
 
@@ -50,11 +49,9 @@
         Fills buckets.
     rng : random.Random
         Spreads questions and returns.
-    log : DecisionLog
-        Takes refusals' causes.
     """
 
-    __slots__ = ("rules", "_world", "_fleet", "_channel", "_clock", "_rng", "_log")
+    __slots__ = ("rules", "_world", "_fleet", "_channel", "_clock", "_rng")
     __slots__ += ("_buckets", "_holders", "_silent_until", "_started_at")
 
     def __init__(
@@ -65,7 +62,6 @@
         channel: PeerChannel,
         clock: Clock,
         rng: random.Random,
-        log: DecisionLog,
     ) -> None:
         self.rules = rules
         self._world = world
@@ -73,7 +69,6 @@
         self._channel = channel
         self._clock = clock
         self._rng = rng
-        self._log = log
         self._buckets: dict[str, TokenBucket] = {}
         self._holders: dict[str, list[str]] = {}
         self._silent_until: dict[str, float] = {}
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -79,9 +79,7 @@
             CLOCK,
             vm.log,
         )
-        limiter = QuotaLimiter(
-            RULES, vm.world, vm.fleet, vm.channel, CLOCK, vm.rng, vm.log
-        )
+        limiter = QuotaLimiter(RULES, vm.world, vm.fleet, vm.channel, CLOCK, vm.rng)
         self.pipeline = Pipeline(
             NAMES, vm.world, vm.freshness, limiter, parts, CLOCK, vm.rng, vm.log
         )
--- a/tests/entry/test_entry_quota.py
+++ b/tests/entry/test_entry_quota.py
@@ -36,9 +36,7 @@
             self.configure(vm)
 
     def limiter(self, vm):
-        return QuotaLimiter(
-            RULES, vm.world, vm.fleet, vm.channel, self.clock, vm.rng, vm.log
-        )
+        return QuotaLimiter(RULES, vm.world, vm.fleet, vm.channel, self.clock, vm.rng)
 
     def configure(self, vm):
         vm.world.config = config(workspaces=(self.holder,))
