Let shares of rates fill as soon as a VM ranks for them

Cause: a bucket was made when a configuration came or when its first request asked. A VM that became a member after the configuration had come, and later than 8 s after its start, therefore began with an empty bucket at the first request. At 92 VMs with processor time charged that is the usual order. Ruled out: the start with few tokens after a loss of power (20 a share of the tolerance, full within a second), and the rule of two holders.

Rank and number of shares are now worked out in one place.

--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -52,7 +52,7 @@
     """
 
     __slots__ = ("rules", "_world", "_fleet", "_channel", "_clock", "_rng")
-    __slots__ += ("_buckets", "_holders", "_silent_until", "_started_at")
+    __slots__ += ("_buckets", "_rankings", "_silent_until", "_started_at")
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         self._clock = clock
         self._rng = rng
         self._buckets: dict[str, TokenBucket] = {}
-        self._holders: dict[str, list[str]] = {}
+        self._rankings: dict[str, list[str]] = {}
         self._silent_until: dict[str, float] = {}
         self._started_at = clock.now()
         world.on_config(self._take_config)
@@ -81,16 +81,14 @@
         """Take a token for one request of `workspace`."""
         if workspace.rate <= 0.0:
             return Admission(True)
-        holders = self._ranked(workspace)
-        count = self.rules.share_count(workspace, len(holders))
         waits: list[float] = []
-        own = self._own_bucket(workspace, holders, count)
+        own = self._own_bucket(workspace)
         if own is not None:
             now = self._clock.now()
             if own.take(now):
                 return Admission(True)
             waits.append(own.wait_s(now))
-        for vm_id in self._order(workspace, holders, count):
+        for vm_id in self._order(workspace):
             grant = self._ask(vm_id, workspace.name)
             if grant is None:
                 continue
@@ -105,18 +103,17 @@
         # Several clients wait for the same token.
         return max(wait_s, MIN_RETRY_S) * self._rng.uniform(1.0, 3.0)
 
-    def _order(
-        self, workspace: EntryWorkspace, holders: list[str], count: int
-    ) -> list[str]:
+    def _order(self, workspace: EntryWorkspace) -> list[str]:
         """Return whom to ask: answering holders first, near ones before others."""
         now = self._clock.now()
-        chosen = [vm_id for vm_id in holders[:count] if vm_id != self._fleet.vm_id]
-        self._rng.shuffle(chosen)
-        chosen.sort(key=lambda vm_id: not self._fleet.is_near(vm_id))
-        chosen.sort(key=lambda vm_id: self._silent_until.get(vm_id, now) > now)
-        if self.rules.may_double(workspace):
-            chosen += holders[count : count + 1]
-        return [vm_id for vm_id in chosen if vm_id != self._fleet.vm_id][:MAX_ASKS]
+        holders, substitute = self._holders_of(workspace)
+        others = [vm_id for vm_id in holders if vm_id != self._fleet.vm_id]
+        self._rng.shuffle(others)
+        others.sort(key=lambda vm_id: not self._fleet.is_near(vm_id))
+        others.sort(key=lambda vm_id: self._silent_until.get(vm_id, now) > now)
+        if substitute not in (None, self._fleet.vm_id):
+            others.append(substitute)
+        return others[:MAX_ASKS]
 
     def _ask(self, vm_id: str, bucket: str) -> TokenGrant | None:
         address = self._fleet.address(vm_id)
@@ -149,22 +146,18 @@
         workspace = cfg.workspaces.get(name) if cfg is not None else None
         if workspace is None or workspace.rate <= 0.0:
             return None
-        holders = self._ranked(workspace)
-        count = self.rules.share_count(workspace, len(holders))
-        own = self._own_bucket(workspace, holders, count)
-        if own is not None or not self.rules.may_double(workspace):
-            return own
-        return self._bucket(workspace, count)
-
-    def _own_bucket(
-        self, workspace: EntryWorkspace, holders: list[str], count: int
-    ) -> TokenBucket | None:
-        if self._fleet.vm_id not in holders[:count]:
-            return None
-        return self._bucket(workspace, count)
+        if self.rules.may_double(workspace):
+            return self._bucket(workspace)
+        return self._own_bucket(workspace)
 
-    def _bucket(self, workspace: EntryWorkspace, count: int) -> TokenBucket:
+    def _own_bucket(self, workspace: EntryWorkspace) -> TokenBucket | None:
+        """Return this VM's share, or None if it holds none."""
+        holders, _ = self._holders_of(workspace)
+        return self._bucket(workspace) if self._fleet.vm_id in holders else None
+
+    def _bucket(self, workspace: EntryWorkspace) -> TokenBucket:
         now = self._clock.now()
+        count = self._share_count(workspace)
         rate = self.rules.rate(workspace) / count
         size = self.rules.size(workspace) / count
         bucket = self._buckets.get(workspace.name)
@@ -177,42 +170,47 @@
             bucket.resize(rate, size, now)
         return bucket
 
+    def _holders_of(self, workspace: EntryWorkspace) -> tuple[list[str], str | None]:
+        """Return who holds shares, and who steps in where that keeps the bound."""
+        members = self._ranked(workspace)
+        count = self._share_count(workspace)
+        doubles = self.rules.may_double(workspace) and len(members) > count
+        return members[:count], members[count] if doubles else None
+
+    def _share_count(self, workspace: EntryWorkspace) -> int:
+        return self.rules.share_count(workspace, len(self._ranked(workspace)))
+
     def _ranked(self, workspace: EntryWorkspace) -> list[str]:
-        holders = self._holders.get(workspace.name)
-        if holders is None:
-            holders = ranked(workspace.name, self._world.members)
-            self._holders[workspace.name] = holders
-        return holders
+        members = self._rankings.get(workspace.name)
+        if members is None:
+            members = ranked(workspace.name, self._world.members)
+            self._rankings[workspace.name] = members
+        return members
 
     def _take_members(self) -> None:
-        self._holders.clear()
+        self._rankings.clear()
         members = self._world.members
         self._silent_until = {
             k: at for k, at in self._silent_until.items() if k in members
         }
-        self._drop_lost_shares()
+        self._match_shares()
 
     def _take_config(self, cfg: FleetConfig) -> None:
         self._buckets = {k: b for k, b in self._buckets.items() if k in cfg.workspaces}
-        self._holders = {k: h for k, h in self._holders.items() if k in cfg.workspaces}
-        self._drop_lost_shares()
-        # A share that nobody asks for fills all the same.
-        for workspace in cfg.workspaces.values():
-            if workspace.rate > 0.0:
-                holders = self._ranked(workspace)
-                count = self.rules.share_count(workspace, len(holders))
-                self._own_bucket(workspace, holders, count)
+        self._rankings = {
+            k: r for k, r in self._rankings.items() if k in cfg.workspaces
+        }
+        self._match_shares()
 
-    def _drop_lost_shares(self) -> None:
-        """Forget buckets that the ranking gives to others now."""
+    def _match_shares(self) -> None:
+        """Hold the shares that the rankings give to this VM, and no others."""
         cfg = self._world.config
         if cfg is None:
             return
-        for name in tuple(self._buckets):
-            workspace = cfg.workspaces.get(name)
-            if workspace is None or self.rules.may_double(workspace):
+        for workspace in cfg.workspaces.values():
+            if workspace.rate <= 0.0:
                 continue
-            holders = self._ranked(workspace)
-            count = self.rules.share_count(workspace, len(holders))
-            if self._fleet.vm_id not in holders[:count]:
-                del self._buckets[name]
+            # A share fills from now on, also if nobody asks for it yet.
+            held = self._own_bucket(workspace) is not None
+            if not held and not self.rules.may_double(workspace):
+                self._buckets.pop(workspace.name, None)
--- a/tests/entry/test_entry_quota.py
+++ b/tests/entry/test_entry_quota.py
@@ -126,6 +126,18 @@
     assert (answer.admitted, answer.reason) == (False, HOLDERS_AWAY)
 
 
+def test_share_of_a_late_member_fills_before_it_is_asked_for(clock):
+    fleet = Fleet(clock, 1, 20.0, 40.0)
+    vm = fleet.vms[0]
+    # The configuration was known before this VM became a member.
+    vm.catalog.apply([WatchEvent(f"members/{vm.name}", None, 50)], 50)
+    assert not fleet.limiters[0]._buckets
+    clock.advance(10.0)
+    vm.catalog.apply([WatchEvent(f"members/{vm.name}", vm.member.encode(), 51)], 51)
+    clock.advance(5.0)
+    assert [fleet.admit(0).admitted for _ in range(5)] == [True] * 5
+
+
 def test_share_that_moved_is_dropped(clock):
     fleet = Fleet(clock, 2, 20.0, 40.0)
     vm = fleet.vms[0]
