Wait a moment for a proof on a VM that stood still

Cause: a VM that wakes after a suspension finds its proof of freshness too old and refused all keyed requests with 503 until its next question to a peer, up to 0.4 s later; a watching one waited for a whole watch more.

Now the first request asks a peer at once and waits for at most 0.2 s; after a wait in vain all are refused at once until there was a proof. A daemon without a proof reads the store without waiting for changes.

--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -97,6 +97,7 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._patience_s = self._draw_patience()
         self._yielded_to: str | None = None
+        freshness.on_wanted(self._wake.set)
         channel.on(NewsAsk, self._take_ask)
         channel.on(Hint, self._take_hint)
 
@@ -154,7 +155,9 @@
     def _watch(self) -> None:
         asked_at = self._clock.boot()
         after = self._catalog.revision
-        batch = self._store.watch("", after, WATCH_S)
+        # The proof is dated by the question, so without one there is no time to wait.
+        wait_s = WATCH_S if self._freshness.age_s < WATCH_S * 2 else 0.0
+        batch = self._store.watch("", after, wait_s)
         if batch.is_err():
             failure = batch.err_value.failure
             if failure is StoreFailure.COMPACTED:
@@ -210,7 +213,7 @@
             self._wake.clear()
             if not self._listed:
                 continue
-            if self.watching and self._hint is None:
+            if self.watching and self._hint is None and self._freshness.is_fresh:
                 continue
             hinted, self._hint = self._hint, None
             self._ask(hinted or self._source or self._fleet.pick_source())
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -29,6 +29,7 @@
 from lacewingpond.util.clock import Clock
 
 MAX_KEPT_BODY_BYTES = 1_048_576  # longer bodies pass through and can't be sent again
+PROOF_WAIT_S = 0.2  # a peer answers in 2 ms, a loaded one in 0.15 s
 STALE_RETRY_S = 1.0  # a peer's proof arrives within this, unless all are cut off
 MAX_DEADLINE_S = 600.0  # no client of the platform waits longer
 MAX_ID_CHARS = 200
@@ -113,6 +114,8 @@
         return response
 
     def _serve(self, req: Request, request_id: str) -> Result[Response, Refusal]:
+        # A VM that stood still learns what it missed before it decides.
+        self._freshness.await_proof(PROOF_WAIT_S)
         cfg = self._world.config
         if cfg is None:
             return Err(_unready("no-config", "There is no configuration yet."))
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -150,3 +150,30 @@
     before = sum(each.store.watches for each in fleet)
     run(clock, 10.0)
     assert sum(each.store.watches for each in fleet) - before <= 2 * 10
+
+
+@pytest.mark.parametrize("watches", [False, True])
+def test_vm_that_was_suspended_has_a_proof_at_once_when_it_needs_one(
+    fleet, clock, watches
+):
+    woken = next(each for each in fleet if each.follower.watching is watches)
+    freshness = woken.vm.freshness
+    clock.suspend(60.0)
+    others = [each for each in fleet if each is not woken]
+    for each in others:
+        # Only this VM stood still.
+        each.vm.freshness.prove(clock.boot(), "store")
+    waiting = gevent.spawn(freshness.await_proof, 0.2)
+    run(clock, STEP_S * 2)
+    assert waiting.get(block=False)
+
+
+def test_daemon_that_takes_over_does_not_wait_for_its_first_proof(fleet, clock):
+    lost = watching(fleet)[0]
+    lost.store.away = True
+    lost.vm.channel.network.cut.add(lost.vm.address)
+    others = [each for each in fleet if each is not lost]
+    while not (taking_over := watching(others)):
+        run(clock, STEP_S)
+    run(clock, STEP_S)
+    assert taking_over[0].vm.freshness.age_s < WATCH_S / 2
--- a/tests/entry/test_entry_freshness.py
+++ b/tests/entry/test_entry_freshness.py
@@ -1,5 +1,6 @@
 """Tests of the proof that keys may be trusted."""
 
+import gevent
 from entry_helper import MAX_AGE_S
 
 from lacewingpond.entry.freshness import Freshness
@@ -29,3 +30,23 @@
     clock.advance(MAX_AGE_S + 0.1)
     assert [freshness.is_fresh for _ in range(3)] == [False] * 3
     assert [why for _, _, why, _ in log.lines] == ["gained", "lost"]
+
+
+def test_wait_asks_for_a_proof_and_ends_with_it(clock):
+    freshness = Freshness(clock, RecordingDecisionLog(), MAX_AGE_S)
+    freshness.on_wanted(lambda: freshness.prove(clock.boot(), "peer"))
+    assert freshness.await_proof(0.2)
+
+
+def test_only_the_first_wait_in_vain_lasts(clock):
+    freshness = Freshness(clock, RecordingDecisionLog(), MAX_AGE_S)
+    asked = []
+    freshness.on_wanted(lambda: asked.append(clock.now()))
+    waiting = gevent.spawn(freshness.await_proof, 0.2)
+    clock.advance(0.3)
+    assert waiting.get() is False
+    # Requests that can't be served are refused at once from now on.
+    assert freshness.await_proof(0.2) is False
+    assert len(asked) == 1
+    freshness.prove(clock.boot(), "peer")
+    assert freshness.await_proof(0.2)
--- a/tests/entry/test_entry_requests.py
+++ b/tests/entry/test_entry_requests.py
@@ -262,6 +262,15 @@
     assert runs(targets) == 1
 
 
+def test_request_on_a_vm_that_stood_still_waits_for_a_proof(serve):
+    stack, targets = serve(signed)
+    freshness = stack.vm.freshness
+    freshness._proved_at = float("-inf")
+    freshness.on_wanted(lambda: freshness.prove(RuntimeClock().boot(), "peer"))
+    assert stack.call()[0] == 200
+    assert runs(targets) == 1
+
+
 def test_key_withdrawn_while_the_body_comes_stops_the_request(serve):
     stack, targets = serve(signed)
     stack.vm.freshness.prove(RuntimeClock().boot(), "test")
