Free the shares of daemons that are gone

- The lease lasts 20 s.
It must outlast the proof with which a daemon admits requests, 3.5 s.
- A planned stop ends it once the listener is closed; the daemon holds no share from then on.
- A daemon that finds its entry gone writes it again within a second, not at its next renewal.
- Entries that lapse in an outage have the time of targets' entries to come back, so shares, retry budget and connections are not divided by one for a moment.
- A daemon that watches the store and stops tells its neighbours, and one starts at once.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -179,12 +179,10 @@
         self._news.start()
         self.follower.start()
         self._reporter.start()
+        self._registration.start()
         self._greenlets = [
             gevent.spawn(keep_running, name, loop, self._clock, self._log)
-            for name, loop in (
-                ("registration", self._registration.run),
-                ("sweep", self._sweep),
-            )
+            for name, loop in (("sweep", self._sweep),)
         ]
 
     def reconfigure(self, cfg: EntrySettings) -> None:
@@ -210,6 +208,9 @@
         self._log.decision("stop", self._cfg.vm.id, "planned", grace_s=grace_s)
         self._clock.sleep(min(NOTICE_S, grace_s / 2))
         self.server.stop_accepting()
+        self.follower.leave()
+        self._limiter.leave()
+        self._greenlets.append(gevent.spawn(self._registration.leave))
         cut = self.server.drain(max(deadline - self._clock.now(), 0.0))
         self.close()
         self._log.decision("stop", self._cfg.vm.id, "ended", cut=cut)
@@ -219,6 +220,7 @@
         """Close everything at once."""
         gevent.killall(self._greenlets)
         self.follower.stop()
+        self._registration.stop()
         self._reporter.stop()
         # A peer that is still told to fetch over a stream would wait for nothing.
         self._channel.stop()
@@ -246,6 +248,7 @@
         self._share_bounds()
 
     def _take_members(self) -> None:
+        self._registration.note_listed(self.world.is_listed(self._cfg.vm.id))
         self._share_bounds()
 
     def _share_bounds(self) -> None:
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -29,6 +29,7 @@
 ASK_PERIOD_S = 0.4  # three questions may be lost within the bound of a drain notice
 ASK_TIMEOUT_S = 0.15  # peers answer within 2 ms
 TAKE_OVER_S = 1.6  # above the age of proofs from a daemon that watches, 1.55 s
+HANDED_OVER_S = 0.0  # the daemon that watched leaves; somebody starts at once
 LOST_SOURCE_S = 0.8  # as before, when the daemon that watched does not answer
 TAKE_OVER_SPREAD_S = 0.6  # keeps the daemons of a domain from starting together
 RETRY_S = 0.5  # first pause after a call that failed
@@ -63,7 +64,7 @@
     __slots__ = ("watching", "_store", "_catalog", "_freshness", "_world", "_fleet")
     __slots__ += ("_channel", "_clock", "_rng", "_log", "_source", "_hint", "_wake")
     __slots__ += ("_retry_at", "_retry_s", "_reachable", "_greenlets", "_patience_s")
-    __slots__ += ("_yielded_to", "_listed")
+    __slots__ += ("_yielded_to", "_listed", "_leaving")
 
     def __init__(
         self,
@@ -94,6 +95,7 @@
         self._retry_s = RETRY_S
         self._reachable = True
         self._listed = False
+        self._leaving = False
         self._greenlets: list[gevent.Greenlet] = []
         self._patience_s = self._draw_patience()
         self._yielded_to: str | None = None
@@ -115,6 +117,13 @@
         """Follow nothing any more."""
         gevent.killall(self._greenlets)
 
+    def leave(self) -> None:
+        """Have another daemon watch; this one goes on for itself until it stops."""
+        self._leaving = True
+        if self.watching:
+            hint = Hint(self._catalog.revision, leaving=True)
+            self._channel.broadcast(self._fleet.near(), hint)
+
     def answer(self, ask: NewsAsk, limit: int | None = None) -> News:
         """Return the news for a peer; without events if they exceed `limit` bytes."""
         events = self._catalog.since(ask.after)
@@ -122,7 +131,7 @@
             ask.number,
             self._catalog.revision,
             self._freshness.age_s,
-            self.watching,
+            self.watching and not self._leaving,
             events is not None,
             events or (),
         )
@@ -169,8 +178,9 @@
         self._note_success()
         self._catalog.apply(batch.ok_value.events, batch.ok_value.revision)
         self._freshness.prove(asked_at, "store")
-        # Also without events, so that daemons that watch learn of one another.
-        self._channel.broadcast(self._fleet.near(), Hint(self._catalog.revision))
+        if not self._leaving:
+            # Also without events, so that daemons that watch learn of one another.
+            self._channel.broadcast(self._fleet.near(), Hint(self._catalog.revision))
         if batch.ok_value.events:
             self._clock.sleep(WATCH_PAUSE_S)
         if self._yielded_to is not None:
@@ -229,7 +239,7 @@
             if not news.whole:
                 news = self._fetch(address, after)
         if news is None or not news.whole:
-            self._forget(address)
+            self._forget(address, LOST_SOURCE_S, "no answer")
             return
         self._catalog.apply(news.events, news.revision)
         self._freshness.prove(asked_at - news.proof_age_s, address)
@@ -247,11 +257,11 @@
             self._log.decision("news", address, f"not fetched: {exc}")
             return None
 
-    def _forget(self, address: str) -> None:
+    def _forget(self, address: str, patience_s: float, why: str) -> None:
         if self._source == address:
             self._source = None
-            self._patience_s = self._draw_patience(LOST_SOURCE_S)
-            self._log.decision("source", address, "no answer")
+            self._patience_s = self._draw_patience(patience_s)
+            self._log.decision("source", address, why)
 
     def _take_ask(self, ask: NewsAsk, sender: tuple[str, int]) -> None:
         self._fleet.heard(f"{sender[0]}:{sender[1]}")
@@ -260,6 +270,9 @@
     def _take_hint(self, hint: Hint, sender: tuple[str, int]) -> None:
         address = f"{sender[0]}:{sender[1]}"
         vm_id = self._fleet.heard(address)
+        if hint.leaving:
+            self._forget(address, HANDED_OVER_S, "leaves")
+            return
         if self.watching and vm_id is not None and vm_id < self._fleet.vm_id:
             self._yielded_to = address
         if not self.watching:
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -41,9 +41,18 @@
 
 
 class Hint(Struct, frozen=True, array_like=True, tag=3):
-    """Tells that the sender has just learned of a change."""
+    """Tells that the sender watches the store and how far it has got.
+
+    Parameters
+    ----------
+    revision : int
+        Up to where the sender knows everything.
+    leaving : bool
+        Whether the sender stops soon, so that another daemon has to watch.
+    """
 
     revision: int
+    leaving: bool = False
 
 
 class OutcomeRow(Struct, frozen=True, array_like=True):
--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -52,7 +52,7 @@
     """
 
     __slots__ = ("rules", "_world", "_fleet", "_channel", "_clock", "_rng")
-    __slots__ += ("_buckets", "_rankings", "_silent_until", "_started_at")
+    __slots__ += ("_buckets", "_rankings", "_silent_until", "_started_at", "_left")
 
     def __init__(
         self,
@@ -73,6 +73,7 @@
         self._rankings: dict[str, list[str]] = {}
         self._silent_until: dict[str, float] = {}
         self._started_at = clock.now()
+        self._left = False
         world.on_config(self._take_config)
         world.on_members(self._take_members)
         channel.on(TokenAsk, self._take_ask)
@@ -99,6 +100,11 @@
             return Admission(False, HOLDERS_AWAY, SILENT_S / 2)
         return Admission(False, OVER_RATE, self._retry_s(min(waits)))
 
+    def leave(self) -> None:
+        """Hold no share any more; others take them over while this VM stops."""
+        self._left = True
+        self._buckets.clear()
+
     def _retry_s(self, wait_s: float) -> float:
         # Several clients wait for the same token.
         return max(wait_s, MIN_RETRY_S) * self._rng.uniform(1.0, 3.0)
@@ -144,7 +150,7 @@
     def _bucket_for_peer(self, name: str) -> TokenBucket | None:
         cfg = self._world.config
         workspace = cfg.workspaces.get(name) if cfg is not None else None
-        if workspace is None or workspace.rate <= 0.0:
+        if self._left or workspace is None or workspace.rate <= 0.0:
             return None
         if self.rules.may_double(workspace):
             return self._bucket(workspace)
@@ -153,7 +159,9 @@
     def _own_bucket(self, workspace: EntryWorkspace) -> TokenBucket | None:
         """Return this VM's share, or None if it holds none."""
         holders, _ = self._holders_of(workspace)
-        return self._bucket(workspace) if self._fleet.vm_id in holders else None
+        if self._left or self._fleet.vm_id not in holders:
+            return None
+        return self._bucket(workspace)
 
     def _bucket(self, workspace: EntryWorkspace) -> TokenBucket:
         now = self._clock.now()
--- a/lacewingpond/entry/registration.py
+++ b/lacewingpond/entry/registration.py
@@ -2,12 +2,15 @@
 
 import random
 
+import gevent
+
 from lacewingpond.entry.member import Member
 from lacewingpond.store.base import ListingStore, StoreFailure
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
+from lacewingpond.util.keep_running import keep_running
 
-TTL_S = 120.0  # a vanished daemon's share of the quotas lies idle for so long
+TTL_S = 20.0  # a vanished daemon's share of the quotas lies idle for so long
 RENEW_SHARE = 0.4  # two renewals may be lost
 RETRY_S = 1.0  # pause after a failed call; doubles
 MAX_RETRY_S = 8.0  # a fleet that starts again must not press the store
@@ -33,7 +36,7 @@
     """
 
     __slots__ = ("_store", "_key", "_member", "_clock", "_rng", "_log", "_lease")
-    __slots__ += ("_retry_s",)
+    __slots__ += ("_retry_s", "_listed", "_left", "_greenlet")
 
     def __init__(
         self,
@@ -52,9 +55,47 @@
         self._log = log
         self._lease: str | None = None
         self._retry_s = RETRY_S
+        self._listed = self._left = False
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Keep the entry from now on."""
+        self._greenlet = gevent.spawn(
+            keep_running, "registration", self._run, self._clock, self._log
+        )
+
+    def stop(self) -> None:
+        """Leave the entry as it is, to end with its lease."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def leave(self) -> None:
+        """Remove the entry, so that others take this daemon's shares over."""
+        self._left = True
+        self.stop()
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        ended = self._store.end_lease(lease)
+        why = "left" if ended.is_ok() else f"not left: {ended.err_value.detail}"
+        self._log.decision("registration", self._key, why)
+
+    def note_listed(self, listed: bool) -> None:
+        """Note whether the store lists the entry; write one that has vanished."""
+        if self._listed and not listed and not self._left:
+            self._log.decision("registration", self._key, "vanished")
+            self.stop()
+            self._lease = None
+            # The whole fleet may find its entries gone at the same moment.
+            delay_s = self._rng.uniform(0.0, RETRY_S)
+            self._greenlet = gevent.spawn(self._start_after, delay_s)
+        self._listed = listed
+
+    def _start_after(self, delay_s: float) -> None:
+        self._clock.sleep(delay_s)
+        self.start()
 
-    def run(self) -> None:
-        """Keep the entry for ever."""
+    def _run(self) -> None:
         while True:
             if self._step():
                 self._retry_s = RETRY_S
--- a/lacewingpond/entry/world.py
+++ b/lacewingpond/entry/world.py
@@ -12,6 +12,8 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
+OUTAGE_MEMORY_S = 2.6  # the longest pause between two calls, and a question to a peer
+
 
 class World:
     """Decodes the catalog's changes and passes on what they mean.
@@ -47,6 +49,7 @@
         "missing_grace_s",
         "_outage_seen_at",
         "_missing",
+        "_missing_members",
         "_on_config",
     )
     __slots__ += ("_on_targets", "_on_members")
@@ -70,6 +73,7 @@
         self.missing_grace_s = missing_grace_s
         self._outage_seen_at = float("-inf")
         self._missing: dict[str, float] = {}
+        self._missing_members: dict[str, float] = {}
         self._on_config: list[Callable[[FleetConfig], None]] = []
         self._on_targets: list[Callable[[], None]] = []
         self._on_members: list[Callable[[], None]] = []
@@ -91,15 +95,23 @@
         """Note that the store does not answer now."""
         self._outage_seen_at = self._clock.now()
 
+    def is_listed(self, vm_id: str) -> bool:
+        """Return whether the store lists a daemon, as far as is known here."""
+        return vm_id in self.members and vm_id not in self._missing_members
+
     def drop_missing(self) -> None:
-        """Drop targets that have not come back after an outage; call now and then."""
+        """Drop what has not come back after an outage; call now and then."""
         now = self._clock.now()
-        due = [target for target, at in self._missing.items() if at <= now]
-        for target_id in due:
-            del self._missing[target_id]
+        targets = _take_due(self._missing, now)
+        for target_id in targets:
             self._drop(target_id, "not back after the outage")
-        if due:
+        if targets:
             self._tell(self._on_targets)
+        members = _take_due(self._missing_members, now)
+        for vm_id in members:
+            self._drop_member(vm_id, "not back after the outage")
+        if members:
+            self._tell(self._on_members)
 
     def _take(self, events: tuple[WatchEvent, ...]) -> None:
         targets_changed = members_changed = False
@@ -163,7 +175,7 @@
             self._missing.setdefault(target_id, now + self.missing_grace_s)
 
     def _is_calm(self, now: float) -> bool:
-        return now - self._outage_seen_at > self.missing_grace_s
+        return now - self._outage_seen_at > OUTAGE_MEMORY_S
 
     def _drop(self, target_id: str, why: str) -> None:
         if self.instances.pop(target_id, None) is not None:
@@ -171,15 +183,33 @@
 
     def _take_member(self, event: WatchEvent, vm_id: str) -> None:
         if event.value is None:
-            self.members.pop(vm_id, None)
-            self._log.decision("member", vm_id, "removed")
+            self._take_missing_member(vm_id)
             return
+        self._missing_members.pop(vm_id, None)
         decoded = decode_member(event.value)
         if decoded.is_err():
             self._log.decision("member", vm_id, f"unreadable: {decoded.err_value}")
             return
         self.members[vm_id] = decoded.ok_value
 
+    def _take_missing_member(self, vm_id: str) -> None:
+        now = self._clock.now()
+        if vm_id not in self.members or self._is_calm(now):
+            self._drop_member(vm_id, "removed")
+        else:
+            self._missing_members.setdefault(vm_id, now + self.missing_grace_s)
+
+    def _drop_member(self, vm_id: str, why: str) -> None:
+        if self.members.pop(vm_id, None) is not None:
+            self._log.decision("member", vm_id, why)
+
     def _tell(self, listeners: list[Callable[[], None]]) -> None:
         for listener in listeners:
             listener()
+
+
+def _take_due(missing: dict[str, float], now: float) -> list[str]:
+    due = [name for name, at in missing.items() if at <= now]
+    for name in due:
+        del missing[name]
+    return due
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -147,6 +147,11 @@
         answer = self._call("POST", f"/api/kv-keep/{int(lease)}")
         return answer.map(lambda _: None)
 
+    def end_lease(self, lease: str) -> Result[None, StoreError]:
+        """End a lease and remove its keys."""
+        answer = self._call("DELETE", f"/api/kv-lease-end/{int(lease)}")
+        return answer.map(lambda _: None)
+
     def _call(
         self,
         method: str,
--- a/lacewingpond/store/base.py
+++ b/lacewingpond/store/base.py
@@ -96,6 +96,10 @@
         """Renew a lease."""
         ...
 
+    def end_lease(self, lease: str) -> Result[None, StoreError]:
+        """End a lease and remove its keys."""
+        ...
+
 
 class Store(Protocol):
     """The platform's key-value service."""
--- a/lacewingpond/store/memory.py
+++ b/lacewingpond/store/memory.py
@@ -158,6 +158,15 @@
         held.expires_at = self._clock.now() + held.ttl_s
         return Ok(None)
 
+    def end_lease(self, lease: str) -> Result[None, StoreError]:
+        """End a lease and remove its keys; a lapsed one is a conflict."""
+        held = self._leases.get(lease)
+        if held is None:
+            return Err(StoreError(StoreFailure.CONFLICT, f"lease {lease} has lapsed"))
+        held.expires_at = self._clock.now()
+        self._expire_leases()
+        return Ok(None)
+
     def image(self) -> StoreImage:
         """Return a copy of all values."""
         self._expire_leases()
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -177,3 +177,15 @@
         run(clock, STEP_S)
     run(clock, STEP_S)
     assert taking_over[0].vm.freshness.age_s < WATCH_S / 2
+
+
+def test_watching_vm_that_stops_hands_over_before_its_last_proof_ages(fleet, clock):
+    leaving = watching(fleet)[0]
+    leaving.follower.leave()
+    run(clock, 0.6)
+    leaving.follower.stop()
+    leaving.vm.channel.network.cut.add(leaving.vm.address)
+    others = [each for each in fleet if each is not leaving]
+    assert watching(others)
+    run(clock, SETTLE_S)
+    assert len(watching(others)) == 1
--- a/tests/entry/test_entry_quota.py
+++ b/tests/entry/test_entry_quota.py
@@ -152,6 +152,17 @@
     assert held == (vm.name in fleet.limiters[0]._ranked(fleet.holder)[:count])
 
 
+def test_holder_that_stops_grants_no_more_and_asks_others(clock):
+    fleet = Fleet(clock, 2, 20.0, 40.0)
+    clock.advance(10.0)
+    fleet.limiters[0].leave()
+    tokens = [fleet.admit(0).admitted for _ in range(40)]
+    own = RULES.size(fleet.holder) / 2
+    # All came from the other holder, whose bucket holds half of them.
+    assert sum(tokens) == int(own)
+    assert not fleet.admit(1).admitted
+
+
 class ConservedTokens(RuleBasedStateMachine):
     """Admits, cuts, heals, restarts; the bound of every window must hold."""
 
--- a/tests/entry/test_entry_registration.py
+++ b/tests/entry/test_entry_registration.py
@@ -4,7 +4,7 @@
 
 import gevent
 import pytest
-from entry_helper import AWAY
+from entry_helper import AWAY, MAX_AGE_S
 from result import Err
 
 from lacewingpond.entry.member import Member, decode_member
@@ -46,17 +46,19 @@
 
 
 @pytest.fixture
-def run(clock, store):
-    registration = Registration(
+def registration(clock, store):
+    return Registration(
         store, KEY, MEMBER, clock, random.Random(1), RecordingDecisionLog()
     )
-    greenlets = []
 
+
+@pytest.fixture
+def run(registration):
     def start():
-        greenlets.append(gevent.spawn(registration.run))
+        registration.start()
         gevent.sleep(0)
 
-    start.stop = lambda: gevent.killall(greenlets)
+    start.stop = registration.stop
     yield start
     start.stop()
 
@@ -108,3 +110,55 @@
     clock.advance(TTL_S)
     gevent.sleep(0)
     assert entry(store) == MEMBER
+
+
+def test_entry_that_is_found_missing_is_written_at_once(
+    run, registration, store, clock
+):
+    run()
+    registration.note_listed(True)
+    store.store._leases.clear()
+    store.store.delete_if(KEY, store.get(KEY).ok_value.revision)
+    registration.note_listed(False)
+    clock.advance(1.0)
+    gevent.sleep(0)
+    assert entry(store) == MEMBER
+
+
+def test_entry_that_was_not_listed_yet_is_not_written_twice(
+    run, registration, store, clock
+):
+    run()
+    registration.note_listed(False)
+    clock.advance(1.0)
+    gevent.sleep(0)
+    assert store.calls == 1
+
+
+def test_planned_stop_removes_the_entry_at_once(run, registration, store, clock):
+    run()
+    registration.leave()
+    clock.advance(TTL_S)
+    gevent.sleep(0)
+    assert entry(store) is None
+    assert store.calls == 1
+
+
+def test_daemon_that_left_does_not_come_back(run, registration, store, clock):
+    run()
+    registration.leave()
+    registration.note_listed(True)
+    registration.note_listed(False)
+    clock.advance(TTL_S)
+    gevent.sleep(0)
+    assert entry(store) is None
+
+
+def test_share_of_a_lost_daemon_is_free_again_within_half_a_minute():
+    # 150 VMs fail on an ordinary day.
+    assert TTL_S <= 30.0
+
+
+def test_entry_outlasts_the_proof_with_which_its_daemon_admits_requests():
+    # A share that passes on while its former holder admits counts twice.
+    assert TTL_S > 2 * MAX_AGE_S
--- a/tests/entry/test_entry_world.py
+++ b/tests/entry/test_entry_world.py
@@ -4,6 +4,7 @@
 import pytest
 from entry_helper import MISSING_GRACE_S, Network, Vm, decisions, instance
 
+from lacewingpond.entry.follower import ASK_PERIOD_S, MAX_RETRY_S
 from lacewingpond.store.base import WatchEvent
 
 
@@ -61,6 +62,38 @@
     assert set(vm.world.instances) == {"t2"}
 
 
+def test_outage_is_remembered_until_the_next_call_after_it(vm, clock):
+    put_target(vm, instance("t1"))
+    vm.world.note_outage()
+    # The pause between two calls, and the question of a peer after it.
+    clock.advance(MAX_RETRY_S + ASK_PERIOD_S)
+    put(vm, "targets/t1", None)
+    assert set(vm.world.instances) == {"t1"}
+
+
+def test_member_that_lapsed_in_an_outage_has_time_to_come_back(vm, clock):
+    put(vm, "members/vm-1", vm.member.encode())
+    put(vm, "members/vm-2", vm.member.encode())
+    told = []
+    vm.world.on_members(lambda: told.append(set(vm.world.members)))
+    vm.world.note_outage()
+    put(vm, "members/vm-1", None)
+    put(vm, "members/vm-2", None)
+    assert not vm.world.is_listed("vm-1")
+    put(vm, "members/vm-1", vm.member.encode())
+    clock.advance(MISSING_GRACE_S + 0.1)
+    vm.world.drop_missing()
+    assert told[-1] == {"vm-1"}
+    assert told[0] == {"vm-1", "vm-2"}
+    assert vm.world.is_listed("vm-1")
+
+
+def test_member_that_leaves_while_the_store_is_well_is_gone_at_once(vm):
+    put(vm, "members/vm-2", vm.member.encode())
+    put(vm, "members/vm-2", None)
+    assert vm.world.members == {}
+
+
 def test_leaving_target_that_vanishes_in_an_outage_does_not_come_back(vm):
     put_target(vm, instance("t1", draining=True))
     vm.world.note_outage()
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -86,6 +86,7 @@
         kv_lease=lambda query: (200, {"lease": 77, "ttl_time": "120000ms"}),
         kv_txn=lambda query: (200, {"revision": 8}),
         kv_keep=lambda query: (200, {"ttl_time": "120000ms"}),
+        kv_lease_end=lambda query: (200, {}),
     )
     lease = store.grant_lease(120.0).unwrap()
     assert store.put("fleet/vm-1", b"me", lease).unwrap() == 8
@@ -93,6 +94,8 @@
     change = msgspec.json.decode(platform.seen[1][3])
     assert change["puts"] == [{"key": "fleet/vm-1", "value": b64(b"me"), "lease": 77}]
     assert platform.seen[2][1] == "/api/kv-keep/77"
+    assert store.end_lease(lease).is_ok()
+    assert platform.seen[3][:2] == ("DELETE", "/api/kv-lease-end/77")
 
 
 @pytest.mark.parametrize(
