--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -128,7 +128,7 @@
     """
 
     __slots__ = ("_parts", "_task", "_tried", "_reached", "_may_have_run")
-    __slots__ += ("_last_failure",)
+    __slots__ += ("_last_failure", "_reused")
 
     def __init__(self, parts: DeliveryParts, task: Task) -> None:
         self._parts = parts
@@ -137,6 +137,7 @@
         self._reached = 0
         self._may_have_run = False
         self._last_failure: Failure | None = None
+        self._reused = False
 
     def run(self) -> Result[Response, Refusal]:
         """Return a target's answer, or why there is none."""
@@ -176,7 +177,12 @@
         else:
             why = outcome.err_value.refusal.reason
         parts.log.decision(
-            "attempt", task.request_id, why, target=target_id, ms=took_ms
+            "attempt",
+            task.request_id,
+            why,
+            target=target_id,
+            ms=took_ms,
+            conn="kept" if self._reused else "new",
         )
         return outcome
 
@@ -191,10 +197,12 @@
         deadline = self._attempt_deadline(state)
         sent = self._parts.client.send(state.target, request, deadline)
         if sent.is_err():
+            self._reused = sent.err_value.reused
             return Err(self._not_answered(state, sent.err_value, started))
         self._reached += 1
         state.note_reached()
         response = sent.ok_value
+        self._reused = response.reused
         passes_on = False
         try:
             response.limit_time(deadline)
--- a/lacewingpond/targets/response.py
+++ b/lacewingpond/targets/response.py
@@ -44,6 +44,8 @@
         Called once with the `AnswerEnd`.
     cut_reason : SendReason or None
         What broke it off, if anything did.
+    reused : bool
+        Whether the connection had carried an earlier request.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "end",
         "on_end",
         "cut_reason",
+        "reused",
         "_raw",
         "_conn",
         "_pool",
@@ -75,6 +78,7 @@
         self.end: AnswerEnd | None = None
         self.on_end: Callable[[AnswerEnd], None] | None = None
         self.cut_reason: SendReason | None = None
+        self.reused = conn.reused
         self._raw = raw
         self._conn = conn
         self._pool = pool
--- a/tests/entry/test_entry_requests.py
+++ b/tests/entry/test_entry_requests.py
@@ -386,3 +386,11 @@
     fields = {"Content_Length": None, "Transfer_Encoding": "chunked"}
     assert stack.call(body=chunked(b"x" * 11), **fields)[0] == 413
     assert runs(targets) == 0
+
+
+def test_log_tells_whether_an_attempt_had_a_new_connection(serve):
+    stack, _ = serve(signed)
+    for _ in range(2):
+        assert stack.call()[0] == 200
+    attempts = [line[3] for line in stack.vm.log.lines if line[0] == "attempt"]
+    assert [fields["conn"] for fields in attempts] == ["new", "kept"]
