Give counters and latencies of attempts on an address of the settings

The figures are counted from the decisions that are logged anyway, so no other code knows of them. Tried by hand with a daemon whose store is away.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -153,7 +153,7 @@
             names, self.world, freshness, limiter, parts, clock, rng, log
         )
         self.server = CallerServer.from_options(
-            _http_options(cfg.listen.callers, vm.descriptors),
+            http_options(cfg.listen.callers, vm.descriptors),
             pipeline.handle,
             log,
             clock,
@@ -162,7 +162,7 @@
             ready_path, lambda: self.world.config is not None and freshness.is_fresh
         )
         self._ready_server = CallerServer.from_options(
-            _http_options(cfg.listen.readiness, vm.descriptors),
+            http_options(cfg.listen.readiness, vm.descriptors),
             self.readiness.handle,
             log,
             clock,
@@ -277,7 +277,8 @@
     )
 
 
-def _http_options(address: str, descriptors: int) -> HttpOptions:
+def http_options(address: str, descriptors: int) -> HttpOptions:
+    """Return the options of a server at `address` on a VM with `descriptors`."""
     host, port = parse_address(address)
     connections = max(int((descriptors - OTHER_DESCRIPTORS) * CLIENT_SHARE), 1)
     return HttpOptions(
--- a/lacewingpond/entry/settings.py
+++ b/lacewingpond/entry/settings.py
@@ -46,6 +46,13 @@
     level: str = "decisions"
 
 
+class MetricsSettings(Struct, frozen=True):
+    """Where counters and latencies are read; no `address` turns them off."""
+
+    address: str = ""
+    path: str = "/metrics"
+
+
 class BoundSettings(Struct, frozen=True):
     """What the platform's users demand; durations are texts such as ``1500ms``.
 
@@ -98,6 +105,7 @@
     store: StoreSettings
     bounds: BoundSettings = field(default_factory=BoundSettings)
     log: LogSettings = field(default_factory=LogSettings)
+    metrics: MetricsSettings = field(default_factory=MetricsSettings)
 
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, tuple[Finding, ...]]:
@@ -129,6 +137,8 @@
         "listen.readiness": cfg.listen.readiness,
         "store.address": cfg.store.address,
     }
+    if cfg.metrics.address:
+        wanted["metrics.address"] = cfg.metrics.address
     for key, text in wanted.items():
         try:
             parse_address(text)
--- /dev/null
+++ b/tests/telemetry/test_telemetry_decision_metrics.py
@@ -0,0 +1,56 @@
+"""Tests of the figures that decisions give."""
+
+import pytest
+from path_helper import caller_server, exchange
+
+from lacewingpond.telemetry.decision_metrics import MAX_SERIES, DecisionMetrics
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
+
+
+@pytest.fixture
+def log():
+    return RecordingDecisionLog()
+
+
+@pytest.fixture
+def metrics(log):
+    return DecisionMetrics(log, "/metrics")
+
+
+def test_decisions_are_counted_and_passed_on(metrics, log):
+    for _ in range(3):
+        metrics.decision("refuse", "id-1", "over-rate", status=429)
+    metrics.decision("eject", "t1", "here: broken")
+    lines = metrics.text().splitlines()
+    assert 'lacewingpond_decisions_total{what="refuse",why="over-rate"} 3' in lines
+    assert 'lacewingpond_decisions_total{what="eject",why=""} 1' in lines
+    assert len(log.lines) == 4
+
+
+def test_latencies_of_attempts_are_told_in_milliseconds(metrics):
+    for took_ms in range(1, 101):
+        metrics.decision("attempt", "id-1", "200", ms=took_ms)
+    text = metrics.text()
+    assert 'lacewingpond_attempt_milliseconds{percentile="50"} 50\n' in text
+    assert "lacewingpond_attempt_milliseconds_count 100\n" in text
+
+
+def test_series_are_bounded(metrics):
+    for number in range(MAX_SERIES * 2):
+        metrics.decision("refuse", "id-1", f"reason {number}")
+    assert len(metrics.text().splitlines()) < MAX_SERIES * 2
+    assert 'why="other"' in metrics.text()
+
+
+def test_figures_are_served_on_their_path_only(metrics):
+    metrics.decision("start", "vm-1", "serving")
+    with caller_server(metrics.handle) as server:
+        answers = [
+            exchange(
+                server.port,
+                f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".encode(),
+            )
+            for path in ("/metrics", "/other")
+        ]
+    assert answers[0].startswith(b"HTTP/1.1 200") and b'what="start"' in answers[0]
+    assert answers[1].startswith(b"HTTP/1.1 404")
