--- a/lacewingpond/bench/claims.py
+++ b/lacewingpond/bench/claims.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from lacewingpond.bench.series import Point, Series
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.answer import Answer
 from lacewingpond.idempotency.claim import Claim
 from lacewingpond.idempotency.claim_table import ClaimTable
@@ -15,7 +16,6 @@
 )
 from lacewingpond.idempotency.options import IdempotencyOptions
 from lacewingpond.idempotency.reply import Reply, ReplyKind
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.peers.frames import Frame, FrameKind, encode
 from lacewingpond.replay.local_claims import LocalClaims
 from lacewingpond.shards.base import Ownership
--- a/lacewingpond/bench/latency_servers.py
+++ b/lacewingpond/bench/latency_servers.py
@@ -8,9 +8,10 @@
 from lacewingpond.config.model import Key, Route, Service, Target, Workspace
 from lacewingpond.demo.fleet import LocalFleet
 from lacewingpond.http.options import HttpOptions
-from lacewingpond.http.refusal import RunState, refusal_response
+from lacewingpond.http.refusal import refusal_response
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
+from lacewingpond.http.run_state import RunState
 from lacewingpond.http.server import CallerServer
 from lacewingpond.targets.client import TargetClient
 from lacewingpond.targets.options import TargetOptions
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -1,6 +1,7 @@
 """Decides what becomes of each request, from its route to its answer."""
 
 import random
+from collections.abc import Callable
 
 import xxhash
 from result import Err, Ok, Result
@@ -123,7 +124,8 @@
         if route is None:
             detail = "No route takes this host and path."
             return Err(Refusal.not_run(404, "no-route", detail))
-        identified = self._identify(req, cfg, route)
+        key = presented_key(req.headers)
+        identified = self._identify(key, cfg, route)
         if identified.is_err():
             return identified
         workspace = identified.ok_value
@@ -142,20 +144,27 @@
             return Err(Refusal.not_run(exc.status, "bad-body", exc.detail))
         if body is None:
             return Err(_too_large())
-        task = self._task(req, request_id, route, workspace, body, deadline.ok_value)
+        task = self._task(
+            req,
+            request_id,
+            route,
+            workspace,
+            body,
+            deadline.ok_value,
+            lambda: self._may_send(req, route, workspace, key),
+        )
         if not task.may_send():
             return Err(_unready("keys-changed", "The key can't be checked now."))
         self._log_route(task, cfg)
         return Delivery(self._parts, task).run()
 
     def _identify(
-        self, req: Request, cfg: FleetConfig, route: EntryRoute
+        self, key: str | None, cfg: FleetConfig, route: EntryRoute
     ) -> Result[EntryWorkspace | None, Refusal]:
         if route.public or not cfg.has_workspaces:
             return Ok(None)
         if not self._freshness.is_fresh:
             return Err(_unready("stale-keys", "This VM can't check keys now."))
-        key = presented_key(req.headers)
         workspace = cfg.workspace_of(key) if key is not None else None
         if workspace is None:
             return Err(Refusal.not_run(401, "bad-key", "The route needs a known key."))
@@ -204,6 +213,7 @@
         workspace: EntryWorkspace | None,
         body: JobBody,
         deadline: float,
+        may_send: Callable[[], bool],
     ) -> Task:
         headers = Headers(
             (name, value)
@@ -224,11 +234,15 @@
             deadline=deadline,
             fingerprint=_fingerprint(req, route, workspace, body),
             is_disconnected=req.is_disconnected,
-            may_send=lambda: self._may_send(req, route, workspace),
+            may_send=may_send,
         )
 
     def _may_send(
-        self, req: Request, route: EntryRoute, workspace: EntryWorkspace | None
+        self,
+        req: Request,
+        route: EntryRoute,
+        workspace: EntryWorkspace | None,
+        key: str | None,
     ) -> bool:
         """Check again what may have changed while the request waited."""
         cfg = self._world.config
@@ -239,7 +253,6 @@
             return route.public or not cfg.has_workspaces
         if not self._freshness.is_fresh:
             return False
-        key = presented_key(req.headers)
         holder = cfg.workspace_of(key) if key is not None else None
         return holder is not None and holder.name == workspace.name
 
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -1,30 +1,42 @@
 """Serves the requests of one caller's connection, one after the other."""
 
 import socket
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
 from lacewingpond.http.body import RequestBody
 from lacewingpond.http.errors import BodyFailure, HeadError, RequestBodyError
 from lacewingpond.http.head import RequestHead, parse_head
+from lacewingpond.http.options import HttpOptions
 from lacewingpond.http.reader import RECEIVE_BYTES, SocketReader
-from lacewingpond.http.refusal import RunState, refusal_response
+from lacewingpond.http.refusal import refusal_response
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
+from lacewingpond.http.run_state import RunState
 from lacewingpond.http.writer import ResponseWriter, UnsafeResponseError
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
 from lacewingpond.util.sockets import (
     SocketState,
     set_stream_options,
     socket_state,
 )
 
-if TYPE_CHECKING:
-    from lacewingpond.http.server import CallerServer
-
 KEEPALIVE_IDLE_S = 30
 KEEPALIVE_INTERVAL_S = 10
 KEEPALIVE_PROBES = 3
 
 
+class ConnectionHost(Protocol):
+    """The server that a connection belongs to."""
+
+    options: HttpOptions
+    handler: Callable[[Request], Response]
+    log: DecisionLog
+    clock: Clock
+    draining: bool
+
+
 class CallerConnection:
     """One caller's connection; gevent's server runs it in its own greenlet.
 
@@ -34,14 +46,14 @@
         The accepted socket.
     address : str
         Where the caller is.
-    server : CallerServer
+    server : ConnectionHost
         Holds the options and the handler of requests.
     """
 
     __slots__ = ("socket", "address", "server", "idle", "_reader")
 
     def __init__(
-        self, sock: socket.socket, address: str, server: "CallerServer"
+        self, sock: socket.socket, address: str, server: ConnectionHost
     ) -> None:
         self.socket = sock
         self.address = address
--- a/lacewingpond/http/refusal.py
+++ b/lacewingpond/http/refusal.py
@@ -1,7 +1,6 @@
 """Refusals as problem details of RFC 9457, which tell whether the request ran."""
 
 import math
-from enum import Enum
 from http import HTTPStatus
 
 import msgspec
@@ -9,19 +8,11 @@
 
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.response import Response
+from lacewingpond.http.run_state import RunState
 
 RUN_HEADER = "Lacewingpond-Run"
 
 
-class RunState(Enum):
-    """What is known of a refused request."""
-
-    NOT_RUN = "not-run"
-    """No target has run it or ever will."""
-    UNKNOWN = "unknown"
-    """A target may have run it."""
-
-
 class Refusal(Struct, frozen=True, omit_defaults=True):
     """The problem details of a refusal.
 
--- a/lacewingpond/idempotency/run_state.py
+++ b/lacewingpond/http/run_state.py
@@ -8,5 +8,6 @@
 
     RAN = "ran"
     NOT_RUN = "not-run"
-    """Proved: no target ran the request, nor an earlier one with its key."""
+    """Proved: no target has run it or ever will, nor an earlier one with its key."""
     UNKNOWN = "unknown"
+    """A target may have run it."""
--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -9,9 +9,10 @@
 
 from lacewingpond.http.connection import CallerConnection
 from lacewingpond.http.options import HttpOptions
-from lacewingpond.http.refusal import RunState, refusal_response
+from lacewingpond.http.refusal import refusal_response
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
+from lacewingpond.http.run_state import RunState
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
--- a/lacewingpond/idempotency/claim_table.py
+++ b/lacewingpond/idempotency/claim_table.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.claim import Claim, Listener
 from lacewingpond.idempotency.claim_state import ClaimState, ShardClaims
 from lacewingpond.idempotency.key_date import key_date
@@ -11,7 +12,6 @@
 from lacewingpond.idempotency.options import IdempotencyOptions
 from lacewingpond.idempotency.refused_claim import RefusedClaim
 from lacewingpond.idempotency.reply import Reply, ReplyKind
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.shards.base import Ownership
 from lacewingpond.util.clock import Clock
 
--- a/lacewingpond/idempotency/reply.py
+++ b/lacewingpond/idempotency/reply.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.answer import Answer
-from lacewingpond.idempotency.run_state import RunState
 
 
 class ReplyKind(Enum):
--- a/lacewingpond/idempotency/runner.py
+++ b/lacewingpond/idempotency/runner.py
@@ -5,9 +5,9 @@
 
 from msgspec import Struct
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.answer import Answer
 from lacewingpond.idempotency.keyed_request import KeyedRequest
-from lacewingpond.idempotency.run_state import RunState
 
 
 class RunResult(Struct, frozen=True, array_like=True):
--- a/lacewingpond/idempotency/service.py
+++ b/lacewingpond/idempotency/service.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Result
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.claim import Claim, Listener
 from lacewingpond.idempotency.claim_table import ClaimTable
 from lacewingpond.idempotency.keyed_request import KeyedRequest
@@ -24,7 +25,6 @@
 )
 from lacewingpond.idempotency.options import IdempotencyOptions
 from lacewingpond.idempotency.reply import Reply, ReplyKind
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.idempotency.runner import Runner, RunResult
 from lacewingpond.peers.base import Message, PeerChannel, PeerError, PeerFailure
 from lacewingpond.shards.base import Ownership, ShardView
--- a/lacewingpond/proxy/delivery.py
+++ b/lacewingpond/proxy/delivery.py
@@ -1,18 +1,24 @@
 """One request on its way to targets: its tries, and what is known of its run."""
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 from result import Err, Ok, Result
 
 from lacewingpond.health.outcome import Outcome
-from lacewingpond.http.refusal import RunState
+from lacewingpond.health.reporter import HealthReporter
+from lacewingpond.http.run_state import RunState
+from lacewingpond.placement.placer import Placer
 from lacewingpond.proxy.attempt import Attempt
 from lacewingpond.proxy.job import Job
+from lacewingpond.proxy.options import ProxyOptions
 from lacewingpond.proxy.refused import Refused
+from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.queues.slot import Slot
+from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.retries.decision import NEVER_RAN, may_retry
 from lacewingpond.retries.outcome import SendOutcome
+from lacewingpond.targets.client import TargetClient
 from lacewingpond.targets.errors import (
     AnswerCutError,
     SendError,
@@ -20,9 +26,8 @@
     SendReason,
 )
 from lacewingpond.targets.response import AnswerEnd, TargetResponse
-
-if TYPE_CHECKING:
-    from lacewingpond.proxy.dispatcher import Dispatcher
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
 
 Answer = Result[TargetResponse, Refused]
 
@@ -43,6 +48,19 @@
 """Reasons for which no other target would serve better."""
 
 
+class DeliveryParts(Protocol):
+    """What all deliveries share."""
+
+    options: ProxyOptions
+    placer: Placer
+    client: TargetClient
+    health: HealthReporter
+    retries: RetryBudget
+    quarantine: QuarantineService
+    clock: Clock
+    log: DecisionLog
+
+
 class Delivery:
     """Sends one request to one target after another until one answers.
 
@@ -70,7 +88,7 @@
         "_refused",
     )
 
-    def __init__(self, parts: "Dispatcher", job: Job, slot: Slot) -> None:
+    def __init__(self, parts: DeliveryParts, job: Job, slot: Slot) -> None:
         self.outcome = Outcome.CANCELLED
         self.latency_s = 0.0
         self._parts = parts
--- a/lacewingpond/proxy/keyed_replies.py
+++ b/lacewingpond/proxy/keyed_replies.py
@@ -1,10 +1,9 @@
 """What callers of keyed requests are told."""
 
 from lacewingpond.http.headers import Headers
-from lacewingpond.http.refusal import RunState as RefusalRun
 from lacewingpond.http.response import Response
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.reply import Reply, ReplyKind
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.proxy.refused import Refused
 
 REPLAYED_HEADER = "Idempotency-Replayed"
@@ -33,8 +32,8 @@
         if reply.is_repeat:
             headers.set(REPLAYED_HEADER, "true")
         return Response(reply.answer.status, headers, reply.answer.body)
-    not_run = reply.run is RunState.NOT_RUN
-    run = RefusalRun.NOT_RUN if not_run else RefusalRun.UNKNOWN
+    # A request that ran without an answer to give is unknown to its caller.
+    run = RunState.UNKNOWN if reply.run is RunState.RAN else reply.run
     retry_after_s = RETRY_AFTER_S if reply.status >= 500 else None
     detail = DETAILS[reply.kind]
     return Refused(reply.status, run, reply.kind.value, detail, retry_after_s)
--- a/lacewingpond/proxy/keyed_runner.py
+++ b/lacewingpond/proxy/keyed_runner.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
-from lacewingpond.http.refusal import RunState as RefusalRun
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.answer import Answer
 from lacewingpond.idempotency.keyed_request import KeyedRequest
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.idempotency.runner import RunResult
 from lacewingpond.proxy.dispatcher import Dispatcher
 from lacewingpond.proxy.job import Job
@@ -60,7 +59,7 @@
         self._log.decision(
             "refuse", request.route, refused.reason, run=refused.run.value
         )
-        if refused.run is RefusalRun.NOT_RUN:
+        if refused.run is RunState.NOT_RUN:
             return RunResult(RunState.NOT_RUN)
         return RunResult(RunState.UNKNOWN)
 
--- a/lacewingpond/proxy/refused.py
+++ b/lacewingpond/proxy/refused.py
@@ -2,8 +2,9 @@
 
 from msgspec import Struct
 
-from lacewingpond.http.refusal import RunState, refusal_response
+from lacewingpond.http.refusal import refusal_response
 from lacewingpond.http.response import Response
+from lacewingpond.http.run_state import RunState
 
 
 class Refused(Struct, frozen=True):
--- a/lacewingpond/replay/faulty_runner.py
+++ b/lacewingpond/replay/faulty_runner.py
@@ -3,9 +3,9 @@
 import random
 from collections.abc import Callable
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.answer import Answer
 from lacewingpond.idempotency.keyed_request import KeyedRequest
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.idempotency.runner import RunResult
 from lacewingpond.replay.vm_clock import VmClock
 
--- a/lacewingpond/replay/local_claims.py
+++ b/lacewingpond/replay/local_claims.py
@@ -1,8 +1,8 @@
 """The simple way: each VM remembers only the keys that it has seen itself."""
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.keyed_request import KeyedRequest
 from lacewingpond.idempotency.reply import Reply, ReplyKind
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.idempotency.runner import Runner
 
 
--- a/lacewingpond/replay/once.py
+++ b/lacewingpond/replay/once.py
@@ -4,9 +4,9 @@
 
 import gevent
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.keyed_request import KeyedRequest
 from lacewingpond.idempotency.options import IdempotencyOptions
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.idempotency.service import IdempotencyService
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.base import Measures, Variant
--- a/tests/bench/test_bench_limits.py
+++ b/tests/bench/test_bench_limits.py
@@ -3,8 +3,8 @@
 from lacewingpond.bench.claims import Keys
 from lacewingpond.bench.grant_link import GrantLink
 from lacewingpond.bench.grants import GrantFleet
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.reply import Reply, ReplyKind
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.replay.local_claims import LocalClaims
 
 
--- a/tests/idempotency/test_idempotency_service.py
+++ b/tests/idempotency/test_idempotency_service.py
@@ -6,11 +6,11 @@
 import gevent
 import pytest
 
+from lacewingpond.http.run_state import RunState
 from lacewingpond.idempotency.answer import Answer
 from lacewingpond.idempotency.keyed_request import KeyedRequest
 from lacewingpond.idempotency.options import IdempotencyOptions
 from lacewingpond.idempotency.reply import ReplyKind
-from lacewingpond.idempotency.run_state import RunState
 from lacewingpond.idempotency.runner import RunResult
 from lacewingpond.idempotency.service import IdempotencyService
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
--- a/tests/path_helper.py
+++ b/tests/path_helper.py
@@ -9,8 +9,9 @@
 from lacewingpond.config.model import Target
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.options import HttpOptions
-from lacewingpond.http.refusal import RunState, refusal_response
+from lacewingpond.http.refusal import refusal_response
 from lacewingpond.http.response import Response
+from lacewingpond.http.run_state import RunState
 from lacewingpond.http.server import CallerServer
 from lacewingpond.targets.client import TargetClient
 from lacewingpond.targets.errors import SendFailure
