--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -100,9 +100,7 @@
         host, port = vm.ip, cfg.listen.peer_ports[0]
         catalog = Catalog(formats.is_same)
         freshness = self._freshness = Freshness(clock, log, _proof_age_s(bounds))
-        self.world = World(
-            catalog, formats, freshness, clock, log, bounds.seconds("store_return")
-        )
+        self.world = World(catalog, formats, clock, log, bounds.seconds("store_return"))
         self._fleet = Fleet(vm.id, vm.failure_domain, self.world, clock, rng)
         self._channel = PeerChannel(host, port, clock, rng, log)
         self.follower = Follower(
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -263,22 +263,21 @@
             self._patience_s = self._draw_patience(patience_s)
             self._log.decision("source", address, why)
 
-    def _take_ask(self, ask: NewsAsk, sender: tuple[str, int]) -> None:
-        self._fleet.heard(f"{sender[0]}:{sender[1]}")
+    def _take_ask(self, ask: NewsAsk, sender: str) -> None:
+        self._fleet.heard(sender)
         self._channel.send(sender, self.answer(ask, MAX_DATAGRAM_BYTES))
 
-    def _take_hint(self, hint: Hint, sender: tuple[str, int]) -> None:
-        address = f"{sender[0]}:{sender[1]}"
-        vm_id = self._fleet.heard(address)
+    def _take_hint(self, hint: Hint, sender: str) -> None:
+        vm_id = self._fleet.heard(sender)
         if hint.leaving:
-            self._forget(address, HANDED_OVER_S, "leaves")
+            self._forget(sender, HANDED_OVER_S, "leaves")
             return
         if self.watching and vm_id is not None and vm_id < self._fleet.vm_id:
-            self._yielded_to = address
+            self._yielded_to = sender
         if not self.watching:
-            self._source = address
+            self._source = sender
         if hint.revision > self._catalog.revision:
-            self._hint = address
+            self._hint = sender
             self._wake.set()
 
     def _draw_patience(self, least_s: float = TAKE_OVER_S) -> float:
--- a/lacewingpond/entry/peers/channel.py
+++ b/lacewingpond/entry/peers/channel.py
@@ -18,7 +18,8 @@
 
 MAX_DATAGRAM_BYTES = 1_200  # fits into one packet on any path
 
-Handler = Callable[[Message, tuple[str, int]], None]
+Handler = Callable[[Message, str], None]
+"""Takes a message and the ``host:port`` of its sender."""
 
 
 class _Waiting:
@@ -93,15 +94,15 @@
             self._greenlet.kill()
         self._sock.close()
 
-    def send(self, to: tuple[str, int], message: Message) -> None:
-        """Send a message, which may be lost."""
+    def send(self, to: str, message: Message) -> None:
+        """Send a message, which may be lost, to ``host:port``."""
         self._send(to, encode(message))
 
     def broadcast(self, addresses: list[str], message: Message) -> None:
         """Send one message to several peers."""
         data = encode(message)
         for address in addresses:
-            self._send(parse_address(address), data)
+            self._send(address, data)
 
     def ask(
         self, address: str, make: Callable[[int], Message], timeout_s: float
@@ -110,35 +111,36 @@
         number = next(self._numbers)
         waiting = self._waiting[number] = _Waiting()
         try:
-            self.send(parse_address(address), make(number))
+            self.send(address, make(number))
             wait_for(waiting.arrived, self._clock, timeout_s)
             return waiting.answer
         finally:
             del self._waiting[number]
 
-    def _send(self, to: tuple[str, int], data: bytes) -> None:
+    def _send(self, to: str, data: bytes) -> None:
         try:
-            self._sock.sendto(data, to)
+            self._sock.sendto(data, parse_address(to))
         except OSError as exc:
-            self._log.decision("peer", f"{to[0]}:{to[1]}", f"not sent: {exc}")
+            self._log.decision("peer", to, f"not sent: {exc}")
 
     def _receive(self) -> None:
         while True:
             try:
-                data, sender = self._sock.recvfrom(65_535)
+                data, (host, port) = self._sock.recvfrom(65_535)
             except OSError as exc:
                 self._log.decision("peer", "socket", str(exc))
                 gevent.sleep(0.1)
                 continue
+            sender = f"{host}:{port}"
             try:
                 self._take(decode(data), sender)
             except msgspec.MsgspecError as exc:
-                self._log.decision("peer", sender[0], f"unreadable message: {exc}")
+                self._log.decision("peer", sender, f"unreadable message: {exc}")
             except Exception as exc:
                 # One bad message must not end the receiver.
-                self._log.decision("peer", sender[0], f"message failed: {exc!r}")
+                self._log.decision("peer", sender, f"message failed: {exc!r}")
 
-    def _take(self, message: Message, sender: tuple[str, int]) -> None:
+    def _take(self, message: Message, sender: str) -> None:
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(message, sender)
--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -134,8 +134,8 @@
         self._silent_until[vm_id] = self._clock.now() + SILENT_S
         return None
 
-    def _take_ask(self, ask: TokenAsk, sender: tuple[str, int]) -> None:
-        self._fleet.heard(f"{sender[0]}:{sender[1]}")
+    def _take_ask(self, ask: TokenAsk, sender: str) -> None:
+        self._fleet.heard(sender)
         bucket = self._bucket_for_peer(ask.bucket)
         now = self._clock.now()
         if bucket is None:
--- a/lacewingpond/entry/requests/quarantine.py
+++ b/lacewingpond/entry/requests/quarantine.py
@@ -66,13 +66,12 @@
         relayed = CrashNotice(notice.fingerprint, notice.crashed, True)
         self._channel.broadcast(self._fleet.relays(), relayed)
 
-    def _take(self, notice: CrashNotice, sender: tuple[str, int]) -> None:
-        address = f"{sender[0]}:{sender[1]}"
-        self._fleet.heard(address)
+    def _take(self, notice: CrashNotice, sender: str) -> None:
+        self._fleet.heard(sender)
         if notice.crashed:
-            self._count(notice.fingerprint, address)
+            self._count(notice.fingerprint, sender)
         else:
-            self._clear(notice.fingerprint, address)
+            self._clear(notice.fingerprint, sender)
         if notice.relay:
             own = CrashNotice(notice.fingerprint, notice.crashed)
             self._channel.broadcast(self._fleet.near(), own)
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -96,17 +96,16 @@
             score = round(state.suspicion.score, 1)
             self._log.decision("eject", row.target_id, whose, score=score)
 
-    def _take(self, report: Outcomes, sender: tuple[str, int]) -> None:
-        address = f"{sender[0]}:{sender[1]}"
-        self._fleet.heard(address)
+    def _take(self, report: Outcomes, sender: str) -> None:
+        self._fleet.heard(sender)
         now = self._clock.now()
         for row in report.rows:
             state = self._table.get(row.target_id)
             if state is None:
                 continue
             if row.in_flight >= 0:
-                state.note_load(address, row.in_flight, now)
-            self._count(state, row, f"peer {address}")
+                state.note_load(sender, row.in_flight, now)
+            self._count(state, row, f"peer {sender}")
         if report.relay:
             self._channel.broadcast(self._fleet.near(), Outcomes(report.rows))
 
--- a/lacewingpond/entry/world.py
+++ b/lacewingpond/entry/world.py
@@ -4,7 +4,6 @@
 
 from lacewingpond.entry.catalog import Catalog
 from lacewingpond.entry.formats import Formats
-from lacewingpond.entry.freshness import Freshness
 from lacewingpond.entry.member import Member, decode_member
 from lacewingpond.entry.model.fleet_config import FleetConfig
 from lacewingpond.entry.model.instance import Instance
@@ -24,8 +23,6 @@
         Source of all changes.
     formats : Formats
         Keys and decoders.
-    freshness : Freshness
-        Tells an outage of the store.
     clock : Clock
         Dates entries that are missing after an outage.
     log : DecisionLog
@@ -43,7 +40,7 @@
         Daemons by VM id, this one too.
     """
 
-    __slots__ = ("config", "instances", "members", "_formats", "_freshness", "_clock")
+    __slots__ = ("config", "instances", "members", "_formats", "_clock")
     __slots__ += (
         "_log",
         "missing_grace_s",
@@ -58,7 +55,6 @@
         self,
         catalog: Catalog,
         formats: Formats,
-        freshness: Freshness,
         clock: Clock,
         log: DecisionLog,
         missing_grace_s: float,
@@ -67,7 +63,6 @@
         self.instances: dict[str, Instance] = {}
         self.members: dict[str, Member] = {}
         self._formats = formats
-        self._freshness = freshness
         self._clock = clock
         self._log = log
         self.missing_grace_s = missing_grace_s
--- a/tests/entry/entry_helper.py
+++ b/tests/entry/entry_helper.py
@@ -138,18 +138,15 @@
         self.handlers[kind] = handler
 
     def send(self, to, message):
-        target = f"{to[0]}:{to[1]}"
-        self.sent.append((target, message))
-        ends = {self.address, target}
-        if target not in self.network.channels or ends & self.network.cut:
+        self.sent.append((to, message))
+        ends = {self.address, to}
+        if to not in self.network.channels or ends & self.network.cut:
             return
-        host, _, port = self.address.rpartition(":")
-        self.network.channels[target].take(message, (host, int(port)))
+        self.network.channels[to].take(message, self.address)
 
     def broadcast(self, addresses, message):
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            self.send((host, int(port)), message)
+            self.send(address, message)
 
     def ask(self, address, make, timeout_s):
         number = len(self.answers) + 1
@@ -178,9 +175,7 @@
         self.channel = network.channel(self.address)
         self.catalog = Catalog(FORMATS.is_same)
         self.freshness = Freshness(clock, self.log, MAX_AGE_S)
-        self.world = World(
-            self.catalog, FORMATS, self.freshness, clock, self.log, MISSING_GRACE_S
-        )
+        self.world = World(self.catalog, FORMATS, clock, self.log, MISSING_GRACE_S)
         self.fleet = Fleet(name, domain, self.world, clock, self.rng)
 
     @property
