Eject more targets when they surely fail and the others can carry the load

Beyond 0.45, targets that failed twice or more are left out up to 0.65, as far as the others stay below 0.8 requests a slot. The load of the fleet is worked out from the near peers' reports; Retry-After of busy services uses it too.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -139,7 +139,7 @@
         )
         parts = DeliveryParts(
             names,
-            Placer(table, vm.failure_domain, clock, rng),
+            Placer(table, self._fleet, clock, rng),
             self._reporter,
             self._client,
             self._retries,
--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -1,15 +1,19 @@
 """Chooses the target of a request."""
 
+import math
 import random
 
+from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.targets.state import TargetState
-from lacewingpond.entry.targets.suspicion import EJECT_AT, Standing
+from lacewingpond.entry.targets.suspicion import EJECT_AT, MAX_SCORE, Standing
 from lacewingpond.entry.targets.table import TargetTable
 from lacewingpond.util.clock import Clock
 
 PROBATION_WEIGHT = 0.25  # a trial a second or so from the whole fleet
 TRIAL_WEIGHT = 0.06  # of requests that can be repeated; one a second or so
 MAX_EJECTED_SHARE = 0.45  # three targets in ten fail at any time, by chance more
+MAX_CERTAIN_SHARE = 0.65  # of those that failed twice or more, if the others suffice
+CARRIED_LOAD = 0.8  # requests for each slot that the others may be left with
 COLD_WEIGHT = 0.5  # a target works half as fast just after its start
 NEAR_WEIGHT = 2.0  # bytes between failure domains cost, idle slots do not
 SAMPLES = 2  # the better of two drawn ones; see Mitzenmacher, TPDS 12(10), 2001
@@ -22,25 +26,25 @@
     ----------
     table : TargetTable
         The targets.
-    failure_domain : str
-        Where this VM runs.
+    fleet : Fleet
+        Knows where this VM runs, and which peers report their loads to it.
     clock : Clock
         Measures standings.
     rng : random.Random
         Draws.
     """
 
-    __slots__ = ("_table", "_failure_domain", "_clock", "_rng")
+    __slots__ = ("_table", "_fleet", "_clock", "_rng")
 
     def __init__(
         self,
         table: TargetTable,
-        failure_domain: str,
+        fleet: Fleet,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._table = table
-        self._failure_domain = failure_domain
+        self._fleet = fleet
         self._clock = clock
         self._rng = rng
 
@@ -60,7 +64,7 @@
         """
         now = self._clock.now()
         ready = self._table.ready(service)
-        ejected = self._ejected(ready, now)
+        ejected = self._ejected(service, ready, now)
         fit = [s for s in ready if s.instance.target_id not in tried]
         reachable = [s for s in fit if s.is_reachable(now)] or fit
         usable = [s for s in reachable if repeatable or s not in ejected] or reachable
@@ -74,27 +78,40 @@
         return min(drawn, key=lambda state: state.load(now))
 
     def load(self, service: str) -> float:
-        """Return the known requests for each slot of a service's targets."""
+        """Return the fleet's requests for each slot of a service's targets.
+
+        Loads are known from the peers near by; clients of all VMs ask for much the
+        same, so the others' are taken to be in proportion.
+        """
         now = self._clock.now()
         ready = self._table.ready(service)
         if not ready:
             return 0.0
-        return sum(state.load(now) for state in ready) / len(ready)
+        known = sum(state.load(now) for state in ready) / len(ready)
+        reporting = len(self._fleet.near()) + 1
+        return known * self._fleet.size / min(reporting, self._fleet.size)
 
     def _ejected(
-        self, ready: tuple[TargetState, ...], now: float
+        self, service: str, ready: tuple[TargetState, ...], now: float
     ) -> frozenset[TargetState]:
         """Return the worst of the ejected targets, as many as the floor allows."""
         out = [s for s in ready if s.suspicion.standing(now) is Standing.EJECTED]
         allowed = max(int(len(ready) * MAX_EJECTED_SHARE), 1)
         if len(out) > allowed:
             out.sort(key=lambda s: s.suspicion.score, reverse=True)
-            out = out[:allowed]
+            certain = sum(s.suspicion.score >= MAX_SCORE for s in out)
+            out = out[: max(allowed, min(certain, self._dispensable(service)))]
         return frozenset(out)
 
+    def _dispensable(self, service: str) -> int:
+        """Return how many targets the others can do without at the present load."""
+        count = len(self._table.ready(service))
+        needed = math.ceil(count * self.load(service) / CARRIED_LOAD)
+        return min(count - needed, int(count * MAX_CERTAIN_SHARE))
+
     def _weight(self, state: TargetState, now: float) -> float:
         weight = float(state.instance.slots)
-        if state.instance.failure_domain == self._failure_domain:
+        if state.instance.failure_domain == self._fleet.failure_domain:
             weight *= NEAR_WEIGHT
         if not state.is_warm(now):
             weight *= COLD_WEIGHT
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -71,7 +71,7 @@
         self.retries = RetryBudget(RetryOptions(0.2, reserve, reserve))
         parts = DeliveryParts(
             NAMES,
-            Placer(self.table, vm.domain, CLOCK, vm.rng),
+            Placer(self.table, vm.fleet, CLOCK, vm.rng),
             reporter,
             self.client,
             self.retries,
--- a/tests/entry/test_entry_targets.py
+++ b/tests/entry/test_entry_targets.py
@@ -8,7 +8,12 @@
 import pytest
 from entry_helper import Network, Vm, decisions, instance
 
-from lacewingpond.entry.targets.placer import MAX_EJECTED_SHARE, Placer
+from lacewingpond.entry.targets.placer import (
+    CARRIED_LOAD,
+    MAX_CERTAIN_SHARE,
+    MAX_EJECTED_SHARE,
+    Placer,
+)
 from lacewingpond.entry.targets.reporter import REPORT_S, URGENT_S, OutcomeReporter
 from lacewingpond.entry.targets.suspicion import BROKEN_BLAME, Standing
 from lacewingpond.entry.targets.table import TargetTable
@@ -34,7 +39,7 @@
         self.vm = vm
         self.client = FakeClient()
         self.table = TargetTable(vm.world, self.client, vm.clock)
-        self.placer = Placer(self.table, vm.domain, vm.clock, random.Random(1))
+        self.placer = Placer(self.table, vm.fleet, vm.clock, random.Random(1))
         self.reporter = OutcomeReporter(
             self.table, vm.fleet, vm.channel, vm.clock, vm.log
         )
@@ -99,6 +104,30 @@
     assert len(fleet[0].picks()) == 10 - int(10 * MAX_EJECTED_SHARE)
 
 
+def test_targets_that_failed_again_are_out_beyond_the_usual_share(fleet):
+    sick = [f"t{number}" for number in range(6)]
+    eject(fleet[0], *sick, *sick)
+    assert not set(sick) & fleet[0].picks().keys()
+    eject(fleet[0], *[f"t{number}" for number in range(10)] * 2)
+    assert len(fleet[0].picks()) == 10 - int(10 * MAX_CERTAIN_SHARE)
+
+
+def test_targets_that_are_needed_for_the_load_stay_in_use(fleet):
+    sick = [f"t{number}" for number in range(6)]
+    eject(fleet[0], *sick, *sick)
+    # What the whole fleet is thought to have at targets fills six of the ten.
+    known = 6 * 6 * CARRIED_LOAD * 2 / len(DOMAINS)
+    fleet[0].state("t9").in_flight = round(known)
+    usual = int(10 * MAX_EJECTED_SHARE)
+    assert len(set(sick) - fleet[0].picks().keys()) == usual
+
+
+def test_load_is_that_of_the_whole_fleet(fleet):
+    fleet[0].state("t9").in_flight = 6
+    # Two of the five VMs report to one another.
+    assert fleet[0].placer.load("svc") == pytest.approx(6 / 60 * 5 / 2)
+
+
 def test_last_target_is_used_although_it_is_ejected(fleet):
     eject(fleet[0], "t0")
     others = [f"t{number}" for number in range(1, 10)]
