Prefer targets of the own failure domain four to one

Ruled out: worse balance; the two drawn targets are compared by load, which is known best for targets near by.

--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -15,7 +15,7 @@
 MAX_CERTAIN_SHARE = 0.65  # of those that failed twice or more, if the others suffice
 CARRIED_LOAD = 0.8  # requests for each slot that the others may be left with
 COLD_WEIGHT = 0.5  # a target works half as fast just after its start
-NEAR_WEIGHT = 2.0  # bytes between failure domains cost, idle slots do not
+NEAR_WEIGHT = 4.0  # bytes between failure domains cost, idle slots do not
 SAMPLES = 2  # the better of two drawn ones; see Mitzenmacher, TPDS 12(10), 2001
 
 
