Date an ejection for want of an answer by its request

Evidence now carries its age, here and to peers; what is older than an ejection is none. Kept because a recovered target is back sooner.

--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -70,6 +70,8 @@
         Those of the served ones that were sent while the target was ejected.
     in_flight : int
         Requests that are at it now; -1 when the report does not tell.
+    age_s : float
+        How long ago the requests behind `blame` were sent, in seconds.
     """
 
     target_id: str
@@ -77,6 +79,7 @@
     blame: float
     passed: int = 0
     in_flight: int = 0
+    age_s: float = 0.0
 
 
 class Outcomes(Struct, frozen=True, array_like=True, tag=4):
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -214,9 +214,7 @@
                 self._parts.quarantine.note_crash(self._task.fingerprint)
             if exc.reason is not SendReason.CALLER_GONE:
                 why = f"cut: {exc.reason.value}"
-                self._parts.reporter.note_bad(
-                    state, why, self._blame(exc.reason, started)
-                )
+                self._blame(state, why, exc.reason in LATE, started)
             status = 504 if exc.reason is SendReason.DEADLINE else 502
             detail = "The target's answer was cut short."
             return Err(_failed(Refusal.unknown(status, "answer-cut", detail)))
@@ -246,9 +244,11 @@
                 return Ok(self._streamed(response, blocks))
         failed = response.status >= FIRST_SERVER_ERROR
         if failed:
-            late = response.status == GATEWAY_TIMEOUT
-            blame = self._late_blame(started) if late else ERROR_BLAME
-            self._parts.reporter.note_bad(state, str(response.status), blame)
+            why = str(response.status)
+            if response.status == GATEWAY_TIMEOUT:
+                self._blame(state, why, True, started)
+            else:
+                self._parts.reporter.note_bad(state, why, ERROR_BLAME)
         else:
             self._parts.reporter.note_good(state, on_trial)
         self._parts.quarantine.note_answer(self._task.fingerprint)
@@ -304,18 +304,18 @@
         if reason is SendReason.BROKEN:
             self._parts.quarantine.note_crash(self._task.fingerprint)
         if reason not in BLAMELESS:
-            self._parts.reporter.note_bad(
-                state, reason.value, self._blame(reason, started)
-            )
+            self._blame(state, reason.value, reason in LATE, started)
         return Failure(Fate.UNKNOWN, _unanswered(reason), final)
 
-    def _blame(self, reason: SendReason, started: float) -> float:
-        return self._late_blame(started) if reason in LATE else BROKEN_BLAME
-
-    def _late_blame(self, started: float) -> float:
-        """Return the evidence of a late answer; a short time-out is no evidence."""
+    def _blame(self, state: TargetState, why: str, late: bool, started: float) -> None:
+        """Tell that a target gave no answer; a short time-out is no evidence."""
+        if not late:
+            self._parts.reporter.note_bad(state, why, BROKEN_BLAME)
+            return
         took_s = self._parts.clock.now() - started
-        return LATE_BLAME if took_s >= self._task.route.target_latency_s else 0.0
+        blame = LATE_BLAME if took_s >= self._task.route.target_latency_s else 0.0
+        # What held the answer up may be over since.
+        self._parts.reporter.note_bad(state, why, blame, took_s)
 
     def _retry_s(self) -> float:
         """Return when a client should come back: soon, unless targets are full."""
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -17,6 +17,28 @@
 MAX_ROWS = 40  # fits into a datagram
 
 
+class _Counts:
+    """Outcomes at one target since the last report."""
+
+    __slots__ = ("good", "blame", "passed", "blamed_at")
+
+    def __init__(self) -> None:
+        self.good = self.passed = 0
+        self.blame = 0.0
+        self.blamed_at = float("-inf")
+
+    def add(self, row: OutcomeRow, now: float) -> None:
+        self.good += row.good
+        self.blame += row.blame
+        self.passed += row.passed
+        if row.blame:
+            self.blamed_at = max(self.blamed_at, now - row.age_s)
+
+    def row(self, target_id: str, load: int, now: float) -> OutcomeRow:
+        age_s = now - self.blamed_at if self.blame else 0.0
+        return OutcomeRow(target_id, self.good, self.blame, self.passed, load, age_s)
+
+
 class OutcomeReporter:
     """Counts outcomes, applies them here and tells them to peers.
 
@@ -53,7 +75,7 @@
         self._channel = channel
         self._clock = clock
         self._log = log
-        self._counts: dict[str, list[float]] = {}
+        self._counts: dict[str, _Counts] = {}
         self._loads: dict[str, int] = {}
         self._urgent = Event()
         self._greenlets: list[gevent.Greenlet] = []
@@ -79,20 +101,34 @@
         if on_trial:
             self._urgent.set()
 
-    def note_bad(self, state: TargetState, why: str, blame: float) -> None:
-        """Count a request that the target failed; `blame` is one of suspicion's."""
-        self._note(state, OutcomeRow(state.instance.target_id, 0, blame), why)
+    def note_bad(
+        self, state: TargetState, why: str, blame: float, age_s: float = 0.0
+    ) -> None:
+        """Count a request that the target failed.
+
+        Parameters
+        ----------
+        state : TargetState
+            The target.
+        why : str
+            For the log.
+        blame : float
+            One of those of suspicion.
+        age_s : float
+            How long ago the request was sent, if that dates the failure, in seconds.
+        """
+        target_id = state.instance.target_id
+        self._note(state, OutcomeRow(target_id, 0, blame, age_s=age_s), why)
         self._urgent.set()
 
     def _note(self, state: TargetState, row: OutcomeRow, why: str = "") -> None:
-        counts = self._counts.setdefault(row.target_id, [0, 0.0, 0])
-        for place, number in enumerate((row.good, row.blame, row.passed)):
-            counts[place] += number
+        counts = self._counts.setdefault(row.target_id, _Counts())
+        counts.add(row, self._clock.now())
         self._count(state, row, f"here: {why}")
 
     def _count(self, state: TargetState, row: OutcomeRow, whose: str) -> None:
         now = self._clock.now()
-        if state.suspicion.add(now, row.good, row.blame, row.passed):
+        if state.suspicion.add(now, row.good, row.blame, row.passed, row.age_s):
             score = round(state.suspicion.score, 1)
             self._log.decision("eject", row.target_id, whose, score=score)
 
@@ -129,18 +165,18 @@
         if only_urgent:
             ids = [
                 target_id
-                for target_id, (_, blame, passed) in self._counts.items()
-                if blame or passed
+                for target_id, counts in self._counts.items()
+                if counts.blame or counts.passed
             ]
         else:
             self._loads = {**dict.fromkeys(self._loads, 0), **self._current_loads()}
             ids = list(self._counts.keys() | self._loads.keys())
-        rows = []
+        rows, now = [], self._clock.now()
         for target_id in ids[:MAX_ROWS]:
-            counts = self._counts.pop(target_id, (0, 0.0, 0))
+            counts = self._counts.pop(target_id, None) or _Counts()
             # An urgent report says nothing of loads.
             load = -1 if only_urgent else self._loads.get(target_id, 0)
-            rows.append(OutcomeRow(target_id, *counts, load))
+            rows.append(counts.row(target_id, load, now))
         if not only_urgent:
             self._loads = {k: n for k, n in self._loads.items() if n}
         return tuple(rows)
--- a/lacewingpond/entry/targets/suspicion.py
+++ b/lacewingpond/entry/targets/suspicion.py
@@ -45,7 +45,9 @@
         self._on_trial = False
         self._trials = 0
 
-    def add(self, now: float, good: int, blame: float, passed: int) -> bool:
+    def add(
+        self, now: float, good: int, blame: float, passed: int, age_s: float = 0.0
+    ) -> bool:
         """Count outcomes; return whether they eject the target.
 
         Parameters
@@ -58,7 +60,13 @@
             Sum over those that it failed, as the constants above weigh them.
         passed : int
             Those of the served ones that were sent to it while it was ejected.
+        age_s : float
+            How long ago the requests behind `blame` were sent, where it was not seen
+            how long the target went on failing; in seconds.
         """
+        if age_s >= EJECT_S:
+            # The spell that they met is over.
+            blame = 0.0
         self.score += blame + good * _SUCCESS_WEIGHT
         self.score = min(max(self.score, 0.0), MAX_SCORE)
         ejected = now < self._ejected_until
@@ -72,7 +80,8 @@
             self._on_trial = False
         if not blame or self.score < EJECT_AT:
             return False
-        self._ejected_until = now + (REPEAT_S if self._on_trial else EJECT_S)
+        until = now - age_s + (REPEAT_S if self._on_trial else EJECT_S)
+        self._ejected_until = max(self._ejected_until, until)
         self._on_trial = True
         return not ejected
 
--- a/tests/entry/test_entry_suspicion.py
+++ b/tests/entry/test_entry_suspicion.py
@@ -76,3 +76,24 @@
     suspicion.standing(back)
     suspicion.add(back, 5, 0.0, 0)
     assert suspicion.standing(back) is Standing.SOUND
+
+
+def test_ejection_for_want_of_an_answer_counts_from_the_request():
+    suspicion = Suspicion()
+    age_s = EJECT_S / 2
+    assert suspicion.add(100.0, 0, LATE_BLAME * 4, 0, age_s)
+    assert suspicion.standing(100.0 + age_s - 0.1) is Standing.EJECTED
+    assert suspicion.standing(100.0 + age_s + 0.1) is Standing.PROBATION
+
+
+def test_evidence_older_than_an_ejection_is_none():
+    suspicion = Suspicion()
+    assert not suspicion.add(100.0, 0, LATE_BLAME * 4, 0, EJECT_S + 0.1)
+    assert suspicion.standing(100.0) is Standing.SOUND
+
+
+def test_older_evidence_does_not_shorten_an_ejection():
+    suspicion = Suspicion()
+    suspicion.add(100.0, 0, BROKEN_BLAME, 0)
+    suspicion.add(100.1, 0, LATE_BLAME, 0, EJECT_S - 1.0)
+    assert suspicion.standing(100.0 + EJECT_S - 0.1) is Standing.EJECTED
--- a/tests/entry/test_entry_targets.py
+++ b/tests/entry/test_entry_targets.py
@@ -15,7 +15,7 @@
     Placer,
 )
 from lacewingpond.entry.targets.reporter import REPORT_S, URGENT_S, OutcomeReporter
-from lacewingpond.entry.targets.suspicion import BROKEN_BLAME, Standing
+from lacewingpond.entry.targets.suspicion import BROKEN_BLAME, EJECT_S, Standing
 from lacewingpond.entry.targets.table import TargetTable
 from lacewingpond.store.base import WatchEvent
 
@@ -122,6 +122,15 @@
     assert len(set(sick) - fleet[0].picks().keys()) == usual
 
 
+def test_peers_learn_how_old_the_evidence_is(fleet, clock):
+    state = fleet[0].state("t1")
+    fleet[0].reporter.note_bad(state, "deadline", BROKEN_BLAME, EJECT_S / 2)
+    clock.advance(URGENT_S * 2)
+    clock.advance(EJECT_S / 2)
+    standings = {side.state("t1").suspicion.standing(clock.now()) for side in fleet}
+    assert standings == {Standing.PROBATION}
+
+
 def test_load_is_that_of_the_whole_fleet(fleet):
     fleet[0].state("t9").in_flight = 6
     # Two of the five VMs report to one another.
