--- a/lacewingpond/bench/grant_link.py
+++ b/lacewingpond/bench/grant_link.py
@@ -11,6 +11,7 @@
 from lacewingpond.peers.options import PeerOptions
 from lacewingpond.peers.tcp import TcpPeerChannel
 from lacewingpond.replay.fake_shards import FakeShardTable
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import RuntimeClock
@@ -71,13 +72,15 @@
         self._addresses[vm_id] = f"127.0.0.1:{channel.port}"
         limiter = FleetLimiter.from_options(
             LimitOptions(),
-            vm_id,
-            self._clock,
-            random.Random(1),
-            channel,
-            self._table.view(vm_id),
-            NullDecisionLog(),
-            CountingMetrics(),
+            PartContext(
+                vm_id,
+                self._clock,
+                random.Random(1),
+                channel,
+                self._table.view(vm_id),
+                NullDecisionLog(),
+                CountingMetrics(),
+            ),
         )
         limiter.configure(self._cfg)
         return limiter
--- a/lacewingpond/bench/grants.py
+++ b/lacewingpond/bench/grants.py
@@ -17,6 +17,7 @@
 from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.replay.static_limiter import StaticLimiter
 from lacewingpond.shards.base import Ownership
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
@@ -115,13 +116,15 @@
     def _limiter(self, vm: str) -> FleetLimiter:
         limiter = FleetLimiter.from_options(
             LimitOptions(),
-            vm,
-            self.clock,
-            random.Random(self.rng.random()),
-            self.channels[vm],
-            self.table.view(vm),
-            NullDecisionLog(),
-            CountingMetrics(),
+            PartContext(
+                vm,
+                self.clock,
+                random.Random(self.rng.random()),
+                self.channels[vm],
+                self.table.view(vm),
+                NullDecisionLog(),
+                CountingMetrics(),
+            ),
         )
         limiter.configure(self.cfg)
         for shard in self.table.of(vm):
@@ -186,13 +189,15 @@
     table = FakeShardTable(SHARD_COUNT, ("peer",), clock)
     limiter = FleetLimiter.from_options(
         LimitOptions(),
-        "vm",
-        clock,
-        random.Random(1),
-        DirectChannel(),
-        Split(table),
-        NullDecisionLog(),
-        CountingMetrics(),
+        PartContext(
+            "vm",
+            clock,
+            random.Random(1),
+            DirectChannel(),
+            Split(table),
+            NullDecisionLog(),
+            CountingMetrics(),
+        ),
     )
     limiter.configure(config(names, 1e6))
     for shard in range(SHARD_COUNT):
--- a/lacewingpond/daemon/traffic.py
+++ b/lacewingpond/daemon/traffic.py
@@ -20,6 +20,7 @@
 from lacewingpond.queues.fair_queue import FairQueue
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.settings.model import Settings
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.targets.client import TargetClient
 
 SWEEP_S = 5.0
@@ -81,9 +82,11 @@
             around.log,
             around.metrics,
         )
-        shared = (cfg.vm.id, clock, rng, fleet.channel, fleet.shards, log, metrics)
-        self.limiter = FleetLimiter.from_options(cfg.limits, *shared)
-        self.health = HealthReporter.from_options(cfg.health, *shared)
+        shared = PartContext(
+            cfg.vm.id, clock, rng, fleet.channel, fleet.shards, log, metrics
+        )
+        self.limiter = FleetLimiter.from_options(cfg.limits, shared)
+        self.health = HealthReporter.from_options(cfg.health, shared)
         self.placer = Placer.from_options(
             cfg.placement,
             cfg.vm.id,
@@ -99,14 +102,7 @@
         self.client.on_silent = self.health.blame_connections
         self.retries = RetryBudget.from_options(cfg.retries)
         self.quarantine = QuarantineService.from_options(
-            cfg.quarantine,
-            cfg.vm.id,
-            clock,
-            fleet.channel,
-            fleet.shards,
-            fleet.membership,
-            log,
-            metrics,
+            cfg.quarantine, shared, fleet.membership
         )
         dispatcher = Dispatcher(
             cfg.proxy,
@@ -120,17 +116,7 @@
             log,
         )
         runner = KeyedRunner(dispatcher, clock, log)
-        self.keyed = IdempotencyService.from_options(
-            cfg.idempotency,
-            cfg.vm.id,
-            clock,
-            rng,
-            fleet.channel,
-            fleet.shards,
-            runner,
-            log,
-            metrics,
-        )
+        self.keyed = IdempotencyService.from_options(cfg.idempotency, shared, runner)
         self.pipeline = Pipeline(
             cfg.proxy,
             self.limiter,
--- a/lacewingpond/health/reporter.py
+++ b/lacewingpond/health/reporter.py
@@ -1,7 +1,5 @@
 """Reports outcomes to the judges, judges owned services, and holds verdicts."""
 
-import random
-
 import gevent
 import msgspec
 
@@ -17,11 +15,8 @@
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.service_health import ServiceHealth
 from lacewingpond.health.verdict import HEALTHY, Verdict, VerdictState
-from lacewingpond.peers.base import PeerChannel
-from lacewingpond.shards.base import Ownership, ShardView
-from lacewingpond.telemetry.decisions import DecisionLog
-from lacewingpond.telemetry.metrics import Metrics
-from lacewingpond.util.clock import Clock
+from lacewingpond.shards.base import Ownership
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.util.rendezvous import score, shard_of
 
 HASH_RANGE = 2.0**64
@@ -59,48 +54,28 @@
         "_loop",
     )
 
-    def __init__(
-        self,
-        options: HealthOptions,
-        vm_id: str,
-        clock: Clock,
-        rng: random.Random,
-        channel: PeerChannel,
-        shards: ShardView,
-        log: DecisionLog,
-        metrics: Metrics,
-    ) -> None:
+    def __init__(self, options: HealthOptions, ctx: PartContext) -> None:
         self.name = "health"
         self._options = options
-        self._vm_id = vm_id
-        self._clock = clock
-        self._rng = rng
-        self._channel = channel
-        self._shards = shards
-        self._log = log
-        self._metrics = metrics
+        self._vm_id = ctx.vm_id
+        self._clock = ctx.clock
+        self._rng = ctx.rng
+        self._channel = ctx.channel
+        self._shards = ctx.shards
+        self._log = ctx.log
+        self._metrics = ctx.metrics
         self._services: dict[str, ServiceHealth] = {}
         self._judges: dict[str, ServiceJudge] = {}
         self._fleet_size = options.fleet_size
         self._periods = 0
         self._loop: gevent.Greenlet | None = None
-        channel.register(HealthDigest, self._on_digest)
-        channel.register(HealthVerdicts, self._on_verdicts)
+        ctx.channel.register(HealthDigest, self._on_digest)
+        ctx.channel.register(HealthVerdicts, self._on_verdicts)
 
     @classmethod
-    def from_options(
-        cls,
-        options: HealthOptions,
-        vm_id: str,
-        clock: Clock,
-        rng: random.Random,
-        channel: PeerChannel,
-        shards: ShardView,
-        log: DecisionLog,
-        metrics: Metrics,
-    ) -> "HealthReporter":
+    def from_options(cls, options: HealthOptions, ctx: PartContext) -> "HealthReporter":
         """Build a reporter and register its messages with `channel`."""
-        return cls(options, vm_id, clock, rng, channel, shards, log, metrics)
+        return cls(options, ctx)
 
     def start(self) -> None:
         """Start the greenlet that sends digests and judges."""
--- a/lacewingpond/idempotency/service.py
+++ b/lacewingpond/idempotency/service.py
@@ -4,7 +4,6 @@
 the caller or the entry VM is gone.
 """
 
-import random
 from collections.abc import Callable
 
 import gevent
@@ -26,11 +25,9 @@
 from lacewingpond.idempotency.options import IdempotencyOptions
 from lacewingpond.idempotency.reply import Reply, ReplyKind
 from lacewingpond.idempotency.runner import Runner, RunResult
-from lacewingpond.peers.base import Message, PeerChannel, PeerError, PeerFailure
-from lacewingpond.shards.base import Ownership, ShardView
-from lacewingpond.telemetry.decisions import DecisionLog
-from lacewingpond.telemetry.metrics import Metrics
-from lacewingpond.util.clock import Clock
+from lacewingpond.peers.base import Message, PeerError, PeerFailure
+from lacewingpond.shards.base import Ownership
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.util.rendezvous import shard_of
 
 OWNER_RETRY_S = 0.02
@@ -46,22 +43,10 @@
     ----------
     options : IdempotencyOptions
         Settings, equal on all VMs.
-    vm_id : str
-        This VM.
-    clock : Clock
-        Source of time.
-    rng : random.Random
-        Draws the first number of forwards.
-    channel : PeerChannel
-        Way to the other VMs.
-    shards : ShardView
-        Who owns which shard.
+    ctx : PartContext
+        The VM; its metrics get counters ``idempotency.*``.
     runner : Runner
         Sends a request to a target.
-    log : DecisionLog
-        Takes decisions about claims; a key is never in them.
-    metrics : Metrics
-        Takes counters ``idempotency.*``.
     """
 
     name = "idempotency"
@@ -83,50 +68,32 @@
     )
 
     def __init__(
-        self,
-        options: IdempotencyOptions,
-        vm_id: str,
-        clock: Clock,
-        rng: random.Random,
-        channel: PeerChannel,
-        shards: ShardView,
-        runner: Runner,
-        log: DecisionLog,
-        metrics: Metrics,
+        self, options: IdempotencyOptions, ctx: PartContext, runner: Runner
     ) -> None:
         self._options = options
-        self._vm_id = vm_id
-        self._clock = clock
-        self._channel = channel
-        self._shards = shards
+        self._vm_id = ctx.vm_id
+        self._clock = ctx.clock
+        self._channel = ctx.channel
+        self._shards = ctx.shards
         self._runner = runner
-        self._log = log
-        self._metrics = metrics
-        self._table = ClaimTable(options, clock)
+        self._log = ctx.log
+        self._metrics = ctx.metrics
+        self._table = ClaimTable(options, ctx.clock)
         self._waiting: dict[int, Mailbox] = {}
-        self._forward_id = rng.getrandbits(48)
+        self._forward_id = ctx.rng.getrandbits(48)
         self._running: set[Claim] = set()
         self._departed: set[Claim] = set()
 
     @classmethod
     def from_options(
-        cls,
-        options: IdempotencyOptions,
-        vm_id: str,
-        clock: Clock,
-        rng: random.Random,
-        channel: PeerChannel,
-        shards: ShardView,
-        runner: Runner,
-        log: DecisionLog,
-        metrics: Metrics,
+        cls, options: IdempotencyOptions, ctx: PartContext, runner: Runner
     ) -> "IdempotencyService":
         """Create the service and let it take its messages."""
-        service = cls(options, vm_id, clock, rng, channel, shards, runner, log, metrics)
-        channel.register(ForwardRequest, service._on_forward)
-        channel.register(ForwardPoll, service._on_poll)
-        channel.register(ForwardReply, service._on_reply)
-        channel.register(ClaimFinished, service._on_finished)
+        service = cls(options, ctx, runner)
+        ctx.channel.register(ForwardRequest, service._on_forward)
+        ctx.channel.register(ForwardPoll, service._on_poll)
+        ctx.channel.register(ForwardReply, service._on_reply)
+        ctx.channel.register(ClaimFinished, service._on_finished)
         return service
 
     def submit(self, request: KeyedRequest) -> Reply:
--- a/lacewingpond/limits/limiter.py
+++ b/lacewingpond/limits/limiter.py
@@ -4,8 +4,6 @@
 or owner; one timer greenlet runs while there is traffic.
 """
 
-import random
-
 import gevent
 
 from lacewingpond.config.model import Config
@@ -25,11 +23,9 @@
 from lacewingpond.limits.returner import Returner
 from lacewingpond.limits.slice_owner import SliceOwner
 from lacewingpond.limits.waiting_requests import WaitingRequests
-from lacewingpond.peers.base import Message, PeerChannel
-from lacewingpond.shards.base import Ownership, ShardView
-from lacewingpond.telemetry.decisions import DecisionLog
-from lacewingpond.telemetry.metrics import Metrics
-from lacewingpond.util.clock import Clock
+from lacewingpond.peers.base import Message
+from lacewingpond.shards.base import Ownership
+from lacewingpond.shards.part_context import PartContext
 
 HOUSEKEEPING_S = 1.0
 """Period in which idle buckets and slices are forgotten."""
@@ -44,20 +40,8 @@
     ----------
     options : LimitOptions
         Settings, equal on all VMs.
-    vm_id : str
-        This VM.
-    clock : Clock
-        Source of time.
-    rng : random.Random
-        Spreads the first asks over slices.
-    channel : PeerChannel
-        Way to the other VMs.
-    shards : ShardView
-        Who owns which shard.
-    log : DecisionLog
-        Takes refusals and changes of ownership.
-    metrics : Metrics
-        Takes counters ``limits.*``.
+    ctx : PartContext
+        The VM; its metrics get counters ``limits.*``.
     """
 
     name = "limits"
@@ -66,63 +50,50 @@
     __slots__ += ("_allowances", "_returner", "_asker", "_admissions", "_waiting")
     __slots__ += ("_timer", "_housekept_at")
 
-    def __init__(
-        self,
-        options: LimitOptions,
-        vm_id: str,
-        clock: Clock,
-        rng: random.Random,
-        channel: PeerChannel,
-        shards: ShardView,
-        log: DecisionLog,
-        metrics: Metrics,
-    ) -> None:
-        count = shards.shard_count
+    def __init__(self, options: LimitOptions, ctx: PartContext) -> None:
+        count = ctx.shards.shard_count
         self._options = options
-        self._clock = clock
-        self._channel = channel
-        self._log = log
+        self._clock = ctx.clock
+        self._channel = ctx.channel
+        self._log = ctx.log
         self._table = LimitTable(count, options)
-        self._owner = SliceOwner(options, self._table, shards, clock)
-        self._allowances = AllowanceTable(options, self._table, count, rng)
+        self._owner = SliceOwner(options, self._table, ctx.shards, ctx.clock)
+        self._allowances = AllowanceTable(options, self._table, count, ctx.rng)
         self._returner = Returner(
-            vm_id, channel, shards, self._owner, self._allowances, metrics
+            ctx.vm_id,
+            ctx.channel,
+            ctx.shards,
+            self._owner,
+            self._allowances,
+            ctx.metrics,
         )
         self._asker = Asker(
             options,
-            vm_id,
-            clock,
-            channel,
-            shards,
+            ctx.vm_id,
+            ctx.clock,
+            ctx.channel,
+            ctx.shards,
             self._owner,
             self._allowances,
             self._returner,
-            rng.getrandbits(31),
-            log,
-            metrics,
+            ctx.rng.getrandbits(31),
+            ctx.log,
+            ctx.metrics,
+        )
+        self._admissions = AdmissionLog(ctx.log, ctx.metrics)
+        self._waiting = WaitingRequests(
+            options, ctx.clock, self._asker, self._admissions
         )
-        self._admissions = AdmissionLog(log, metrics)
-        self._waiting = WaitingRequests(options, clock, self._asker, self._admissions)
         self._timer: gevent.Greenlet | None = None
-        self._housekept_at = clock.now()
+        self._housekept_at = ctx.clock.now()
 
     @classmethod
-    def from_options(
-        cls,
-        options: LimitOptions,
-        vm_id: str,
-        clock: Clock,
-        rng: random.Random,
-        channel: PeerChannel,
-        shards: ShardView,
-        log: DecisionLog,
-        metrics: Metrics,
-    ) -> "FleetLimiter":
+    def from_options(cls, options: LimitOptions, ctx: PartContext) -> "FleetLimiter":
         """Create a limiter and let it take its messages."""
-        limiter = cls(options, vm_id, clock, rng, channel, shards, log, metrics)
-        channel.register(GrantAsk, limiter._on_ask)
-        channel.register(GrantAnswer, limiter._asker.on_answer)
-        channel.register(GrantReturn, limiter._on_return)
+        limiter = cls(options, ctx)
+        ctx.channel.register(GrantAsk, limiter._on_ask)
+        ctx.channel.register(GrantAnswer, limiter._asker.on_answer)
+        ctx.channel.register(GrantReturn, limiter._on_return)
         return limiter
 
     def configure(self, cfg: Config) -> None:
--- a/lacewingpond/quarantine/service.py
+++ b/lacewingpond/quarantine/service.py
@@ -8,7 +8,7 @@
 """
 
 from lacewingpond.membership.base import MembershipView
-from lacewingpond.peers.base import Message, PeerChannel
+from lacewingpond.peers.base import Message
 from lacewingpond.quarantine.crash_share import CrashShare
 from lacewingpond.quarantine.messages import (
     CrashReport,
@@ -17,10 +17,8 @@
 )
 from lacewingpond.quarantine.options import QuarantineOptions
 from lacewingpond.quarantine.suspect import Suspect
-from lacewingpond.shards.base import Ownership, ShardView
-from lacewingpond.telemetry.decisions import DecisionLog
-from lacewingpond.telemetry.metrics import Metrics
-from lacewingpond.util.clock import Clock
+from lacewingpond.shards.base import Ownership
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.util.rendezvous import shard_of
 
 
@@ -31,20 +29,10 @@
     ----------
     options : QuarantineOptions
         Settings, equal on all VMs.
-    vm_id : str
-        This VM.
-    clock : Clock
-        Source of time.
-    channel : PeerChannel
-        Way to the other VMs.
-    shards : ShardView
-        Who owns which shard.
+    ctx : PartContext
+        The VM; its metrics get counters ``quarantine.*``.
     members : MembershipView
         VMs that are told of a new quarantine.
-    log : DecisionLog
-        Takes decisions.
-    metrics : Metrics
-        Takes counters ``quarantine.*``.
     """
 
     name = "quarantine"
@@ -65,24 +53,16 @@
     )
 
     def __init__(
-        self,
-        options: QuarantineOptions,
-        vm_id: str,
-        clock: Clock,
-        channel: PeerChannel,
-        shards: ShardView,
-        members: MembershipView,
-        log: DecisionLog,
-        metrics: Metrics,
+        self, options: QuarantineOptions, ctx: PartContext, members: MembershipView
     ) -> None:
         self._options = options
-        self._vm_id = vm_id
-        self._clock = clock
-        self._channel = channel
-        self._shards = shards
+        self._vm_id = ctx.vm_id
+        self._clock = ctx.clock
+        self._channel = ctx.channel
+        self._shards = ctx.shards
         self._members = members
-        self._log = log
-        self._metrics = metrics
+        self._log = ctx.log
+        self._metrics = ctx.metrics
         self._shares: dict[str, CrashShare] = {}
         self._reported: dict[str, float] = {}
         self._suspects: dict[int, dict[str, Suspect]] = {}
@@ -90,21 +70,13 @@
 
     @classmethod
     def from_options(
-        cls,
-        options: QuarantineOptions,
-        vm_id: str,
-        clock: Clock,
-        channel: PeerChannel,
-        shards: ShardView,
-        members: MembershipView,
-        log: DecisionLog,
-        metrics: Metrics,
+        cls, options: QuarantineOptions, ctx: PartContext, members: MembershipView
     ) -> "QuarantineService":
         """Create the service and let it take its messages."""
-        service = cls(options, vm_id, clock, channel, shards, members, log, metrics)
-        channel.register(CrashReport, service._on_report)
-        channel.register(RunCompleted, service._on_completed)
-        channel.register(QuarantineNotice, service._on_notice)
+        service = cls(options, ctx, members)
+        ctx.channel.register(CrashReport, service._on_report)
+        ctx.channel.register(RunCompleted, service._on_completed)
+        ctx.channel.register(QuarantineNotice, service._on_notice)
         return service
 
     def quarantined_s(self, fingerprint: str) -> float:
--- a/lacewingpond/replay/health_fleet.py
+++ b/lacewingpond/replay/health_fleet.py
@@ -11,6 +11,7 @@
 from lacewingpond.placement.options import PlacementOptions
 from lacewingpond.placement.placer import Placer
 from lacewingpond.shards.base import Ownership
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
@@ -150,7 +151,7 @@
         channel = FakeChannel(self.wire, vm_id)
         shards = FakeShards(vm_id)
         reporter = HealthReporter.from_options(
-            options, vm_id, clock, rng, channel, shards, log, metrics
+            options, PartContext(vm_id, clock, rng, channel, shards, log, metrics)
         )
         placer = Placer.from_options(
             PlacementOptions(), vm_id, "", clock, rng, reporter, log, metrics
--- a/lacewingpond/replay/once.py
+++ b/lacewingpond/replay/once.py
@@ -16,6 +16,7 @@
 from lacewingpond.replay.once_traces import once_traces
 from lacewingpond.replay.trace import Trace, TraceEvent
 from lacewingpond.replay.vm_clock import VmClock
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
@@ -92,14 +93,16 @@
             return
         service = self.services[vm] = IdempotencyService.from_options(
             IdempotencyOptions(),
-            vm,
-            clock,
-            random.Random(self.rng.random()),
-            self.network.channel(vm),
-            self.table.view(vm),
+            PartContext(
+                vm,
+                clock,
+                random.Random(self.rng.random()),
+                self.network.channel(vm),
+                self.table.view(vm),
+                NullDecisionLog(),
+                CountingMetrics(),
+            ),
             runner,
-            NullDecisionLog(),
-            CountingMetrics(),
         )
         for shard in self.table.of(vm):
             service.adopt(self.table.owners[shard], None)
--- a/tests/health/reporter_fleet.py
+++ b/tests/health/reporter_fleet.py
@@ -9,6 +9,7 @@
 from lacewingpond.health.outcome import Outcome
 from lacewingpond.health.reporter import HealthReporter
 from lacewingpond.shards.base import Ownership
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 
@@ -74,13 +75,15 @@
     def build(self, vm_id, options):
         reporter = HealthReporter.from_options(
             options or HealthOptions(),
-            vm_id,
-            self.clock,
-            self.rng,
-            self.wire.channel(vm_id),
-            OneOwner(vm_id),
-            self.log,
-            CountingMetrics(),
+            PartContext(
+                vm_id,
+                self.clock,
+                self.rng,
+                self.wire.channel(vm_id),
+                OneOwner(vm_id),
+                self.log,
+                CountingMetrics(),
+            ),
         )
         reporter.configure(CFG)
         return reporter
--- a/tests/idempotency/test_idempotency_service.py
+++ b/tests/idempotency/test_idempotency_service.py
@@ -15,6 +15,7 @@
 from lacewingpond.idempotency.service import IdempotencyService
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
@@ -61,14 +62,16 @@
     def start(self, vm):
         self.services[vm] = IdempotencyService.from_options(
             self.options,
-            vm,
-            self.clock,
-            random.Random(vm),
-            self.network.channel(vm),
-            self.table.view(vm),
+            PartContext(
+                vm,
+                self.clock,
+                random.Random(vm),
+                self.network.channel(vm),
+                self.table.view(vm),
+                NullDecisionLog(),
+                CountingMetrics(),
+            ),
             self.target,
-            NullDecisionLog(),
-            CountingMetrics(),
         )
 
     def key(self, age_s=0.0):
--- a/tests/limits/scripted_fleet.py
+++ b/tests/limits/scripted_fleet.py
@@ -8,6 +8,7 @@
 from lacewingpond.limits.messages import GrantAsk
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
@@ -72,13 +73,15 @@
         self.channels[vm] = ScriptedChannel(self, vm)
         self.limiters[vm] = self.limiter_class.from_options(
             OPTIONS,
-            vm,
-            self.clocks[vm],
-            random.Random(self.starts),
-            self.channels[vm],
-            self.table.view(vm),
-            NullDecisionLog(),
-            CountingMetrics(),
+            PartContext(
+                vm,
+                self.clocks[vm],
+                random.Random(self.starts),
+                self.channels[vm],
+                self.table.view(vm),
+                NullDecisionLog(),
+                CountingMetrics(),
+            ),
         )
         self.limiters[vm].configure(cfg)
 
--- a/tests/limits/test_limits_basic.py
+++ b/tests/limits/test_limits_basic.py
@@ -12,6 +12,7 @@
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
@@ -31,13 +32,15 @@
     def _limiter(self, vm, cfg):
         limiter = FleetLimiter.from_options(
             LimitOptions(),
-            vm,
-            self.clock,
-            random.Random(vm),
-            self.network.channel(vm),
-            self.table.view(vm),
-            NullDecisionLog(),
-            self.metrics,
+            PartContext(
+                vm,
+                self.clock,
+                random.Random(vm),
+                self.network.channel(vm),
+                self.table.view(vm),
+                NullDecisionLog(),
+                self.metrics,
+            ),
         )
         limiter.configure(cfg)
         for shard in self.table.of(vm):
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -37,6 +37,7 @@
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.retries.options import RetryOptions
 from lacewingpond.routing.routes import RouteTable
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.standin.options import TargetOptions
 from lacewingpond.standin.target import StandinTarget
 from lacewingpond.targets.client import TargetClient
@@ -83,9 +84,9 @@
         told = (self.log, metrics)
         channel = MemoryNetwork(self.clock, rng).channel("vm-1")
         shards = FakeShardTable(8, ("vm-1",), self.clock).view("vm-1")
-        common = ("vm-1", self.clock, rng, channel, shards, *told)
-        self.limiter = FleetLimiter.from_options(LimitOptions(), *common)
-        self.health = HealthReporter.from_options(HealthOptions(), *common)
+        common = PartContext("vm-1", self.clock, rng, channel, shards, *told)
+        self.limiter = FleetLimiter.from_options(LimitOptions(), common)
+        self.health = HealthReporter.from_options(HealthOptions(), common)
         for shard in range(shards.shard_count):
             self.limiter.adopt(shards.owned(shard), None)
             self.health.adopt(shards.owned(shard), None)
@@ -99,7 +100,7 @@
         self.blamed = []
         client.on_silent = lambda target_id, count: self.blamed.append(target_id)
         self.quarantine = QuarantineService.from_options(
-            QuarantineOptions(), "vm-1", self.clock, channel, shards, NoMembers(), *told
+            QuarantineOptions(), common, NoMembers()
         )
         for shard in range(shards.shard_count):
             self.quarantine.adopt(shards.owned(shard), None)
@@ -118,7 +119,7 @@
         options = ProxyOptions()
         runner = self.runner = KeyedRunner(dispatcher, self.clock, self.log)
         self.keyed = IdempotencyService.from_options(
-            IdempotencyOptions(), *common[:5], runner, *told
+            IdempotencyOptions(), common, runner
         )
         for shard in range(shards.shard_count):
             self.keyed.adopt(shards.owned(shard), None)
--- a/tests/quarantine/test_quarantine_service.py
+++ b/tests/quarantine/test_quarantine_service.py
@@ -7,6 +7,7 @@
 from lacewingpond.quarantine.options import QuarantineOptions
 from lacewingpond.quarantine.service import QuarantineService
 from lacewingpond.replay.fake_shards import FakeShardTable
+from lacewingpond.shards.part_context import PartContext
 from lacewingpond.store.base import VmRecord
 from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.null_decisions import NullDecisionLog
@@ -32,13 +33,16 @@
         for vm in VMS:
             service = QuarantineService.from_options(
                 QuarantineOptions(),
-                vm,
-                self.clock,
-                self.network.channel(vm),
-                table.view(vm),
+                PartContext(
+                    vm,
+                    self.clock,
+                    random.Random(1),
+                    self.network.channel(vm),
+                    table.view(vm),
+                    NullDecisionLog(),
+                    CountingMetrics(),
+                ),
                 Members(),
-                NullDecisionLog(),
-                CountingMetrics(),
             )
             for shard in table.of(vm):
                 service.adopt(table.owners[shard], None)
