Leave what start-up made out of garbage collection

A full collection of the older daemon takes 17.0 ms with 37,700 objects (median of 20, in process) and near 0 after gc.freeze.

--- a/lacewingpond/ui/commands/serve.py
+++ b/lacewingpond/ui/commands/serve.py
@@ -1,5 +1,6 @@
 """`lacewingpond serve`: the entry daemon."""
 
+import gc
 import random
 from pathlib import Path
 
@@ -63,6 +64,8 @@
             f"{daemon.vm_id}: callers at {daemon.caller_address}, "
             f"peers at {daemon.peer_address}, operators at {daemon.operator_address}"
         )
+        # A full collection over what start-up left takes 17 ms, in which nothing runs.
+        gc.freeze()
         wait_for_stop()
         return 1 if daemon.stop() else 0
 
