Weigh shares against slices of rates on the same traces

Conclusion: slices stay on the product's own interface, whose bound is exact; shares on the platform, whose bound has a tolerance.

--- a/lacewingpond/replay/rates.py
+++ b/lacewingpond/replay/rates.py
@@ -35,14 +35,14 @@
 
     def play(self, trace: Trace, variant: Variant) -> Measures:
         """Replay a trace."""
-        return _RatesRun(trace, variant).measures()
+        return RatesRun(trace, variant).measures()
 
     def generate(self, seed: int) -> tuple[tuple[str, Trace], ...]:
         """Return the scenario's traces."""
         return rate_traces(seed)
 
 
-class _RatesRun:
+class RatesRun:
     """One replay."""
 
     def __init__(self, trace: Trace, variant: Variant) -> None:
--- a/lacewingpond/replay/weighing.py
+++ b/lacewingpond/replay/weighing.py
@@ -1,7 +1,7 @@
 """Prints how the ways of placement, orders and limits compare.
 
 Run as ``python -m lacewingpond.replay.weighing NAME``, where NAME is
-``placement``, ``queues`` or ``concurrency``.
+``placement``, ``queues``, ``concurrency`` or ``rates``.
 """
 
 import statistics
@@ -12,10 +12,12 @@
 from msgspec import Struct
 
 from lacewingpond.placement.options import PlacementOptions
-from lacewingpond.replay.base import Measures
+from lacewingpond.replay.base import Measures, Variant
 from lacewingpond.replay.concurrency import ConcurrencyPlayer, Limit
 from lacewingpond.replay.placement import PlacementPlayer, Way
 from lacewingpond.replay.queues import Order, QueuePlayer
+from lacewingpond.replay.rate_shares import play_shares
+from lacewingpond.replay.rates import RatesPlayer
 
 SEEDS = (1, 2, 3)
 
@@ -82,10 +84,20 @@
             )
 
 
+def rate_candidates(seed: int) -> Iterator[Candidate]:
+    """Yield the two ways of fleet-wide rates, and one part in N on each VM."""
+    player = RatesPlayer()
+    for name, trace in player.generate(seed):
+        yield Candidate(name, "slices", lambda t=trace: player.play(t, Variant.CURRENT))
+        yield Candidate(name, "shares", lambda t=trace: play_shares(t))
+        yield Candidate(name, "static", lambda t=trace: player.play(t, Variant.NAIVE))
+
+
 CANDIDATES = {
     "placement": placement_candidates,
     "queues": queue_candidates,
     "concurrency": limit_candidates,
+    "rates": rate_candidates,
 }
 
 
--- /dev/null
+++ b/tests/replay/test_replay_rate_shares.py
@@ -0,0 +1,17 @@
+"""Tests of the replay of rates through the entry daemon's shares."""
+
+from lacewingpond.replay.base import Variant
+from lacewingpond.replay.rate_shares import play_shares
+from lacewingpond.replay.rates import RatesPlayer
+
+
+def test_shares_keep_the_exact_bound_and_refuse_little():
+    trace = dict(RatesPlayer().generate(1))["rates-owner-dies-imbaraga.jsonl"]
+    shares = play_shares(trace)
+    static = RatesPlayer().play(trace, Variant.NAIVE)
+    assert shares["admitted_above_any_window"] == 0.0
+    assert shares["refused_within_rate_take_over"] <= 0.01
+    for measure in ("refused_within_rate_steady", "refused_within_rate_take_over"):
+        assert shares[measure] < static[measure] / 10
+    # The holder that falls silent was one that is asked.
+    assert shares["refused_within_rate_take_over"] > 0.0
