--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -179,8 +179,7 @@
         self._reporter.start()
         self._registration.start()
         self._greenlets = [
-            gevent.spawn(keep_running, name, loop, self._clock, self._log)
-            for name, loop in (("sweep", self._sweep),)
+            gevent.spawn(keep_running, "sweep", self._sweep, self._clock, self._log)
         ]
 
     def reconfigure(self, cfg: EntrySettings) -> None:
