--- a/lacewingpond/bench/grant_link.py
+++ b/lacewingpond/bench/grant_link.py
@@ -72,14 +72,8 @@
         self._addresses[vm_id] = f"127.0.0.1:{channel.port}"
         limiter = FleetLimiter.from_options(
             LimitOptions(),
-            PartContext(
-                vm_id,
-                self._clock,
-                random.Random(1),
-                channel,
-                self._table.view(vm_id),
-                NullDecisionLog(),
-                CountingMetrics(),
+            PartContext.unlogged(
+                vm_id, self._clock, random.Random(1), channel, self._table.view(vm_id)
             ),
         )
         limiter.configure(self._cfg)
--- a/lacewingpond/bench/grants.py
+++ b/lacewingpond/bench/grants.py
@@ -18,8 +18,6 @@
 from lacewingpond.replay.static_limiter import StaticLimiter
 from lacewingpond.shards.base import Ownership
 from lacewingpond.shards.part_context import PartContext
-from lacewingpond.telemetry.counting_metrics import CountingMetrics
-from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 from lacewingpond.util.stopwatch import cpu_seconds, retained_bytes
 
@@ -116,14 +114,12 @@
     def _limiter(self, vm: str) -> FleetLimiter:
         limiter = FleetLimiter.from_options(
             LimitOptions(),
-            PartContext(
+            PartContext.unlogged(
                 vm,
                 self.clock,
                 random.Random(self.rng.random()),
                 self.channels[vm],
                 self.table.view(vm),
-                NullDecisionLog(),
-                CountingMetrics(),
             ),
         )
         limiter.configure(self.cfg)
@@ -189,14 +185,8 @@
     table = FakeShardTable(SHARD_COUNT, ("peer",), clock)
     limiter = FleetLimiter.from_options(
         LimitOptions(),
-        PartContext(
-            "vm",
-            clock,
-            random.Random(1),
-            DirectChannel(),
-            Split(table),
-            NullDecisionLog(),
-            CountingMetrics(),
+        PartContext.unlogged(
+            "vm", clock, random.Random(1), DirectChannel(), Split(table)
         ),
     )
     limiter.configure(config(names, 1e6))
--- a/lacewingpond/replay/once.py
+++ b/lacewingpond/replay/once.py
@@ -17,8 +17,6 @@
 from lacewingpond.replay.trace import Trace, TraceEvent
 from lacewingpond.replay.vm_clock import VmClock
 from lacewingpond.shards.part_context import PartContext
-from lacewingpond.telemetry.counting_metrics import CountingMetrics
-from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 STEP_S = 0.01
@@ -93,14 +91,12 @@
             return
         service = self.services[vm] = IdempotencyService.from_options(
             IdempotencyOptions(),
-            PartContext(
+            PartContext.unlogged(
                 vm,
                 clock,
                 random.Random(self.rng.random()),
                 self.network.channel(vm),
                 self.table.view(vm),
-                NullDecisionLog(),
-                CountingMetrics(),
             ),
             runner,
         )
--- a/lacewingpond/replay/rates.py
+++ b/lacewingpond/replay/rates.py
@@ -16,8 +16,6 @@
 from lacewingpond.replay.static_limiter import StaticLimiter
 from lacewingpond.replay.trace import Trace, TraceEvent
 from lacewingpond.shards.part_context import PartContext
-from lacewingpond.telemetry.counting_metrics import CountingMetrics
-from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 STEP_S = 0.0005
@@ -107,14 +105,12 @@
             return StaticLimiter(self.cfg, len(self.vms), self.clock)
         limiter = FleetLimiter.from_options(
             LimitOptions(),
-            PartContext(
+            PartContext.unlogged(
                 vm,
                 self.clock,
                 random.Random(self.rng.random()),
                 self.network.channel(vm),
                 self.table.view(vm),
-                NullDecisionLog(),
-                CountingMetrics(),
             ),
         )
         limiter.configure(self.cfg)
--- a/lacewingpond/shards/part_context.py
+++ b/lacewingpond/shards/part_context.py
@@ -6,8 +6,10 @@
 
 from lacewingpond.peers.base import PeerChannel
 from lacewingpond.shards.base import ShardView
+from lacewingpond.telemetry.counting_metrics import CountingMetrics
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.telemetry.metrics import Metrics
+from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import Clock
 
 
@@ -39,3 +41,16 @@
     shards: ShardView
     log: DecisionLog
     metrics: Metrics
+
+    @classmethod
+    def unlogged(
+        cls,
+        vm_id: str,
+        clock: Clock,
+        rng: random.Random,
+        channel: PeerChannel,
+        shards: ShardView,
+    ) -> "PartContext":
+        """Return a context without a log, whose metrics can be read: for replays."""
+        log, metrics = NullDecisionLog(), CountingMetrics()
+        return cls(vm_id, clock, rng, channel, shards, log, metrics)
--- a/tests/entry/test_entry_targets.py
+++ b/tests/entry/test_entry_targets.py
@@ -93,6 +93,14 @@
         eject(side, target_id)
 
 
+def standings(fleet, clock):
+    """Return how the VMs use t1 after what was told has arrived."""
+    clock.advance(URGENT_S * 3)
+    gevent.sleep(0)
+    now = clock.now()
+    return {side.state("t1").suspicion.standing(now) for side in fleet}
+
+
 def test_work_is_spread_over_all_targets(fleet):
     picks = fleet[0].picks()
     assert len(picks) == 10
@@ -193,11 +201,7 @@
 
 def test_failure_seen_by_one_vm_ejects_on_all(fleet, clock):
     fleet[0].reporter.note_bad(fleet[0].state("t1"), "broken", BROKEN_BLAME)
-    clock.advance(URGENT_S * 3)
-    gevent.sleep(0)
-    now = clock.now()
-    standings = {side.state("t1").suspicion.standing(now) for side in fleet}
-    assert standings == {Standing.EJECTED}
+    assert standings(fleet, clock) == {Standing.EJECTED}
     assert ("t1", "here: broken") in decisions(fleet[0].vm.log, "eject")
 
 
@@ -223,11 +227,7 @@
     eject_everywhere(fleet, "t1")
     for _ in range(TRIALS_TO_RETURN):
         fleet[0].reporter.note_good(fleet[0].state("t1"), on_trial=True)
-    clock.advance(URGENT_S * 3)
-    gevent.sleep(0)
-    now = clock.now()
-    standings = {side.state("t1").suspicion.standing(now) for side in fleet}
-    assert standings == {Standing.PROBATION}
+    assert standings(fleet, clock) == {Standing.PROBATION}
 
 
 def test_sound_target_stays_in_use_in_a_large_fleet(fleet, clock):
--- a/tests/idempotency/test_idempotency_service.py
+++ b/tests/idempotency/test_idempotency_service.py
@@ -16,8 +16,6 @@
 from lacewingpond.peers.memory import MemoryNetwork, MemoryOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.shards.part_context import PartContext
-from lacewingpond.telemetry.counting_metrics import CountingMetrics
-from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 from lacewingpond.util.rendezvous import shard_of
 
@@ -62,14 +60,12 @@
     def start(self, vm):
         self.services[vm] = IdempotencyService.from_options(
             self.options,
-            PartContext(
+            PartContext.unlogged(
                 vm,
                 self.clock,
                 random.Random(vm),
                 self.network.channel(vm),
                 self.table.view(vm),
-                NullDecisionLog(),
-                CountingMetrics(),
             ),
             self.target,
         )
--- a/tests/limits/scripted_fleet.py
+++ b/tests/limits/scripted_fleet.py
@@ -9,8 +9,6 @@
 from lacewingpond.limits.options import LimitOptions
 from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.shards.part_context import PartContext
-from lacewingpond.telemetry.counting_metrics import CountingMetrics
-from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 OPTIONS = LimitOptions(max_clock_drift=0.05, config_spread_s=3.0)
@@ -73,14 +71,12 @@
         self.channels[vm] = ScriptedChannel(self, vm)
         self.limiters[vm] = self.limiter_class.from_options(
             OPTIONS,
-            PartContext(
+            PartContext.unlogged(
                 vm,
                 self.clocks[vm],
                 random.Random(self.starts),
                 self.channels[vm],
                 self.table.view(vm),
-                NullDecisionLog(),
-                CountingMetrics(),
             ),
         )
         self.limiters[vm].configure(cfg)
--- a/tests/quarantine/test_quarantine_service.py
+++ b/tests/quarantine/test_quarantine_service.py
@@ -9,8 +9,6 @@
 from lacewingpond.replay.fake_shards import FakeShardTable
 from lacewingpond.shards.part_context import PartContext
 from lacewingpond.store.base import VmRecord
-from lacewingpond.telemetry.counting_metrics import CountingMetrics
-from lacewingpond.telemetry.null_decisions import NullDecisionLog
 from lacewingpond.util.clock import PausedClock
 
 VMS = ("vm0", "vm1", "vm2", "vm3")
@@ -33,14 +31,12 @@
         for vm in VMS:
             service = QuarantineService.from_options(
                 QuarantineOptions(),
-                PartContext(
+                PartContext.unlogged(
                     vm,
                     self.clock,
                     random.Random(1),
                     self.network.channel(vm),
                     table.view(vm),
-                    NullDecisionLog(),
-                    CountingMetrics(),
                 ),
                 Members(),
             )
