--- a/lacewingpond/entry/__main__.py
+++ b/lacewingpond/entry/__main__.py
@@ -17,14 +17,13 @@
 
 from result import Err  # noqa: E402
 
-from lacewingpond.entry.daemon import EntryDaemon, http_options  # noqa: E402
+from lacewingpond.entry.daemon import EntryDaemon  # noqa: E402
+from lacewingpond.entry.metrics import with_metrics  # noqa: E402
 from lacewingpond.entry.settings import EntrySettings, load_entry_settings  # noqa: E402
 from lacewingpond.entry.settings_file import SettingsFile  # noqa: E402
-from lacewingpond.http.server import CallerServer  # noqa: E402
 from lacewingpond.platform.formats import FORMATS  # noqa: E402
 from lacewingpond.platform.names import HEADERS, READY_PATH  # noqa: E402
 from lacewingpond.platform.store import PlatformStore  # noqa: E402
-from lacewingpond.telemetry.decisions import DecisionLog  # noqa: E402
 from lacewingpond.telemetry.json_decisions import JsonDecisionLog  # noqa: E402
 from lacewingpond.ui.signals import on_reload, wait_for_stop  # noqa: E402
 from lacewingpond.util.address import parse_address  # noqa: E402
@@ -56,11 +55,9 @@
     clock, rng = RuntimeClock(), random.Random()
     left_out = frozenset() if cfg.log.level == "decisions" else OF_EACH_REQUEST
     lines = JsonDecisionLog(sys.stdout.fileno(), cfg.vm.id, clock, left_out)
-    log: DecisionLog = lines
     store = PlatformStore(*parse_address(cfg.store.address))
     try:
-        if cfg.metrics.address:
-            log = _start_metrics(cfg, lines, clock)
+        log = with_metrics(cfg, lines, clock)
         daemon = EntryDaemon(cfg, HEADERS, FORMATS, READY_PATH, store, clock, rng, log)
         daemon.start()
     except OSError as exc:
@@ -76,17 +73,5 @@
     return 0
 
 
-def _start_metrics(
-    cfg: EntrySettings, log: DecisionLog, clock: RuntimeClock
-) -> DecisionLog:
-    # Its library takes a megabyte, which most fleets would pay for nothing.
-    from lacewingpond.telemetry.decision_metrics import DecisionMetrics
-
-    metrics = DecisionMetrics(log, cfg.metrics.path)
-    options = http_options(cfg.metrics.address, cfg.vm.descriptors)
-    CallerServer.from_options(options, metrics.handle, log, clock).start()
-    return metrics
-
-
 if __name__ == "__main__":
     raise SystemExit(main())
--- /dev/null
+++ b/tests/entry/test_entry_metrics.py
@@ -0,0 +1,36 @@
+"""Tests of starting the page of figures."""
+
+import sys
+
+from msgspec import structs
+from path_helper import CLOCK
+from test_entry_daemon import SETTINGS
+
+from lacewingpond.entry.metrics import with_metrics
+from lacewingpond.entry.settings import MetricsSettings, check_entry_settings
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
+
+
+def settings(address):
+    cfg = check_entry_settings(SETTINGS, "settings").unwrap()
+    return structs.replace(cfg, metrics=MetricsSettings(address))
+
+
+def test_no_address_leaves_the_log_as_it_is():
+    log = RecordingDecisionLog()
+    assert with_metrics(settings(""), log, CLOCK) is log
+
+
+def test_decisions_reach_the_log_through_the_figures():
+    log = RecordingDecisionLog()
+    counted = with_metrics(settings("127.0.0.1:0"), log, CLOCK)
+    counted.decision("start", "vm-1", "serving")
+    assert [line[0] for line in log.lines] == ["start"]
+    assert 'what="start"' in counted.text()
+
+
+def test_missing_library_is_told_and_does_not_end_the_daemon(monkeypatch):
+    monkeypatch.setitem(sys.modules, "lacewingpond.telemetry.decision_metrics", None)
+    log = RecordingDecisionLog()
+    assert with_metrics(settings("127.0.0.1:0"), log, CLOCK) is log
+    assert log.lines[0][:2] == ("metrics", "127.0.0.1:0")
