--- a/lacewingpond/proxy/pipeline.py
+++ b/lacewingpond/proxy/pipeline.py
@@ -1,5 +1,8 @@
 """Decides what becomes of each request, from its route to its answer."""
 
+from collections.abc import Callable
+from functools import partial
+
 from result import Err, Ok, Result
 
 from lacewingpond.config.kinds import ALL_KINDS, Kind
@@ -128,46 +131,60 @@
         return outcome.ok_value
 
     def _serve(self, req: Request, match: RouteMatch) -> Result[Response, Refused]:
-        identified = self._identify(req, match)
+        presented = presented_key(req.headers)
+        identified = self._identify(presented, match)
         if identified.is_err():
             return identified
         workspace = identified.ok_value
         deadline = self._deadline(req, match)
         if deadline.is_err():
             return deadline
-        refused = self._check_form(req, match) or self._check_rate(match, workspace)
+        refused = self._check_form(req, match, presented)
+        refused = refused or self._check_rate(match, workspace)
         if refused is not None:
             return Err(refused)
         self._log.decision(
             "route", match.route.name, "longest prefix", workspace=workspace
         )
         try:
-            return self._forward(req, match, workspace, deadline.ok_value)
+            recheck = partial(self._recheck, req, match, workspace, presented)
+            return self._forward(req, match, workspace, deadline.ok_value, recheck)
         except RequestBodyError as exc:
             return Err(Refused.not_run(400, "bad-body", str(exc)))
 
     def _forward(
-        self, req: Request, match: RouteMatch, workspace: str, deadline: float
+        self,
+        req: Request,
+        match: RouteMatch,
+        workspace: str,
+        deadline: float,
+        recheck: Callable[[], Refused | None],
     ) -> Result[Response, Refused]:
         key = req.headers.get(IDEMPOTENCY_KEY_HEADER)
         if key is not None and not match.route.is_idempotent(req.method):
-            return self._submit(req, match, workspace, key, deadline)
+            return self._submit(req, match, workspace, key, deadline, recheck)
         job = Job.from_request(
             req, match, workspace, deadline, self._options.replay_bytes
         )
-        refused = self._recheck(req, match, workspace)
+        refused = recheck()
         if refused is not None:
             return Err(refused)
         return self._dispatcher.dispatch(job).map(_to_response)
 
     def _submit(
-        self, req: Request, match: RouteMatch, workspace: str, key: str, deadline: float
+        self,
+        req: Request,
+        match: RouteMatch,
+        workspace: str,
+        key: str,
+        deadline: float,
+        recheck: Callable[[], Refused | None],
     ) -> Result[Response, Refused]:
         body = _read_at_most(req, self._options.keyed_body_bytes)
         if body is None:
             detail = "The body is too long for a request with a key."
             return Err(Refused.not_run(413, "body-too-large", detail))
-        refused = self._recheck(req, match, workspace)
+        refused = recheck()
         if refused is not None:
             return Err(refused)
         request = KeyedRequest(
@@ -184,13 +201,14 @@
         answer = to_response(self._keyed.submit(request))
         return Err(answer) if isinstance(answer, Refused) else Ok(answer)
 
-    def _identify(self, req: Request, match: RouteMatch) -> Result[str, Refused]:
+    def _identify(
+        self, presented: str | None, match: RouteMatch
+    ) -> Result[str, Refused]:
         if match.route.open:
             return Ok("")
         if self._availability.is_isolated:
             detail = "This VM can't check keys now."
             return Err(Refused.not_run(503, "isolated", detail, self._retry_s))
-        presented = presented_key(req.headers)
         if presented is None:
             return Err(Refused.not_run(401, "no-key", "The route needs one key."))
         key = self._keys.find(presented)
@@ -202,14 +220,14 @@
         return Ok(key.workspace)
 
     def _recheck(
-        self, req: Request, match: RouteMatch, workspace: str
+        self, req: Request, match: RouteMatch, workspace: str, presented: str | None
     ) -> Refused | None:
         """Check the key again after a body, which may have come slowly."""
         if req.body.bytes_read == 0:
             return None
         current = self._routes.match(req.host, req.path, req.method).ok()
         same_route = current is not None and current.route.name == match.route.name
-        identified = self._identify(req, current if same_route else match)
+        identified = self._identify(presented, current if same_route else match)
         if identified.is_err():
             return identified.err_value
         if same_route and identified.ok_value == workspace:
@@ -227,10 +245,11 @@
         left_s = min(int(text) / 1000.0, self._options.max_deadline_s)
         return Ok(req.received_at + left_s)
 
-    def _check_form(self, req: Request, match: RouteMatch) -> Refused | None:
+    def _check_form(
+        self, req: Request, match: RouteMatch, presented: str | None
+    ) -> Refused | None:
         route = match.route
-        key = presented_key(req.headers)
-        if key and shows_key(key, req.path, req.headers):
+        if presented and shows_key(presented, req.path, req.headers):
             detail = "The key stands in the path or in a field that a target sees."
             return Refused.not_run(400, "key-exposed", detail)
         if route.is_idempotent(req.method):
