--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -97,7 +97,7 @@
         "_client",
     )
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
-    __slots__ += ("_freshness", "_limiter")
+    __slots__ += ("_freshness", "_limiter", "_pipeline")
 
     def __init__(
         self,
@@ -165,7 +165,7 @@
             clock,
             log,
         )
-        pipeline = EntryPipeline(
+        pipeline = self._pipeline = EntryPipeline(
             names, self.view, freshness, limiter, context, clock, rng, log
         )
         self.server = CallerServer.from_options(
@@ -235,6 +235,7 @@
         self._limiter.leave()
         self._greenlets.append(gevent.spawn(self._registration.leave))
         cut = self.server.drain(max(deadline - self._clock.now(), 0.0))
+        self._pipeline.log_running("end of the stop grace")
         self.close()
         self._log.decision("stop", self._cfg.vm.id, "ended", cut=cut)
         return cut
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -169,13 +169,14 @@
         context, request = self._context, self._request
         target_id = state.spec.target_id
         self._tried.add(target_id)
+        request.target_id = target_id
         started = context.clock.now()
         state.in_flight += 1
         try:
             outcome = self._exchange(state, started)
         finally:
             state.in_flight -= 1
-        took_ms = round((context.clock.now() - started) * 1000.0)
+        ended = context.clock.now()
         if outcome.is_ok():
             why = str(outcome.ok_value.status)
         else:
@@ -185,7 +186,8 @@
             request.request_id,
             why,
             target=target_id,
-            ms=took_ms,
+            ms=round((ended - started) * 1000.0),
+            left_ms=round((request.deadline - ended) * 1000.0),
             conn="kept" if self._reused else "new",
         )
         return outcome
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -61,10 +61,15 @@
         Draws the services of traffic splits.
     log : DecisionLog
         Decision log.
+
+    Attributes
+    ----------
+    running : set of EntryRequest
+        Requests that are being delivered.
     """
 
-    __slots__ = ("_names", "_view", "_freshness", "_limiter", "_context", "_clock")
-    __slots__ += ("_rng", "_log", "_stripped_headers")
+    __slots__ = ("running", "_names", "_view", "_freshness", "_limiter", "_context")
+    __slots__ += ("_clock", "_rng", "_log", "_stripped_headers")
 
     def __init__(
         self,
@@ -77,6 +82,7 @@
         rng: random.Random,
         log: DecisionLog,
     ) -> None:
+        self.running: set[EntryRequest] = set()
         self._names = names
         self._view = view
         self._freshness = freshness
@@ -169,7 +175,24 @@
                 )
             )
         self._log_route(routed, cfg)
-        return EntryDelivery(self._context, routed).run()
+        self.running.add(routed)
+        try:
+            return EntryDelivery(self._context, routed).run()
+        finally:
+            self.running.discard(routed)
+
+    def log_running(self, why: str) -> None:
+        """Log each request that is being delivered, as ``cut``, with `why`."""
+        now = self._clock.now()
+        for routed in tuple(self.running):
+            self._log.decision(
+                "cut",
+                routed.request_id,
+                why,
+                target=routed.target_id,
+                ms=round((now - routed.received_at) * 1000.0),
+                left_ms=round((routed.deadline - now) * 1000.0),
+            )
 
     def _authenticate(
         self, key: str | None, cfg: EntryConfig, route: EntryRoute
@@ -259,6 +282,7 @@
             fingerprint=_fingerprint(req, route, workspace, body),
             is_disconnected=req.is_disconnected,
             may_send=may_send,
+            received_at=req.received_at,
         )
 
     def _may_send(
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -38,11 +38,15 @@
         Returns whether the caller has disconnected.
     may_send : callable
         Called just before the first byte is sent; returns whether it may be.
+    received_at : float
+        Time at which its headers had arrived, in monotonic seconds.
+    target_id : str
+        Target of the current or last attempt; empty before the first.
     """
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
     __slots__ += ("headers", "body", "deadline", "is_disconnected", "may_send")
-    __slots__ += ("fingerprint",)
+    __slots__ += ("fingerprint", "received_at", "target_id")
 
     def __init__(
         self,
@@ -58,6 +62,7 @@
         fingerprint: str,
         is_disconnected: Callable[[], bool],
         may_send: Callable[[], bool],
+        received_at: float,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -71,6 +76,8 @@
         self.fingerprint = fingerprint
         self.is_disconnected = is_disconnected
         self.may_send = may_send
+        self.received_at = received_at
+        self.target_id = ""
 
     def for_target(self, expected_header: str, target_id: str) -> TargetRequest:
         """Return the request to send to one target.
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -55,7 +55,7 @@
         Whether no request is being served; also true while headers arrive.
     """
 
-    __slots__ = ("socket", "address", "server", "is_idle", "_reader")
+    __slots__ = ("socket", "address", "server", "is_idle", "_reader", "_read_closed")
 
     def __init__(
         self, sock: socket.socket, address: str, server: ConnectionServer
@@ -64,6 +64,7 @@
         self.address = address
         self.server = server
         self.is_idle = True
+        self._read_closed = False
         self._reader = SocketReader(sock, server.options, server.clock)
 
     def handle(self) -> None:
@@ -92,6 +93,7 @@
         no_data = socket_state(self.socket) is not SocketState.READABLE
         if self.is_idle and not self._reader.buffered and no_data:
             self.socket.shutdown(socket.SHUT_RD)
+            self._read_closed = True
 
     def refuse(self, response: Response) -> None:
         """Send `response` without reading a request, then close the connection."""
@@ -110,6 +112,10 @@
         head = raw.and_then(lambda data: parse_head(data, self.server.options))
         if head.is_err():
             return self._refuse_head(head.err())
+        if self._read_closed:
+            self.server.log.decision(
+                "late-request", self.address, "arrived as its connection was closed"
+            )
         req = self._build_request(head.ok())
         response = self._call_handler(req)
         return self._send_response(head.ok(), req, response)
--- a/tests/entry/test_entry_daemon.py
+++ b/tests/entry/test_entry_daemon.py
@@ -110,6 +110,25 @@
         assert stopping.get() == 0
 
 
+# A planned stop must name the requests that it aborts, with their targets.
+def test_request_aborted_at_the_end_of_the_grace_is_logged(daemon, store):
+    blocking = BlockingTarget()
+    with caller_server(blocking.handle) as target:
+        configure(daemon, store, target)
+        busy = connect(daemon.server.port)
+        busy.sendall(REQUEST)
+        blocking.started.wait()
+        assert daemon.stop() == 1
+        cuts = [line for line in daemon._log.lines if line[0] == "cut"]
+        blocking.release.set()
+        busy.close()
+    assert [(which, why) for _, which, why, _ in cuts] == [
+        ("id-1", "end of the stop grace")
+    ]
+    assert cuts[0][3]["target"] == "t0"
+    assert cuts[0][3]["left_ms"] > 0
+
+
 def test_request_during_the_balancer_notice_is_served_and_closes_its_connection(
     daemon, store
 ):
--- a/tests/entry/test_entry_requests.py
+++ b/tests/entry/test_entry_requests.py
@@ -398,3 +398,11 @@
         assert stack.call()[0] == 200
     attempts = [line[3] for line in stack.vm.log.lines if line[0] == "attempt"]
     assert [fields["conn"] for fields in attempts] == ["new", "kept"]
+
+
+# Without the time left, the log does not show that an attempt was given up early.
+def test_attempt_is_logged_with_the_time_that_its_request_has_left(serve):
+    stack, _ = serve(signed, cfg=config(routes=(route(timeout_s=5.0),)))
+    assert stack.call()[0] == 200
+    (attempt,) = [line[3] for line in stack.vm.log.lines if line[0] == "attempt"]
+    assert 4000 < attempt["left_ms"] <= 5000
