Close idle connections in a drain instead of shutting down their reading side

Callers saw 502 unanswered-caller-gone (or 400 bad-body) during a planned stop, though they had not left and the target was at work: LOST after a SIGTERM.

Cause: the drain shut down the reading side of all idle connections, and gevent ended their reads later, in blocks of 50 with a poll in between once 5 ms had passed. A request that arrived in that time was read and passed on (Linux delivers bytes after SHUT_RD). The check for a caller that has left found the end of the stream that the daemon itself had made. It needs more than 50 idle connections, or a slow processor.

Whether it is the users' LOST is not shown.

The socket is closed now, so that its greenlet can read nothing more, whenever it runs. A request that crosses the close is reset unread, and may be repeated.

--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -55,7 +55,7 @@
         Whether no request is being served; also true while headers arrive.
     """
 
-    __slots__ = ("socket", "address", "server", "is_idle", "_reader", "_read_closed")
+    __slots__ = ("socket", "address", "server", "is_idle", "_reader")
 
     def __init__(
         self, sock: socket.socket, address: str, server: ConnectionServer
@@ -64,7 +64,6 @@
         self.address = address
         self.server = server
         self.is_idle = True
-        self._read_closed = False
         self._reader = SocketReader(sock, server.options, server.clock)
 
     def handle(self) -> None:
@@ -81,19 +80,14 @@
             self.socket.close()
 
     def close_if_idle(self) -> None:
-        """Stop reading from the connection unless a request is served or has arrived.
+        """Close the connection unless a request is served or has arrived.
 
-        The greenlet that waits for a request then closes the connection.
-
-        Raises
-        ------
-        OSError
-            When the socket can't be shut down.
+        Only shutting down its reading side would not do: the greenlet that waits for
+        a request could still read one, and would take its caller for disconnected.
         """
         no_data = socket_state(self.socket) is not SocketState.READABLE
         if self.is_idle and not self._reader.buffered and no_data:
-            self.socket.shutdown(socket.SHUT_RD)
-            self._read_closed = True
+            self.socket.close()
 
     def refuse(self, response: Response) -> None:
         """Send `response` without reading a request, then close the connection."""
@@ -112,10 +106,6 @@
         head = raw.and_then(lambda data: parse_head(data, self.server.options))
         if head.is_err():
             return self._refuse_head(head.err())
-        if self._read_closed:
-            self.server.log.decision(
-                "late-request", self.address, "arrived as its connection was closed"
-            )
         req = self._build_request(head.ok())
         response = self._call_handler(req)
         return self._send_response(head.ok(), req, response)
--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -182,10 +182,7 @@
 
     def _close_idle(self) -> None:
         for conn in tuple(self._connections):
-            try:
-                conn.close_if_idle()
-            except OSError as exc:
-                self.log.decision("caller-connection", conn.address, str(exc))
+            conn.close_if_idle()
 
 
 class _Listener(StreamServer):
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -1,11 +1,12 @@
 """The request pipeline of one VM behind a real server, with targets on loopback."""
 
 import random
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
+import gevent
 import msgspec
-from entry_helper import FORMATS, KEY, Network, Vm
-from path_helper import CLOCK, exchange
+from entry_helper import FORMATS, KEY, Network, Vm, config, entry_target, route
+from path_helper import CLOCK, caller_server, exchange
 
 from lacewingpond.entry.header_names import HeaderNames
 from lacewingpond.entry.quota.limiter import QuotaLimiter
@@ -146,3 +147,36 @@
     finally:
         stack.server.stop()
         stack.client.close()
+
+
+@contextmanager
+def idempotent_stack(timeout_s, *responders, **options):
+    """Run a stack whose route is idempotent, with one target per responder."""
+    cfg = config(routes=(route(idempotent=True, timeout_s=timeout_s),))
+    with ExitStack() as exits:
+        stack = exits.enter_context(running(Stack(cfg, **options)))
+        for number, respond in enumerate(responders):
+            server = exits.enter_context(caller_server(respond))
+            address = f"127.0.0.1:{server.port}"
+            stack.add_target(entry_target(f"t{number}", address))
+        yield stack
+
+
+def raw_request(request_id, body=b""):
+    head = (
+        f"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: {request_id}\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode()
+
+
+def quick_then_slow(seconds):
+    """Return a responder that works for `seconds` on all requests but `id-0`."""
+
+    def respond(req):
+        b"".join(req.body)
+        if req.headers.get("X-Id") != "id-0":
+            gevent.sleep(seconds)
+        return signed(req)
+
+    return respond
--- a/tests/http/test_caller_server.py
+++ b/tests/http/test_caller_server.py
@@ -1,5 +1,8 @@
 """Tests of the HTTP server for callers: connections, framing and draining."""
 
+import sys
+from contextlib import ExitStack
+
 import gevent
 import pytest
 from gevent.event import Event
@@ -177,6 +180,35 @@
         assert [read_all(sock)[-2:] for sock in queued] == [b"/a"] * 20
 
 
+# A drain closes idle connections without a switch of greenlets. gevent ends their reads
+# in blocks of 50 and polls in between once `sys.getswitchinterval` has passed. What was
+# read there after its connection was closed for reading looked abandoned.
+def test_request_that_crosses_the_close_of_its_idle_connection_is_not_read():
+    handled = []
+
+    def handler(req):
+        if req.path == "/z":
+            handled.append(req.is_disconnected())
+        return path_echo(req)
+
+    with ExitStack() as exits:
+        server = exits.enter_context(caller_server(handler, drain_idle_s=0.0))
+        socks = [exits.enter_context(connect(server.port)) for _ in range(120)]
+        for sock in socks:
+            sock.sendall(GET)
+            assert status_of(sock.recv(65536)) == 200
+        gevent.sleep(0.05)
+        exits.callback(sys.setswitchinterval, sys.getswitchinterval())
+        sys.setswitchinterval(1e-6)  # stands for a slow processor
+        server.draining = True
+        server._close_idle()
+        for sock in socks:
+            sock.sendall(GET_AND_CLOSE)
+        while server.connection_count:
+            gevent.sleep(0.01)
+    assert handled == []
+
+
 def test_handler_sees_that_the_caller_disconnected():
     disconnected = Event()
 
