Let an overdue attempt go on while another target is tried

A response over 256 KiB was cut at half time.

Cause: an attempt was given up before anything replaced it.

A target has all the time of the request now. When the response is overdue by the same signs as before, another target is tried beside it, if the retry budget and max_attempts allow it, and the first response serves the caller. The other attempt is cancelled. The lateness counts against the target at that moment, as before. The standalone daemon, which sets no `on_overdue`, behaves as before.

--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -3,6 +3,7 @@
 `lacewingpond.proxy.delivery` has that of the standalone daemon.
 """
 
+import math
 from collections.abc import Iterator
 from enum import Enum
 
@@ -10,6 +11,7 @@
 from result import Err, Ok, Result
 
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.requests.hedge import Hedge
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
@@ -56,6 +58,7 @@
         SendReason.CALLER_HEADERS,
         SendReason.MAY_NOT_SEND,
         SendReason.CONNECTION_LIMIT,
+        SendReason.SUPERSEDED,
     }
 )
 """Reasons that are no evidence against the target."""
@@ -123,6 +126,9 @@
     A non-idempotent request is sent to another target only if it is proved that no
     earlier target ran it: no byte was sent, or the target responded that it did not.
 
+    A target has all the time of the request. If its response is overdue, an idempotent
+    request is sent to another target as well, and the first response is returned.
+
     Parameters
     ----------
     context : DeliveryContext
@@ -132,7 +138,7 @@
     """
 
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
-    __slots__ += ("_last_failure", "_reused")
+    __slots__ += ("_last_failure", "_waiting_count")
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
         self._context = context
@@ -141,20 +147,26 @@
         self._sent_count = 0
         self._may_have_run = False
         self._last_failure: AttemptFailure | None = None
-        self._reused = False
+        self._waiting_count = 0
 
     def run(self) -> Result[Response, EntryRefusal]:
         """Return the response of a target, or the refusal if there is none."""
         if self._context.quarantine.is_quarantined(self._request.fingerprint):
             return Err(_quarantine_refusal())
         self._context.retries.earn(self._request.service)
+        return self._try_targets(may_hedge=self._request.route.idempotent)
+
+    def _try_targets(self, may_hedge: bool) -> Result[Response, EntryRefusal]:
         while True:
             state = self._context.placer.pick(
                 self._request.service, self._tried, self._is_retryable()
             )
             if state is None:
                 return Err(self._final_refusal())
-            outcome = self._attempt(state)
+            hedge = self._hedge(state) if may_hedge else None
+            outcome = self._attempt(state, hedge)
+            if hedge is not None:
+                outcome = self._settle(outcome, hedge)
             if outcome.is_ok():
                 return outcome
             failure = outcome.err_value
@@ -165,56 +177,92 @@
             if self._context.quarantine.is_quarantined(self._request.fingerprint):
                 return Err(self._final_refusal())
 
-    def _attempt(self, state: TargetState) -> Result[Response, AttemptFailure]:
+    def _hedge(self, state: TargetState) -> Hedge:
+        """Return the hedge of an attempt at `state`; it starts when that is overdue."""
+        started = self._context.clock.now()
+
+        def may_start() -> bool:
+            if not self._request.body.can_send or not self._has_time():
+                return False
+            if self._context.quarantine.is_quarantined(self._request.fingerprint):
+                return False
+            if not self._spend_retry():
+                return False
+            self._may_have_run = True
+            self._record_failure(state, "overdue", True, started)
+            return True
+
+        return Hedge(may_start, lambda: self._try_targets(may_hedge=False))
+
+    def _settle(
+        self, outcome: Result[Response, AttemptFailure], hedge: Hedge
+    ) -> Result[Response, AttemptFailure]:
+        """Return the first response of an attempt and its hedge, or its failure."""
+        if outcome.is_ok() or outcome.err_value.final:
+            hedge.cancel()
+            return outcome
+        hedged = hedge.wait()
+        return hedged if hedged is not None and hedged.is_ok() else outcome
+
+    def _attempt(
+        self, state: TargetState, hedge: Hedge | None
+    ) -> Result[Response, AttemptFailure]:
         context, request = self._context, self._request
         target_id = state.spec.target_id
         self._tried.add(target_id)
         request.target_id = target_id
         started = context.clock.now()
         state.in_flight += 1
+        self._waiting_count += 1
+        why, reused = "cancelled", False
         try:
-            outcome = self._exchange(state, started)
+            outcome, reused = self._exchange(state, started, hedge)
+            if outcome.is_ok():
+                why = str(outcome.ok_value.status)
+            else:
+                why = outcome.err_value.refusal.reason
         finally:
             state.in_flight -= 1
-        ended = context.clock.now()
-        if outcome.is_ok():
-            why = str(outcome.ok_value.status)
-        else:
-            why = outcome.err_value.refusal.reason
-        context.log.decision(
-            "attempt",
-            request.request_id,
-            why,
-            target=target_id,
-            ms=round((ended - started) * 1000.0),
-            left_ms=round((request.deadline - ended) * 1000.0),
-            conn="kept" if self._reused else "new",
-        )
+            self._waiting_count -= 1
+            ended = context.clock.now()
+            context.log.decision(
+                "attempt",
+                request.request_id,
+                why,
+                target=target_id,
+                ms=round((ended - started) * 1000.0),
+                left_ms=round((request.deadline - ended) * 1000.0),
+                conn="kept" if reused else "new",
+            )
         return outcome
 
     def _exchange(
-        self, state: TargetState, started: float
-    ) -> Result[Response, AttemptFailure]:
+        self, state: TargetState, started: float, hedge: Hedge | None
+    ) -> tuple[Result[Response, AttemptFailure], bool]:
+        """Return the outcome, and whether the connection was reused."""
         target_request = self._request.for_target(
             self._context.names.expected_target, state.spec.target_id
         )
+        if hedge is not None:
+            target_request.on_overdue = hedge.poll
+            target_request.overdue_at = self._overdue_at(state)
         health_status = state.health.status(started)
         on_trial = health_status is HealthStatus.EJECTED
-        deadline = self._attempt_deadline(state)
+        deadline = self._request.deadline
         sent = self._context.client.send(state.target, target_request, deadline)
         if sent.is_err():
-            self._reused = sent.err_value.reused
-            return Err(self._send_failure(state, sent.err_value, started))
+            error = sent.err_value
+            hedged = hedge is not None and hedge.started
+            return Err(self._send_failure(state, error, started, hedged)), error.reused
         self._sent_count += 1
         state.reset_connect_backoff()
         response = sent.ok_value
-        self._reused = response.reused
         streaming = False
         try:
             response.set_deadline(deadline)
             outcome = self._handle_response(state, response, started, on_trial)
             streaming = outcome.is_ok() and response.end is None
-            return outcome
+            return outcome, response.reused
         except TruncatedResponseError as exc:
             if exc.reason is SendReason.BROKEN:
                 self._context.quarantine.record_crash(self._request.fingerprint)
@@ -223,9 +271,10 @@
                 self._record_failure(state, why, exc.reason in TIMEOUT_REASONS, started)
             status = 504 if exc.reason is SendReason.DEADLINE else 502
             detail = "The target's response ended early."
-            return Err(
-                _unknown_failure(EntryRefusal.unknown(status, "answer-cut", detail))
+            failure = _unknown_failure(
+                EntryRefusal.unknown(status, "answer-cut", detail)
             )
+            return Err(failure), response.reused
         finally:
             if not streaming:
                 response.close()
@@ -312,8 +361,12 @@
         return AttemptFailure(FailureKind.NOT_RUN, refusal)
 
     def _send_failure(
-        self, state: TargetState, error: SendError, started: float
+        self, state: TargetState, error: SendError, started: float, hedged: bool
     ) -> AttemptFailure:
+        """Return the failure of an attempt without a response, and report it.
+
+        That a hedged attempt was late is reported when the hedge starts.
+        """
         reason = error.reason
         final = reason in FINAL_REASONS
         if error.failure is SendFailure.NOT_SENT:
@@ -324,10 +377,9 @@
         self._sent_count += 1
         if reason is SendReason.BROKEN:
             self._context.quarantine.record_crash(self._request.fingerprint)
-        if reason not in NO_EVIDENCE_REASONS:
-            self._record_failure(
-                state, reason.value, reason in TIMEOUT_REASONS, started
-            )
+        timed_out = reason in TIMEOUT_REASONS
+        if reason not in NO_EVIDENCE_REASONS and not (timed_out and hedged):
+            self._record_failure(state, reason.value, timed_out, started)
         return AttemptFailure(FailureKind.UNKNOWN, _no_response_refusal(reason), final)
 
     def _record_failure(
@@ -380,19 +432,20 @@
         request = self._request
         if not request.route.idempotent or not request.body.can_send:
             return False
-        if self._sent_count + 1 >= request.route.max_attempts or not self._has_time():
+        attempts = self._sent_count + self._waiting_count + 1
+        if attempts >= request.route.max_attempts or not self._has_time():
             return False
         return self._context.retries.can_spend(request.service)
 
-    def _attempt_deadline(self, state: TargetState) -> float:
-        """Return the deadline of the next attempt.
+    def _overdue_at(self, state: TargetState) -> float:
+        """Return the time from which the response of `state` is overdue.
 
-        A target that may be unhealthy gets half of the remaining time, which leaves
-        time for a retry. A healthy target gets all of it, because a request that is
-        slow there would be slow on other targets too.
+        At a target that may be unhealthy it is half of the remaining time, which
+        leaves time for another target. At a healthy one it is never, because a request
+        that is slow there would be slow on other targets too.
         """
-        if state.health.failure_score < LATE_EVIDENCE or not self._is_retryable():
-            return self._request.deadline
+        if state.health.failure_score < LATE_EVIDENCE:
+            return math.inf
         now = self._context.clock.now()
         return now + (self._request.deadline - now) / 2
 
@@ -400,7 +453,8 @@
         return self._context.clock.now() + MIN_ATTEMPT_S < self._request.deadline
 
     def _spend_retry(self) -> bool:
-        if self._sent_count >= self._request.route.max_attempts:
+        attempts = self._sent_count + self._waiting_count
+        if attempts >= self._request.route.max_attempts:
             return False
         return self._context.retries.spend(self._request.service)
 
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -1,5 +1,6 @@
 """A pooled connection and the HTTP exchange that it carries."""
 
+import math
 from collections.abc import Callable
 
 from gevent.socket import wait_read
@@ -14,6 +15,8 @@
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.sockets import SocketState, socket_state
 
+OVERDUE_CHECK_S = 0.05  # delay of a response that supersedes an overdue one
+
 
 class TargetConnection:
     """A connection to a target; it carries one exchange at a time.
@@ -55,6 +58,8 @@
         "_deadline",
         "_is_disconnected",
         "_may_abort",
+        "_on_overdue",
+        "_overdue_at",
     )
 
     def __init__(
@@ -78,6 +83,8 @@
         self._deadline = 0.0
         self._is_disconnected: Callable[[], bool] | None = None
         self._may_abort = False
+        self._on_overdue: Callable[[], bool] | None = None
+        self._overdue_at = math.inf
 
     @property
     def reused(self) -> bool:
@@ -116,6 +123,8 @@
         self._http.bytes_sent = 0
         self._deadline = deadline
         self._may_abort = req.idempotent
+        self._on_overdue = req.on_overdue
+        self._overdue_at = req.overdue_at
         self._is_disconnected = req.is_disconnected if req.idempotent else None
         self._http.set_expected_id(
             self._options.answer_id_header,
@@ -211,25 +220,38 @@
                 raise ExchangeError(
                     SendReason.DEADLINE, "the target sent no bytes by the deadline"
                 )
-            step = self._check_interval(now - started)
+            step = self._check_interval(now, started)
             if _is_readable(fileno, min(wait_end - now, step)):
                 return
             self._check_caller()
-            self._check_silence(self._clock.now() - started)
+            self._check_overdue(self._clock.now(), started)
 
-    def _check_interval(self, waited_s: float) -> float:
+    def _check_interval(self, now: float, started: float) -> float:
+        if self._on_overdue is not None and self._is_overdue(now, started):
+            return OVERDUE_CHECK_S
         # The interval grows with the wait, since thousands of streams may be idle.
-        interval_s = min(waited_s, self._options.caller_check_max_s)
-        return max(self._options.caller_check_s, interval_s)
+        interval_s = min(now - started, self._options.caller_check_max_s)
+        interval_s = max(self._options.caller_check_s, interval_s)
+        if self._on_overdue is not None and now < self._overdue_at:
+            return min(interval_s, self._overdue_at - now)
+        return interval_s
 
     def _check_caller(self) -> None:
         if self._is_disconnected is not None and self._is_disconnected():
             raise ExchangeError(SendReason.CALLER_DISCONNECTED)
 
-    def _check_silence(self, waited_s: float) -> None:
-        silent = self.marked_silent and self._may_abort
-        if silent and waited_s >= self._options.silent_after_s:
+    def _check_overdue(self, now: float, started: float) -> None:
+        if not self._may_abort or not self._is_overdue(now, started):
+            return
+        if self._on_overdue is None:
             raise ExchangeError(SendReason.SILENT_CONNECTION)
+        if self._on_overdue():
+            raise ExchangeError(SendReason.SUPERSEDED)
+
+    def _is_overdue(self, now: float, started: float) -> bool:
+        if now >= self._overdue_at:
+            return True
+        return self.marked_silent and now - started >= self._options.silent_after_s
 
 
 def _is_readable(fileno: int, timeout_s: float) -> bool:
--- a/lacewingpond/targets/errors.py
+++ b/lacewingpond/targets/errors.py
@@ -25,6 +25,8 @@
     """The deadline passed."""
     SILENT_CONNECTION = "silent-connection"
     """The connection gets no bytes, while newer ones to the target get responses."""
+    SUPERSEDED = "superseded"
+    """`on_overdue` of the request ended it: another attempt got a response."""
     MAY_NOT_SEND = "ownership-lost"
     """`may_send` of the request returned False: this VM may no longer send it."""
     CALLER_DISCONNECTED = "caller-gone"
--- a/lacewingpond/targets/pool.py
+++ b/lacewingpond/targets/pool.py
@@ -254,6 +254,9 @@
         except Exception as exc:
             conn.close()
             return Err(_not_sent(SendReason.CONNECT, str(exc)))
+        except BaseException:
+            conn.close()
+            raise
         finally:
             self._opening -= 1
         self._busy.add(conn)
--- a/lacewingpond/targets/request.py
+++ b/lacewingpond/targets/request.py
@@ -1,5 +1,6 @@
 """Requests as they are sent to targets."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from msgspec import Struct
@@ -28,6 +29,12 @@
         Returns True once the caller has disconnected.
     may_send : callable or None
         Called just before the first byte is sent; False cancels the request.
+    on_overdue : callable or None
+        Called at intervals while the response is overdue: after `overdue_at`, or
+        while the connection seems silent. True ends the request as superseded. If
+        None, an idempotent request on a silent connection is given up.
+    overdue_at : float
+        Time from which the response is overdue, in monotonic seconds.
     """
 
     method: str
@@ -38,6 +45,8 @@
     idempotent: bool = False
     is_disconnected: Callable[[], bool] | None = None
     may_send: Callable[[], bool] | None = None
+    on_overdue: Callable[[], bool] | None = None
+    overdue_at: float = math.inf
 
     @classmethod
     def from_request(cls, req: Request, idempotent: bool) -> "TargetRequest":
