Go on with a planned stop when queued connections can't be accepted

Cause: at the limit of open files accept() raises, and the error left EntryDaemon.stop and the process, which ended 2.2 s after SIGTERM with all requests that it had read: LOST.

The error is logged and the drain goes on. The test reaches the limit with RLIMIT_NOFILE and failed before.

--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -97,10 +97,17 @@
         self._listener.start()
 
     def stop_accepting(self) -> None:
-        """Accept connections that the kernel has queued, then close the listener."""
-        if not self._listener.closed:
+        """Accept connections that the kernel has queued, then close the listener.
+
+        An error of accepting them, such as the limit of open files, is logged.
+        """
+        if self._listener.closed:
+            return
+        try:
             self._listener.accept_pending()
-            self._listener.close()
+        except OSError as exc:
+            self.log.decision("listener", str(self.port), f"stopped accepting: {exc}")
+        self._listener.close()
 
     def drain(self, grace_s: float) -> int:
         """Wait for running requests, then close all connections.
--- a/tests/http/test_caller_server.py
+++ b/tests/http/test_caller_server.py
@@ -1,5 +1,8 @@
 """Tests of the HTTP server for callers: connections, framing and draining."""
 
+import os
+import resource
+import socket
 import sys
 from contextlib import ExitStack
 
@@ -223,3 +226,20 @@
         sock.sendall(GET)
         sock.close()
         assert disconnected.wait(5.0)
+
+
+# At the limit of open files, accepting a queued connection fails. The error must not
+# leave the planned stop, which would end the process with all of its requests.
+def test_error_of_accept_does_not_end_a_planned_stop():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with caller_server(path_echo) as server, socket.socket() as queued:
+        queued.setblocking(False)
+        queued.connect_ex(("127.0.0.1", server.port))
+        next_descriptor = os.dup(0)
+        os.close(next_descriptor)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (next_descriptor, hard))
+        try:
+            server.stop_accepting()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        assert server.drain(1.0) == 0
