Ignore SIGHUP while the entry daemon starts

Deployments with changing settings files send it at any time. No request is lost by it, as none was read yet, but the process ends by itself.

It is ignored from the first line on, and the settings file's state is taken before the file is read, so that a change while the daemon starts is applied a second after it (such a change was missed before). Both tests failed before: the process ended with SIGHUP, and SettingsFile took the state at its own start.

--- a/lacewingpond/entry/__main__.py
+++ b/lacewingpond/entry/__main__.py
@@ -6,11 +6,16 @@
 
 import os
 import random
+import signal
 import sys
 from pathlib import Path
 
-import gevent
-from gevent import monkey
+# SIGHUP would end the process. Until the daemon can reload its settings it is ignored;
+# a change of the file in that time is noticed by its state.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import gevent  # noqa: E402
+from gevent import monkey  # noqa: E402
 
 monkey.patch_socket(dns=False)
 monkey.patch_select()
@@ -20,7 +25,11 @@
 from lacewingpond.entry.daemon import EntryDaemon  # noqa: E402
 from lacewingpond.entry.metrics import serve_metrics  # noqa: E402
 from lacewingpond.entry.settings import EntrySettings, load_entry_settings  # noqa: E402
-from lacewingpond.entry.settings_file import SettingsFile  # noqa: E402
+from lacewingpond.entry.settings_file import (  # noqa: E402
+    FileState,
+    SettingsFile,
+    file_state,
+)
 from lacewingpond.platform.formats import FORMATS  # noqa: E402
 from lacewingpond.platform.names import HEADERS, READY_PATH  # noqa: E402
 from lacewingpond.platform.store import PlatformStore  # noqa: E402
@@ -46,15 +55,16 @@
             file=sys.stderr,
         )
         return USAGE_STATUS
+    state = file_state(Path(path))
     loaded = load_entry_settings(Path(path))
     if isinstance(loaded, Err):
         for finding in loaded.err_value:
             print(f"lacewingpond: {finding}", file=sys.stderr)
         return USAGE_STATUS
-    return serve(loaded.ok_value, Path(path))
+    return serve(loaded.ok_value, Path(path), state)
 
 
-def serve(cfg: EntrySettings, path: Path) -> int:
+def serve(cfg: EntrySettings, path: Path, state: FileState | None) -> int:
     """Run the daemon until a stop signal and return the exit status.
 
     Parameters
@@ -63,6 +73,8 @@
         Settings.
     path : Path
         File that they were read from; it is reloaded after changes.
+    state : tuple of int or None
+        State of the file before it was read.
     """
     clock, rng = RuntimeClock(), random.Random()
     omitted = frozenset() if cfg.log.level == "decisions" else PER_REQUEST_EVENTS
@@ -76,7 +88,7 @@
         print(f"lacewingpond: can't listen: {exc}", file=sys.stderr)
         return 1
     log.decision("start", cfg.vm.id, "serving", domain=cfg.vm.failure_domain)
-    settings_file = SettingsFile(path, daemon.apply_settings, clock, log)
+    settings_file = SettingsFile(path, state, daemon.apply_settings, clock, log)
     on_reload(settings_file.request_reload)
     gevent.spawn(keep_running, "settings", settings_file.run, clock, log)
     wait_for_stop()
--- a/lacewingpond/entry/settings_file.py
+++ b/lacewingpond/entry/settings_file.py
@@ -12,6 +12,19 @@
 
 POLL_INTERVAL_S = 1.0  # half of the usual bound for applying a change
 
+FileState = tuple[int, int]
+"""Modification time in ns and size of a file."""
+
+
+def file_state(path: Path) -> FileState | None:
+    """Return the state of a file, or None if it can't be read."""
+    try:
+        stat = path.stat()
+    except OSError:
+        # Who reads the file next reports what is wrong with it.
+        return None
+    return (stat.st_mtime_ns, stat.st_size)
+
 
 class SettingsFile:
     """Reloads the file after a change, or when `request_reload` is called.
@@ -20,6 +33,9 @@
     ----------
     path : Path
         Settings file.
+    state : tuple of int or None
+        State of the file before the current settings were read, so that a change
+        since then is noticed.
     apply : callable
         Receives new settings that are valid.
     clock : Clock
@@ -34,6 +50,7 @@
     def __init__(
         self,
         path: Path,
+        state: FileState | None,
         apply: Callable[[EntrySettings], None],
         clock: Clock,
         log: DecisionLog,
@@ -43,7 +60,7 @@
         self._clock = clock
         self._log = log
         self._reload_requested = Event()
-        self._last_state = self._file_state()
+        self._last_state = state
 
     def request_reload(self) -> None:
         """Request a reload and return at once; safe to call in a signal handler."""
@@ -54,7 +71,7 @@
         while True:
             requested = wait_for(self._reload_requested, self._clock, POLL_INTERVAL_S)
             self._reload_requested.clear()
-            state = self._file_state()
+            state = file_state(self._path)
             if requested or state != self._last_state:
                 self._last_state = state
                 self._load("after a signal" if requested else "after a change")
@@ -67,14 +84,3 @@
             return
         self._log.decision("reload", str(self._path), why)
         self._apply(loaded.ok_value)
-
-    def _file_state(self) -> tuple[int, int] | None:
-        """Return modification time in ns and size, or None without a file."""
-        try:
-            stat = self._path.stat()
-        except OSError as exc:
-            self._log.decision(
-                "reload", str(self._path), f"can't read file status: {exc}"
-            )
-            return None
-        return (stat.st_mtime_ns, stat.st_size)
--- a/tests/entry/test_entry_settings.py
+++ b/tests/entry/test_entry_settings.py
@@ -1,10 +1,13 @@
 """Tests of the settings and of reloading their file."""
 
+import subprocess
+import sys
+
 import gevent
 import pytest
 
 from lacewingpond.entry.settings import check_entry_settings, load_entry_settings
-from lacewingpond.entry.settings_file import SettingsFile
+from lacewingpond.entry.settings_file import SettingsFile, file_state
 from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 
 TEXT = """
@@ -63,7 +66,7 @@
 
 def follow(path, clock):
     applied, log = [], RecordingDecisionLog()
-    settings_file = SettingsFile(path, applied.append, clock, log)
+    settings_file = SettingsFile(path, file_state(path), applied.append, clock, log)
     greenlet = gevent.spawn(settings_file.run)
     gevent.sleep(0)
     return settings_file, applied, log, greenlet
@@ -79,6 +82,29 @@
     greenlet.kill()
 
 
+# A change of the file while the daemon starts, after its first read, must not be lost.
+def test_file_that_changed_since_it_was_read_is_applied(path, clock):
+    state = file_state(path)
+    path.write_text(TEXT.replace("5000ms", "7500ms"))
+    applied = []
+    log = RecordingDecisionLog()
+    settings_file = SettingsFile(path, state, applied.append, clock, log)
+    greenlet = gevent.spawn(settings_file.run)
+    gevent.sleep(0)
+    clock.advance(1.1)
+    assert [cfg.bounds.revoke for cfg in applied] == ["7500ms"]
+    greenlet.kill()
+
+
+# SIGHUP ends a process that does not handle it, also while its modules are imported.
+def test_daemon_that_starts_survives_a_reload_signal():
+    code = (
+        "import os, signal, lacewingpond.entry.__main__; "
+        "os.kill(os.getpid(), signal.SIGHUP)"
+    )
+    assert subprocess.run([sys.executable, "-c", code]).returncode == 0
+
+
 def test_reload_request_applies_the_unchanged_file(path, clock):
     settings_file, applied, _, greenlet = follow(path, clock)
     settings_file.request_reload()
