--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -4,13 +4,13 @@
 """
 
 import math
-from collections.abc import Iterator
 from enum import Enum
 
 from msgspec import Struct
 from result import Err, Ok, Result
 
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.requests.forwarded_body import ForwardedBody
 from lacewingpond.entry.requests.hedge import Hedge
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.refusal import EntryRefusal
@@ -213,7 +213,6 @@
         request.target_id = target_id
         started = context.clock.now()
         state.in_flight += 1
-        self._waiting_count += 1
         why, reused = "cancelled", False
         try:
             outcome, reused = self._exchange(state, started, hedge)
@@ -223,7 +222,6 @@
                 why = outcome.err_value.refusal.reason
         finally:
             state.in_flight -= 1
-            self._waiting_count -= 1
             ended = context.clock.now()
             context.log.decision(
                 "attempt",
@@ -249,7 +247,11 @@
         health_status = state.health.status(started)
         on_trial = health_status is HealthStatus.EJECTED
         deadline = self._request.deadline
-        sent = self._context.client.send(state.target, target_request, deadline)
+        self._waiting_count += 1
+        try:
+            sent = self._context.client.send(state.target, target_request, deadline)
+        finally:
+            self._waiting_count -= 1
         if sent.is_err():
             error = sent.err_value
             hedged = hedge is not None and hedge.started
@@ -266,14 +268,16 @@
         except TruncatedResponseError as exc:
             if exc.reason is SendReason.BROKEN:
                 self._context.quarantine.record_crash(self._request.fingerprint)
-            if exc.reason is not SendReason.CALLER_DISCONNECTED:
+            timed_out = exc.reason in TIMEOUT_REASONS
+            hedged = hedge is not None and hedge.started
+            if exc.reason not in NO_EVIDENCE_REASONS and not (timed_out and hedged):
                 why = f"response ended early: {exc.reason.value}"
-                self._record_failure(state, why, exc.reason in TIMEOUT_REASONS, started)
+                self._record_failure(state, why, timed_out, started)
             status = 504 if exc.reason is SendReason.DEADLINE else 502
             detail = "The target's response ended early."
-            failure = _unknown_failure(
-                EntryRefusal.unknown(status, "answer-cut", detail)
-            )
+            refusal = EntryRefusal.unknown(status, "answer-cut", detail)
+            final = exc.reason in FINAL_REASONS
+            failure = AttemptFailure(FailureKind.UNKNOWN, refusal, final)
             return Err(failure), response.reused
         finally:
             if not streaming:
@@ -329,15 +333,8 @@
 
         Neither a success nor a failure of the target is recorded for it.
         """
-
-        def body() -> Iterator[bytes]:
-            try:
-                yield from blocks
-                yield from response
-            finally:
-                response.close()
-
-        return Response(response.status, response.headers, body(), response.reason)
+        body = ForwardedBody(blocks, response)
+        return Response(response.status, response.headers, body, response.reason)
 
     def _is_valid_response(self, response: TargetResponse) -> bool:
         names = self._context.names
--- a/lacewingpond/entry/requests/hedge.py
+++ b/lacewingpond/entry/requests/hedge.py
@@ -25,7 +25,7 @@
         Makes the second attempt and, if it fails, further ones.
     """
 
-    __slots__ = ("_may_start", "_deliver", "_greenlet")
+    __slots__ = ("_may_start", "_deliver", "_greenlet", "_cancelled")
 
     def __init__(
         self, may_start: Callable[[], bool], deliver: Callable[[], Outcome]
@@ -33,6 +33,7 @@
         self._may_start = may_start
         self._deliver = deliver
         self._greenlet: gevent.Greenlet | None = None
+        self._cancelled = False
 
     @property
     def started(self) -> bool:
@@ -41,6 +42,8 @@
 
     def poll(self) -> bool:
         """Start the second attempt if it may; return whether it has a response."""
+        if self._cancelled:
+            return False
         if self._greenlet is None:
             if self._may_start():
                 self._greenlet = gevent.spawn(self._deliver)
@@ -52,10 +55,12 @@
         return None if self._greenlet is None else self._greenlet.get()
 
     def cancel(self) -> None:
-        """End the second attempt; a response that it has got is closed."""
+        """End the second attempt or keep it from starting; close its response."""
+        has_response = self._greenlet is not None and self.poll()
+        self._cancelled = True
         if self._greenlet is None:
             return
-        if self.poll():
+        if has_response:
             close = getattr(self._greenlet.value.ok_value.body, "close", None)
             if close is not None:
                 close()
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -57,7 +57,7 @@
         "_clock",
         "_deadline",
         "_is_disconnected",
-        "_may_abort",
+        "_gives_up_silent",
         "_on_overdue",
         "_overdue_at",
     )
@@ -82,7 +82,7 @@
         self._clock = clock
         self._deadline = 0.0
         self._is_disconnected: Callable[[], bool] | None = None
-        self._may_abort = False
+        self._gives_up_silent = False
         self._on_overdue: Callable[[], bool] | None = None
         self._overdue_at = math.inf
 
@@ -122,7 +122,7 @@
         self.exchange_count += 1
         self._http.bytes_sent = 0
         self._deadline = deadline
-        self._may_abort = req.idempotent
+        self._gives_up_silent = req.idempotent and req.on_overdue is None
         self._on_overdue = req.on_overdue
         self._overdue_at = req.overdue_at
         self._is_disconnected = req.is_disconnected if req.idempotent else None
@@ -241,11 +241,11 @@
             raise ExchangeError(SendReason.CALLER_DISCONNECTED)
 
     def _check_overdue(self, now: float, started: float) -> None:
-        if not self._may_abort or not self._is_overdue(now, started):
+        if not self._is_overdue(now, started):
             return
-        if self._on_overdue is None:
+        if self._gives_up_silent:
             raise ExchangeError(SendReason.SILENT_CONNECTION)
-        if self._on_overdue():
+        if self._on_overdue is not None and self._on_overdue():
             raise ExchangeError(SendReason.SUPERSEDED)
 
     def _is_overdue(self, now: float, started: float) -> bool:
--- a/tests/entry/test_entry_giving_up.py
+++ b/tests/entry/test_entry_giving_up.py
@@ -2,6 +2,7 @@
 
 import random
 from contextlib import ExitStack
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -23,8 +24,9 @@
 from test_entry_daemon import SETTINGS, configure
 
 from lacewingpond.entry.daemon import EntryDaemon
+from lacewingpond.entry.requests.forwarded_body import ForwardedBody
 from lacewingpond.entry.settings import check_entry_settings
-from lacewingpond.entry.targets.health import ERROR_EVIDENCE
+from lacewingpond.entry.targets.health import ERROR_EVIDENCE, HealthStatus
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.response import Response
 from lacewingpond.retries.options import RetryOptions
@@ -161,6 +163,50 @@
     assert b"unknown" in body
 
 
+def hangs_in_the_body(req):
+    def body():
+        yield b"half"
+        gevent.sleep(5.0)
+
+    headers = Headers((("X-Id", req.headers.get("X-Id")), ("X-Signature", "s")))
+    headers.add("Content-Length", "100")
+    return Response(200, headers, body())
+
+
+# A response that hangs in its body is superseded too, which is no broken connection of
+# its target: only its lateness counts.
+def test_response_that_hangs_is_superseded_without_an_ejection(serve):
+    stack = serve(hangs_in_the_body, lambda req: signed(req, body=b"second"))
+    suspect(stack, "t0")
+    stack.table.get("t1").record_connect_failure(CLOCK.now())
+    status, _, body = stack.call("GET")
+    assert (status, body) == (200, b"second")
+    assert stack.table.get("t0").health.status(CLOCK.now()) is HealthStatus.HEALTHY
+
+
+# Once a long response is forwarded, no second attempt may start that nobody waits for.
+def test_overdue_response_that_is_forwarded_is_not_sent_for_again(serve):
+    arrived = []
+
+    def respond(req):
+        arrived.append(req)
+        return streams_slowly(req)
+
+    stack = serve(respond, respond)
+    suspect(stack)
+    status, _, body, _ = timed_call(stack)
+    assert (status, body.endswith(b"\r\n0\r\n\r\n")) == (200, True)
+    assert len(arrived) == 1
+
+
+# Closing a forwarded body that nobody has started to read must free its connection.
+def test_forwarded_body_that_was_not_read_closes_its_response():
+    closed = []
+    response = SimpleNamespace(close=lambda: closed.append(True))
+    ForwardedBody([b"block"], response).close()
+    assert closed == [True]
+
+
 # Two requests are overdue and the budget has one retry: the one without must not end
 # with half of its time unused.
 def test_request_whose_retry_another_request_took_keeps_its_whole_time(serve):
--- a/tests/entry/test_entry_requests.py
+++ b/tests/entry/test_entry_requests.py
@@ -136,6 +136,14 @@
     assert (status, body, headers["x-signature"]) == (500, b"why", "s")
 
 
+# An attempt whose response has arrived must not count twice towards max_attempts.
+def test_error_response_of_an_idempotent_request_is_retried(serve):
+    failing, sound = lambda req: signed(req, 500, b"why"), signed
+    stack, targets = serve(failing, sound, cfg=idempotent(max_attempts=2))
+    assert [stack.call("GET")[0] for _ in range(6)] == [200] * 6
+    assert targets[0].seen
+
+
 def test_error_response_is_passed_on_when_the_retry_budget_is_empty(serve):
     failing = [lambda req: signed(req, 500, b"why")] * 2
     stack, targets = serve(*failing, cfg=idempotent(), reserve=0.0)
