--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -228,7 +228,14 @@
         deadline = self._clock.now() + max(grace_s - STOP_MARGIN_S, 0.0)
         self.readiness.stopping = True
         self.server.draining = True
-        self._log.decision("stop", self._cfg.vm.id, "planned", grace_s=grace_s)
+        self._log.decision(
+            "stop",
+            self._cfg.vm.id,
+            "planned",
+            grace_s=grace_s,
+            connections=self.server.connection_count,
+            requests=self.server.request_count,
+        )
         self._clock.sleep(min(BALANCER_NOTICE_S, grace_s / 2))
         self.server.stop_accepting()
         self.follower.hand_over_watch()
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -79,15 +79,23 @@
         finally:
             self.socket.close()
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Close the connection unless a request is served or has arrived.
 
-        Only shutting down its reading side would not do: the greenlet that waits for
+        Shutting down only its reading side would not do: the greenlet that waits for
         a request could still read one, and would take its caller for disconnected.
+
+        Returns
+        -------
+        bool
+            Whether it was closed.
         """
-        no_data = socket_state(self.socket) is not SocketState.READABLE
-        if self.is_idle and not self._reader.buffered and no_data:
-            self.socket.close()
+        if not self.is_idle or self._reader.buffered:
+            return False
+        if socket_state(self.socket) is SocketState.READABLE:
+            return False
+        self.socket.close()
+        return True
 
     def refuse(self, response: Response) -> None:
         """Send `response` without reading a request, then close the connection."""
--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -188,8 +188,9 @@
             del self._per_address[address]
 
     def _close_idle(self) -> None:
-        for conn in tuple(self._connections):
-            conn.close_if_idle()
+        closed = sum(conn.close_if_idle() for conn in tuple(self._connections))
+        if closed:
+            self.log.decision("idle", str(self.port), "closed in a drain", count=closed)
 
 
 class _Listener(StreamServer):
