Decide on further attempts in one place, and hold error responses back

An own 502 or 504 no longer replaces an error response of a target. - The hedge made retries of its own beside those of the first attempt, so that together they reached five targets where the route allows four. It makes one attempt at a time now; only the delivery decides on further ones. - On a connection that was marked as silent the second attempt was given up. - A request whose caller had left was sent to a further target. - A hedge without a target to ask took a retry from the budget. - An unexpected error in the hedge ended the first attempt. - Lateness counted twice against a target, or not at all where the latency objective of the route is above half of the time. - A request whose headers were complete only at the end of a drain was sent to a target and cut. It is refused as not run 2.8 s after SIGTERM now (it had nothing to do with the hedge). The line `cut` names all targets that work on a request.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -46,6 +46,7 @@
 BALANCER_NOTICE_S = 2.2  # the balancer removes a VM after two checks, 1 s apart
 STOP_MARGIN_S = 0.4  # end of the grace period, reserved to close and exit
 DRAIN_IDLE_S = 0.3  # short, since requests arrive during `BALANCER_NOTICE_S` before it
+DRAIN_HEAD_S = 0.6  # 2.8 s after SIGTERM; a long request would not end in the grace
 CONNECT_TIMEOUT_S = 0.3  # an open port accepts in 2 ms, an unreachable one never
 CALLER_CHECK_INTERVAL_S = 0.2  # frees the target of a disconnected caller within 0.5 s
 # Targets close idle connections after 10 s. A lower bound on the age of a connection
@@ -334,6 +335,7 @@
         body_timeout_s=BODY_TIMEOUT_S,
         write_timeout_s=WRITE_TIMEOUT_S,
         drain_idle_s=DRAIN_IDLE_S,
+        drain_head_s=DRAIN_HEAD_S,
         max_connections=connections,
         max_connections_per_address=connections,
     )
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -11,7 +11,7 @@
 
 from lacewingpond.entry.header_names import HeaderNames
 from lacewingpond.entry.requests.forwarded_body import ForwardedBody
-from lacewingpond.entry.requests.hedge import Hedge
+from lacewingpond.entry.requests.hedge import Attempt, Hedge
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
@@ -58,7 +58,6 @@
         SendReason.CALLER_HEADERS,
         SendReason.MAY_NOT_SEND,
         SendReason.CONNECTION_LIMIT,
-        SendReason.SUPERSEDED,
     }
 )
 """Reasons that are no evidence against the target."""
@@ -71,7 +70,9 @@
     }
 )
 """Reasons for which another target would fail as well."""
-TIMEOUT_REASONS = frozenset({SendReason.DEADLINE, SendReason.SILENT_CONNECTION})
+TIMEOUT_REASONS = frozenset(
+    {SendReason.DEADLINE, SendReason.SILENT_CONNECTION, SendReason.SUPERSEDED}
+)
 """Reasons that mean that no response arrived in time."""
 
 
@@ -97,14 +98,14 @@
         Response to the caller if there is no further attempt.
     final : bool
         Whether another target would fail as well.
-    paid : bool
-        Whether the retry budget was already charged for the next attempt.
     """
 
     kind: FailureKind
     refusal: EntryRefusal
     final: bool = False
-    paid: bool = False
+
+
+Outcome = Result[Response, AttemptFailure]
 
 
 class DeliveryContext(Struct, frozen=True):
@@ -138,7 +139,7 @@
     """
 
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
-    __slots__ += ("_last_failure", "_waiting_count")
+    __slots__ += ("_last_failure", "_waiting_count", "_error_response")
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
         self._context = context
@@ -148,69 +149,93 @@
         self._may_have_run = False
         self._last_failure: AttemptFailure | None = None
         self._waiting_count = 0
+        self._error_response: Response | None = None
 
     def run(self) -> Result[Response, EntryRefusal]:
         """Return the response of a target, or the refusal if there is none."""
-        if self._context.quarantine.is_quarantined(self._request.fingerprint):
+        if self._is_quarantined():
             return Err(_quarantine_refusal())
         self._context.retries.earn(self._request.service)
-        return self._try_targets(may_hedge=self._request.route.idempotent)
-
-    def _try_targets(self, may_hedge: bool) -> Result[Response, EntryRefusal]:
         while True:
-            state = self._context.placer.pick(
-                self._request.service, self._tried, self._is_retryable()
-            )
+            state = self._pick(self._is_retryable())
             if state is None:
-                return Err(self._final_refusal())
-            hedge = self._hedge(state) if may_hedge else None
-            outcome = self._attempt(state, hedge)
-            if hedge is not None:
-                outcome = self._settle(outcome, hedge)
-            if outcome.is_ok():
+                return self._give_up()
+            outcome = self._hedged_attempt(state)
+            if outcome.is_ok() and _ends_request(outcome):
                 return outcome
-            failure = outcome.err_value
-            self._may_have_run |= failure.kind is FailureKind.UNKNOWN
-            self._last_failure = failure
-            if not self._take_retry(failure):
-                return Err(self._final_refusal())
-            if self._context.quarantine.is_quarantined(self._request.fingerprint):
-                return Err(self._final_refusal())
+            self._record(outcome)
+            if not self._take_retry(outcome) or self._is_quarantined():
+                return self._give_up()
+
+    def _hedged_attempt(self, state: TargetState) -> Outcome:
+        """Return the outcome of an attempt and, if it was overdue, of its hedge.
+
+        Of the two it is the one that ends the request, if there is one.
+        """
+        if not self._request.route.idempotent:
+            return self._attempt(state, None)
+        hedge = self._hedge(state)
+        try:
+            outcome = self._attempt(state, hedge)
+            hedged = None if _ends_request(outcome) else hedge.take()
+        finally:
+            hedge.cancel()
+        return outcome if hedged is None else hedged
 
     def _hedge(self, state: TargetState) -> Hedge:
         """Return the hedge of an attempt at `state`; it starts when that is overdue."""
+        request = self._request
         started = self._context.clock.now()
 
-        def may_start() -> bool:
-            if not self._request.body.can_send or not self._has_time():
-                return False
-            if self._context.quarantine.is_quarantined(self._request.fingerprint):
-                return False
-            if not self._spend_retry():
-                return False
+        def prepare() -> Attempt | None:
+            if not (request.body.can_send and self._has_time() and self._can_retry()):
+                return None
+            second = None if self._is_quarantined() else self._pick(False)
+            if second is None or not self._spend_retry():
+                return None
             self._may_have_run = True
-            self._record_failure(state, "overdue", True, started)
-            return True
+            self._report_failure(state, SendReason.DEADLINE, "overdue", started, hedge)
+            return lambda: self._second_attempt(second)
 
-        return Hedge(may_start, lambda: self._try_targets(may_hedge=False))
+        def log_error(exc: Exception) -> None:
+            self._context.log.decision("hedge", request.request_id, repr(exc))
 
-    def _settle(
-        self, outcome: Result[Response, AttemptFailure], hedge: Hedge
-    ) -> Result[Response, AttemptFailure]:
-        """Return the first response of an attempt and its hedge, or its failure."""
-        if outcome.is_ok() or outcome.err_value.final:
-            hedge.cancel()
+        hedge = Hedge(prepare, log_error)
+        return hedge
+
+    def _second_attempt(self, state: TargetState) -> Outcome | None:
+        outcome = self._attempt(state, None)
+        if _ends_request(outcome):
             return outcome
-        hedged = hedge.wait()
-        return hedged if hedged is not None and hedged.is_ok() else outcome
+        self._record(outcome)
+        return None
+
+    def _record(self, outcome: Outcome) -> None:
+        """Keep what an attempt that does not end the request leaves to respond with."""
+        if outcome.is_ok():
+            self._error_response = outcome.ok_value
+            return
+        self._last_failure = outcome.err_value
+        self._may_have_run |= outcome.err_value.kind is FailureKind.UNKNOWN
+
+    def _give_up(self) -> Result[Response, EntryRefusal]:
+        """Return an error response of a target, or the refusal if there is none."""
+        if self._error_response is not None:
+            return Ok(self._error_response)
+        return Err(self._final_refusal())
+
+    def _pick(self, retryable: bool) -> TargetState | None:
+        service = self._request.service
+        return self._context.placer.pick(service, self._tried, retryable)
 
-    def _attempt(
-        self, state: TargetState, hedge: Hedge | None
-    ) -> Result[Response, AttemptFailure]:
+    def _is_quarantined(self) -> bool:
+        return self._context.quarantine.is_quarantined(self._request.fingerprint)
+
+    def _attempt(self, state: TargetState, hedge: Hedge | None) -> Outcome:
         context, request = self._context, self._request
         target_id = state.spec.target_id
         self._tried.add(target_id)
-        request.target_id = target_id
+        request.targets.add(target_id)
         started = context.clock.now()
         state.in_flight += 1
         why, reused = "cancelled", False
@@ -222,6 +247,7 @@
                 why = outcome.err_value.refusal.reason
         finally:
             state.in_flight -= 1
+            request.targets.discard(target_id)
             ended = context.clock.now()
             context.log.decision(
                 "attempt",
@@ -236,7 +262,7 @@
 
     def _exchange(
         self, state: TargetState, started: float, hedge: Hedge | None
-    ) -> tuple[Result[Response, AttemptFailure], bool]:
+    ) -> tuple[Outcome, bool]:
         """Return the outcome, and whether the connection was reused."""
         target_request = self._request.for_target(
             self._context.names.expected_target, state.spec.target_id
@@ -244,6 +270,9 @@
         if hedge is not None:
             target_request.on_overdue = hedge.poll
             target_request.overdue_at = self._overdue_at(state)
+        elif target_request.idempotent:
+            # A second attempt on a connection that seems silent goes on as well.
+            target_request.on_overdue = _never
         health_status = state.health.status(started)
         on_trial = health_status is HealthStatus.EJECTED
         deadline = self._request.deadline
@@ -254,8 +283,7 @@
             self._waiting_count -= 1
         if sent.is_err():
             error = sent.err_value
-            hedged = hedge is not None and hedge.started
-            return Err(self._send_failure(state, error, started, hedged)), error.reused
+            return Err(self._send_failure(state, error, started, hedge)), error.reused
         self._sent_count += 1
         state.reset_connect_backoff()
         response = sent.ok_value
@@ -268,11 +296,8 @@
         except TruncatedResponseError as exc:
             if exc.reason is SendReason.BROKEN:
                 self._context.quarantine.record_crash(self._request.fingerprint)
-            timed_out = exc.reason in TIMEOUT_REASONS
-            hedged = hedge is not None and hedge.started
-            if exc.reason not in NO_EVIDENCE_REASONS and not (timed_out and hedged):
-                why = f"response ended early: {exc.reason.value}"
-                self._record_failure(state, why, timed_out, started)
+            why = f"response ended early: {exc.reason.value}"
+            self._report_failure(state, exc.reason, why, started, hedge)
             status = 504 if exc.reason is SendReason.DEADLINE else 502
             detail = "The target's response ended early."
             refusal = EntryRefusal.unknown(status, "answer-cut", detail)
@@ -289,7 +314,7 @@
         response: TargetResponse,
         started: float,
         on_trial: bool,
-    ) -> Result[Response, AttemptFailure]:
+    ) -> Outcome:
         names = self._context.names
         if response.headers.get(names.not_run) or response.status == MISDIRECTED:
             return Err(self._not_run_failure(state, response))
@@ -309,24 +334,16 @@
             size += len(block)
             if size > MAX_BUFFERED_BYTES:
                 return Ok(self._streamed(response, blocks))
-        failed = response.status >= FIRST_SERVER_ERROR
-        if failed:
+        if response.status == GATEWAY_TIMEOUT:
+            self._record_lateness(state, str(response.status), started)
+        elif response.status >= FIRST_SERVER_ERROR:
             why = str(response.status)
-            if response.status == GATEWAY_TIMEOUT:
-                self._record_failure(state, why, True, started)
-            else:
-                self._context.reporter.record_failure(state, why, ERROR_EVIDENCE)
+            self._context.reporter.record_failure(state, why, ERROR_EVIDENCE)
         else:
             self._context.reporter.record_success(state, on_trial)
         self._context.quarantine.clear_crashes(self._request.fingerprint)
-        buffered = Response(
-            response.status, response.headers, b"".join(blocks), response.reason
-        )
-        if failed and self._take_error_retry():
-            detail = "The target responded with an error."
-            refusal = EntryRefusal.unknown(502, "target-error", detail)
-            return Err(AttemptFailure(FailureKind.UNKNOWN, refusal, paid=True))
-        return Ok(buffered)
+        body = b"".join(blocks)
+        return Ok(Response(response.status, response.headers, body, response.reason))
 
     def _streamed(self, response: TargetResponse, blocks: list[bytes]) -> Response:
         """Return a response that forwards `blocks` and the rest as it arrives.
@@ -358,12 +375,9 @@
         return AttemptFailure(FailureKind.NOT_RUN, refusal)
 
     def _send_failure(
-        self, state: TargetState, error: SendError, started: float, hedged: bool
+        self, state: TargetState, error: SendError, started: float, hedge: Hedge | None
     ) -> AttemptFailure:
-        """Return the failure of an attempt without a response, and report it.
-
-        That a hedged attempt was late is reported when the hedge starts.
-        """
+        """Return the failure of an attempt without a response, and report it."""
         reason = error.reason
         final = reason in FINAL_REASONS
         if error.failure is SendFailure.NOT_SENT:
@@ -374,56 +388,63 @@
         self._sent_count += 1
         if reason is SendReason.BROKEN:
             self._context.quarantine.record_crash(self._request.fingerprint)
-        timed_out = reason in TIMEOUT_REASONS
-        if reason not in NO_EVIDENCE_REASONS and not (timed_out and hedged):
-            self._record_failure(state, reason.value, timed_out, started)
+        self._report_failure(state, reason, reason.value, started, hedge)
         return AttemptFailure(FailureKind.UNKNOWN, _no_response_refusal(reason), final)
 
-    def _record_failure(
-        self, state: TargetState, why: str, timed_out: bool, started: float
+    def _report_failure(
+        self,
+        state: TargetState,
+        reason: SendReason,
+        why: str,
+        started: float,
+        hedge: Hedge | None,
     ) -> None:
-        """Report a failure of the target.
+        """Report a failed attempt as evidence against its target, lateness once."""
+        if reason in NO_EVIDENCE_REASONS:
+            return
+        if reason not in TIMEOUT_REASONS:
+            self._context.reporter.record_failure(state, why, BROKEN_EVIDENCE)
+        elif hedge is None or not hedge.lateness_reported:
+            is_evidence = self._record_lateness(state, why, started)
+            if hedge is not None:
+                hedge.lateness_reported = is_evidence
+
+    def _record_lateness(self, state: TargetState, why: str, started: float) -> bool:
+        """Report a late response, and return whether it is evidence.
 
-        A timeout below the latency objective of the route is no evidence.
+        Lateness below the latency objective of the route is none.
         """
-        if not timed_out:
-            self._context.reporter.record_failure(state, why, BROKEN_EVIDENCE)
-            return
         took_s = self._context.clock.now() - started
-        failure_evidence = (
-            LATE_EVIDENCE if took_s >= self._request.route.target_latency_s else 0.0
-        )
+        is_evidence = took_s >= self._request.route.target_latency_s
+        failure_evidence = LATE_EVIDENCE if is_evidence else 0.0
         # The cause of the delay may be over, so the evidence is as old as the request.
         self._context.reporter.record_failure(state, why, failure_evidence, took_s)
+        return is_evidence
 
     def _retry_after_s(self) -> float:
         """Return the retry time for the caller: short unless the service is busy."""
         load = self._context.placer.load(self._request.service)
         return BUSY_RETRY_AFTER_S if load >= BUSY_LOAD else IDLE_RETRY_AFTER_S
 
-    def _take_retry(self, failure: AttemptFailure) -> bool:
+    def _take_retry(self, outcome: Outcome) -> bool:
         """Return whether to try another target; a retry charges the retry budget.
 
-        No retry is charged if no byte reached the target, or if it is already paid.
+        None is charged if no byte reached the target.
         """
         request = self._request
-        if failure.paid:
-            return True
-        if failure.final or not request.body.can_send or not self._has_time():
+        if not request.body.can_send or not self._has_time():
             return False
-        if failure.kind is FailureKind.NOT_SENT:
-            return len(self._tried) - self._sent_count < MAX_NOT_SENT_ATTEMPTS
-        if self._may_have_run and not request.route.idempotent:
+        if outcome.is_err():
+            failure = outcome.err_value
+            if failure.final:
+                return False
+            if failure.kind is FailureKind.NOT_SENT:
+                return len(self._tried) - self._sent_count < MAX_NOT_SENT_ATTEMPTS
+        may_have_run = self._may_have_run or outcome.is_ok()
+        if may_have_run and not request.route.idempotent:
             return False
         return self._spend_retry()
 
-    def _take_error_retry(self) -> bool:
-        """Return whether to retry after an error response; charges the retry budget."""
-        request = self._request
-        if not request.route.idempotent or not request.body.can_send:
-            return False
-        return self._has_time() and self._spend_retry()
-
     def _is_retryable(self) -> bool:
         """Return whether the request can be retried if the next target fails."""
         request = self._request
@@ -450,10 +471,13 @@
         return self._context.clock.now() + MIN_ATTEMPT_S < self._request.deadline
 
     def _spend_retry(self) -> bool:
+        return self._can_retry() and self._context.retries.spend(self._request.service)
+
+    def _can_retry(self) -> bool:
         attempts = self._sent_count + self._waiting_count
         if attempts >= self._request.route.max_attempts:
             return False
-        return self._context.retries.spend(self._request.service)
+        return self._context.retries.can_spend(self._request.service)
 
     def _final_refusal(self) -> EntryRefusal:
         if self._last_failure is None:
@@ -465,6 +489,18 @@
         return refusal
 
 
+def _ends_request(outcome: Outcome) -> bool:
+    """Return whether no other attempt can give the caller a better response."""
+    if outcome.is_err():
+        return outcome.err_value.final
+    response = outcome.ok_value
+    return response.status < FIRST_SERVER_ERROR or not isinstance(response.body, bytes)
+
+
+def _never() -> bool:
+    return False
+
+
 def _unknown_failure(refusal: EntryRefusal) -> AttemptFailure:
     return AttemptFailure(FailureKind.UNKNOWN, refusal)
 
--- a/lacewingpond/entry/requests/hedge.py
+++ b/lacewingpond/entry/requests/hedge.py
@@ -5,63 +5,102 @@
 import gevent
 from result import Result
 
-from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.http.response import Response
 
-Outcome = Result[Response, EntryRefusal]
+Outcome = Result[Response, object]
+Attempt = Callable[[], Outcome | None]
+"""Makes an attempt; returns its outcome if that ends the request, else None."""
 
 
 class Hedge:
-    """Starts the second attempt once the response to the first one is overdue.
+    """Makes second attempts, one at a time, once the response to the first is overdue.
 
     The first attempt goes on, because its target may still be at work. The attempt
-    that gets a response first serves the caller.
+    that ends the request first serves the caller.
 
     Parameters
     ----------
-    may_start : callable
-        Returns whether the second attempt may start; called until it does.
-    deliver : callable
-        Makes the second attempt and, if it fails, further ones.
+    prepare : callable
+        Returns the next attempt, or None if there may be none now.
+    on_error : callable
+        Called with an unexpected exception, after which no attempt starts. The first
+        attempt goes on.
+
+    Attributes
+    ----------
+    lateness_reported : bool
+        Whether the first attempt's lateness was reported as evidence.
     """
 
-    __slots__ = ("_may_start", "_deliver", "_greenlet", "_cancelled")
+    __slots__ = ("lateness_reported", "_prepare", "_on_error", "_greenlet")
+    __slots__ += ("_outcome", "_cancelled")
 
     def __init__(
-        self, may_start: Callable[[], bool], deliver: Callable[[], Outcome]
+        self,
+        prepare: Callable[[], Attempt | None],
+        on_error: Callable[[Exception], None],
     ) -> None:
-        self._may_start = may_start
-        self._deliver = deliver
+        self.lateness_reported = False
+        self._prepare = prepare
+        self._on_error = on_error
         self._greenlet: gevent.Greenlet | None = None
+        self._outcome: Outcome | None = None
         self._cancelled = False
 
-    @property
-    def started(self) -> bool:
-        """Whether the second attempt has started."""
-        return self._greenlet is not None
-
     def poll(self) -> bool:
-        """Start the second attempt if it may; return whether it has a response."""
-        if self._cancelled:
-            return False
-        if self._greenlet is None:
-            if self._may_start():
-                self._greenlet = gevent.spawn(self._deliver)
-            return False
-        return self._greenlet.successful() and self._greenlet.value.is_ok()
+        """Start an attempt if none runs; return whether one has ended the request."""
+        if self._outcome is not None or self._cancelled:
+            return self._outcome is not None
+        if self._greenlet is None or self._greenlet.ready():
+            self._start()
+        return False
+
+    def take(self) -> Outcome | None:
+        """Wait for a running attempt and return its outcome, if that ends the request.
 
-    def wait(self) -> Outcome | None:
-        """Wait for the second attempt; return None if it has not started."""
-        return None if self._greenlet is None else self._greenlet.get()
+        No other attempt starts.
+        """
+        if self._greenlet is not None:
+            self._greenlet.join()
+        self._cancelled = True
+        outcome, self._outcome = self._outcome, None
+        return outcome
 
     def cancel(self) -> None:
-        """End the second attempt or keep it from starting; close its response."""
-        has_response = self._greenlet is not None and self.poll()
+        """End a running attempt, close a response not taken, and start no other."""
         self._cancelled = True
-        if self._greenlet is None:
+        outcome, self._outcome = self._outcome, None
+        _close_response(outcome)
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _start(self) -> None:
+        try:
+            attempt = self._prepare()
+        except Exception as exc:
+            self._cancelled = True
+            self._on_error(exc)
+            return
+        if attempt is not None:
+            self._greenlet = gevent.spawn(self._run, attempt)
+
+    def _run(self, attempt: Attempt) -> None:
+        try:
+            outcome = attempt()
+        except Exception as exc:
+            self._cancelled = True
+            self._on_error(exc)
             return
-        if has_response:
-            close = getattr(self._greenlet.value.ok_value.body, "close", None)
-            if close is not None:
-                close()
-        self._greenlet.kill(block=False)
+        if self._cancelled:
+            _close_response(outcome)
+        else:
+            self._outcome = outcome
+
+
+def _close_response(outcome: Outcome | None) -> None:
+    """Free the connection of a response that nobody will read."""
+    if outcome is None or outcome.is_err():
+        return
+    close = getattr(outcome.ok_value.body, "close", None)
+    if close is not None:
+        close()
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -189,7 +189,7 @@
                 "cut",
                 routed.request_id,
                 why,
-                target=routed.target_id,
+                target=",".join(sorted(routed.targets)),
                 ms=round((now - routed.received_at) * 1000.0),
                 left_ms=round((routed.deadline - now) * 1000.0),
             )
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -40,13 +40,13 @@
         Called just before the first byte is sent; returns whether it may be.
     received_at : float
         Time at which its headers had arrived, in monotonic seconds.
-    target_id : str
-        Target of the current or last attempt; empty before the first.
+    targets : set of str
+        Ids of the targets that it is being sent to.
     """
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
     __slots__ += ("headers", "body", "deadline", "is_disconnected", "may_send")
-    __slots__ += ("fingerprint", "received_at", "target_id")
+    __slots__ += ("fingerprint", "received_at", "targets")
 
     def __init__(
         self,
@@ -77,7 +77,7 @@
         self.is_disconnected = is_disconnected
         self.may_send = may_send
         self.received_at = received_at
-        self.target_id = ""
+        self.targets: set[str] = set()
 
     def for_target(self, expected_header: str, target_id: str) -> TargetRequest:
         """Return the request to send to one target.
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -35,6 +35,7 @@
     log: DecisionLog
     clock: Clock
     draining: bool
+    refusing: bool
 
 
 class CallerConnection:
@@ -114,6 +115,9 @@
         head = raw.and_then(lambda data: parse_head(data, self.server.options))
         if head.is_err():
             return self._refuse_head(head.err())
+        if self.server.refusing:
+            self.server.log.decision("refuse-head", self.address, "stopping")
+            return self._refuse(head.ok().method, head.ok().version_minor, _stopping())
         req = self._build_request(head.ok())
         response = self._call_handler(req)
         return self._send_response(head.ok(), req, response)
@@ -190,7 +194,11 @@
         response = refusal_response(
             error.status, RunState.NOT_RUN, error.reason, error.detail
         )
-        self._writer("GET", 1, keep_alive=False).write(response)
+        return self._refuse("GET", 1, response)
+
+    def _refuse(self, method: str, version_minor: int, response: Response) -> bool:
+        """Send `response` instead of handling a request; the connection ends."""
+        self._writer(method, version_minor, keep_alive=False).write(response)
         self._linger()
         return False
 
@@ -233,6 +241,11 @@
             return
 
 
+def _stopping() -> Response:
+    detail = "This VM is being stopped."
+    return refusal_response(503, RunState.NOT_RUN, "stopping", detail, 0.0)
+
+
 def _internal_error() -> Response:
     return refusal_response(
         500,
--- a/lacewingpond/http/options.py
+++ b/lacewingpond/http/options.py
@@ -37,6 +37,9 @@
         How long to read from a refused caller, so that it can read its response.
     drain_idle_s : float
         How long an idle connection may still send a request during a drain.
+    drain_head_s : float
+        Time in a drain after which a request is refused whose headers have not
+        arrived before, since the end of the drain could abort it.
     """
 
     host: str = "127.0.0.1"
@@ -56,3 +59,4 @@
     max_discard_bytes: int = 65_536
     linger_s: float = 1.0
     drain_idle_s: float = 2.0
+    drain_head_s: float = 4.0
--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -45,6 +45,7 @@
         "log",
         "clock",
         "draining",
+        "refusing",
         "_listener",
         "_connections",
         "_per_address",
@@ -58,7 +59,7 @@
         self.handler = handler
         self.log = log
         self.clock = clock
-        self.draining = False
+        self.draining = self.refusing = False
         self._listener = _Listener(self)
         self._connections: set[CallerConnection] = set()
         self._per_address: Counter[str] = Counter()
@@ -113,7 +114,8 @@
         """Wait for running requests, then close all connections.
 
         From now on each connection is closed after its response. An idle connection
-        is closed after `HttpOptions.drain_idle_s`.
+        is closed after `HttpOptions.drain_idle_s`, and a request whose headers are
+        complete only after `HttpOptions.drain_head_s` is refused.
 
         Parameters
         ----------
@@ -128,12 +130,11 @@
         self.draining = True
         # Let the greenlets of connections that were just accepted start.
         gevent.sleep(0)
-        now = self.clock.now()
-        deadline = now + grace_s
-        idle_until = now + min(self.options.drain_idle_s, grace_s)
-        while self._connections and self.clock.now() < deadline:
-            if self.clock.now() >= idle_until:
+        started = self.clock.now()
+        while self._connections and (passed_s := self.clock.now() - started) < grace_s:
+            if passed_s >= self.options.drain_idle_s:
                 self._close_idle()
+            self.refusing = passed_s >= self.options.drain_head_s
             self.clock.sleep(DRAIN_POLL_S)
         self._close_idle()
         self.clock.sleep(0)
--- a/tests/proxy/test_proxy_pipeline.py
+++ b/tests/proxy/test_proxy_pipeline.py
@@ -329,6 +329,32 @@
     assert proxy.silent_targets == ["t0"]
 
 
+def works_as_asked(environ, start_response):
+    gevent.sleep(float(environ["HTTP_X_WORK"]))
+    start_response("200 OK", [("Content-Length", "0")])
+    return [b""]
+
+
+# Of three requests to one target, one runs for long, one reaches its own short timeout,
+# and one on a newer connection gets its response: the long one is taken for one on a
+# silent connection, and ended before anything has replaced it.
+def test_long_request_is_not_given_up_after_the_timeout_of_another(proxy):
+    server = WSGIServer(("127.0.0.1", 0), works_as_asked, log=None, error_log=None)
+    server.start()
+    proxy.start()
+    proxy.configure((Target("t0", f"127.0.0.1:{server.server_port}"),))
+    long = gevent.spawn(proxy.send, **{"X-Work": "2.5"})
+    gevent.sleep(0.05)
+    fields = {"X-Work": "9", "Lacewingpond-Deadline-Ms": "500"}
+    late = gevent.spawn(proxy.send, **fields)
+    gevent.sleep(0.1)
+    assert proxy.send(**{"X-Work": "0"}).status == 200
+    assert late.get().status == 504
+    response = long.get()
+    server.stop(timeout=0)
+    assert response.status == 200
+
+
 def test_dead_target_is_avoided_and_all_dead_reports_not_run(proxy):
     proxy.start({}, {})
     proxy.targets[0].stop()
