Send a body on after bytes that are not its response

Callers with a long body got 504 at the deadline when a slow target sent an interim response, or a late second response to an earlier request, before it had read the body. Any readable byte counted as an early response, so the rest of the body was never sent, and the target waited for it.

While a body can't be sent on, the bytes that have arrived are now peeked at and given to FinalResponse, the parser that reads the response later. Only where it would return or fail is the response early; where it needs more bytes, the body is sent on. Both decisions thus follow the same rules and limits. A response to another request without a length counts as early, because the parser rejects it. An end of stream counts as well; as a peek does not reach one that follows unread bytes, the state of the TCP connection tells. After an error of the connection any readable bytes may still hold the response, as before. An unfinished response to another request that is longer than a peek stays undecided.

A request with a hedge whose body is not read is checked for being overdue as well, so that another target is tried beside it.

--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -8,6 +8,7 @@
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from lacewingpond.targets.early_response import holds_final_response, peek
 from lacewingpond.targets.errors import ExchangeError, SendReason
 from lacewingpond.targets.http_connection import TargetHttpConnection
 from lacewingpond.targets.options import TargetOptions
@@ -56,6 +57,8 @@
         "_options",
         "_clock",
         "_deadline",
+        "_method",
+        "_expected_id",
         "_is_disconnected",
         "_gives_up_silent",
         "_on_overdue",
@@ -81,6 +84,8 @@
         self._options = options
         self._clock = clock
         self._deadline = 0.0
+        self._method = ""
+        self._expected_id: str | None = None
         self._is_disconnected: Callable[[], bool] | None = None
         self._gives_up_silent = False
         self._on_overdue: Callable[[], bool] | None = None
@@ -126,10 +131,9 @@
         self._on_overdue = req.on_overdue
         self._overdue_at = req.overdue_at
         self._is_disconnected = req.is_disconnected if req.idempotent else None
-        self._http.set_expected_id(
-            self._options.answer_id_header,
-            req.headers.get(self._options.answer_id_header),
-        )
+        self._method = req.method
+        self._expected_id = req.headers.get(self._options.answer_id_header)
+        self._http.set_expected_id(self._options.answer_id_header, self._expected_id)
         if req.may_send is not None and not req.may_send():
             raise ExchangeError(SendReason.MAY_NOT_SEND)
         self.sent_at = self._clock.now()
@@ -182,7 +186,7 @@
             )
         except OSError:
             self.reusable = False
-            if not self._has_early_response():
+            if not self._has_unread_bytes():
                 raise
 
     def _headers(self, req: TargetRequest) -> HTTPHeaderDict:
@@ -193,15 +197,33 @@
     def _check_stalled(self) -> None:
         """Raise if no more of the request is to be sent."""
         if self._has_early_response():
-            raise BrokenPipeError("the target responded before it read the body")
-        if self._clock.now() >= self._deadline:
+            raise BrokenPipeError(
+                "the target responded or closed its side before it read the body"
+            )
+        now = self._clock.now()
+        if now >= self._deadline:
             raise ExchangeError(
                 SendReason.DEADLINE, "the target did not read the body by the deadline"
             )
         self._check_caller()
+        if self._on_overdue is not None:
+            self._check_overdue(now, self.sent_at)
 
     def _has_early_response(self) -> bool:
-        """Return whether the target sent a response before the whole request."""
+        """Return whether the target's response, or none, comes before the whole body.
+
+        Interim responses and responses to other requests may come before it is read.
+        """
+        sock = self._http.sock
+        if self._http.bytes_sent == 0 or sock is None:
+            return False
+        data, is_closed = peek(sock)
+        return is_closed or holds_final_response(
+            data, self._method, self._options.answer_id_header, self._expected_id
+        )
+
+    def _has_unread_bytes(self) -> bool:
+        """Return whether a broken connection may still hold the response."""
         sock = self._http.sock
         if self._http.bytes_sent == 0 or sock is None:
             return False
