--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -52,6 +52,20 @@
         assert "Example: " in command.help, command.name
 
 
+def names_of_tests():
+    files = list((ROOT / "tests").rglob("test_*.py"))
+    functions = "\n".join(path.read_text() for path in files)
+    return {path.stem for path in files} | set(re.findall(r"def (test_\w+)", functions))
+
+
+# A test that was renamed leaves pages behind that name nothing.
+def test_tests_that_the_docs_name_exist():
+    pages = [path.read_text() for path in ROOT.glob("docs/**/*.md")]
+    named = {name for page in pages for name in re.findall(r"`(test_\w+)`", page)}
+    assert named
+    assert named - names_of_tests() == set()
+
+
 @pytest.mark.parametrize("page", sorted(ROOT.glob("docs/**/*.md")), ids=str)
 def test_relative_links_point_to_existing_files(page):
     for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
