--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -190,6 +190,8 @@
         def prepare() -> Attempt | None:
             if not (request.body.can_send and self._has_time() and self._can_retry()):
                 return None
+            if self._is_refused_elsewhere():
+                return None
             second = None if self._is_quarantined() else self._pick(False)
             if second is None or not self._spend_retry():
                 return None
@@ -204,12 +206,28 @@
         return hedge
 
     def _second_attempt(self, state: TargetState) -> Outcome | None:
+        """Return the outcome of an attempt beside another, if it ends the request.
+
+        One that could not be sent does not: the other may be at work. It costs no
+        retry.
+        """
         outcome = self._attempt(state, None)
-        if _ends_request(outcome):
+        sent = outcome.is_ok() or outcome.err_value.kind is not FailureKind.NOT_SENT
+        if sent and _ends_request(outcome):
             return outcome
+        if not sent:
+            self._context.retries.refund(self._request.service)
         self._record(outcome)
         return None
 
+    def _is_refused_elsewhere(self) -> bool:
+        """Return whether another target could not be sent the request either."""
+        failure = self._last_failure
+        if failure is not None and failure.final:
+            return True
+        unsent = len(self._tried) - self._sent_count - self._waiting_count
+        return unsent >= MAX_NOT_SENT_ATTEMPTS
+
     def _record(self, outcome: Outcome) -> None:
         """Keep what an attempt that does not end the request leaves to respond with."""
         if outcome.is_ok():
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -159,6 +159,9 @@
             return Err(EntryRefusal.not_run(exc.status, "bad-body", exc.detail))
         if body is None:
             return Err(_too_large())
+        if not req.body.is_empty and req.is_refused():
+            # Its target would not respond before the end of the stop.
+            return Err(_unavailable("stopping", "This VM is being stopped."))
         routed = self._routed_request(
             req,
             request_id,
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -137,6 +137,7 @@
             body=body,
             remote_address=self.address,
             received_at=self.server.clock.now(),
+            is_refused=lambda: self.server.refusing,
             is_disconnected=self._is_disconnected,
         )
 
--- a/lacewingpond/http/request.py
+++ b/lacewingpond/http/request.py
@@ -27,6 +27,8 @@
         IP address of the other end of the connection.
     received_at : float
         When the headers had arrived, in monotonic seconds.
+    is_refused : callable
+        Returns whether the server refuses requests that have not arrived whole.
     is_disconnected : callable
         Returns True once the caller has closed its side of the connection, unless
         bytes that it sent before, such as a pipelined request, are still unread.
@@ -39,4 +41,5 @@
     body: RequestBody
     remote_address: str
     received_at: float
+    is_refused: Callable[[], bool]
     is_disconnected: Callable[[], bool]
--- a/lacewingpond/retries/budget.py
+++ b/lacewingpond/retries/budget.py
@@ -58,6 +58,12 @@
         self._balances[service] -= 1.0
         return True
 
+    def refund(self, service: str) -> None:
+        """Return a retry that was taken and not made."""
+        if service in self._balances:
+            balance = self._balances[service] + 1.0
+            self._balances[service] = min(balance, self._options.reserve)
+
     def keep_only(self, services: frozenset[str]) -> None:
         """Drop the balances of all services but `services`."""
         for service in set(self._balances) - services:
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -140,6 +140,7 @@
         self._send(req)
         self.sent_at = self._clock.now()
         response = self._http.getresponse()
+        self._gives_up_silent = False
         self.last_active_at = self._clock.now()
         return response
 
--- a/tests/entry/test_entry_hedge.py
+++ b/tests/entry/test_entry_hedge.py
@@ -7,12 +7,13 @@
 
 import gevent
 import pytest
-from entry_helper import config, entry_target, route
+from entry_helper import FORMATS, config, entry_target, route
 from gevent.event import Event
 from msgspec import structs
-from path_helper import CLOCK, caller_server, connect, raw_target, read_head
+from path_helper import CLOCK, WAIT_S, caller_server, connect, raw_target, read_head
 from stack_helper import Stack, not_run, raw_request, running, signed
 
+from lacewingpond.entry.model.route import WeightedService
 from lacewingpond.entry.targets.health import ERROR_EVIDENCE, HealthStatus
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.response import Response
@@ -21,19 +22,26 @@
 LONG = 400_000  # longer than what the daemon buffers
 SLOW_BODY = 8_000_000  # longer than what the buffers of the kernel take
 RESET = struct.pack("ii", 1, 0)
+NO_PORT = "127.0.0.1:9"  # refuses connections
 
 
 @pytest.fixture
 def serve():
-    """Return a function that starts a stack with one suspect target per `respond`."""
+    """Return a function that starts a stack with one suspect target per `respond`.
+
+    A target without a responder refuses connections.
+    """
     with ExitStack() as exits:
 
-        def start(*responders, suspect=True, **fields):
+        def start(*responders, suspect=True, reserve=10.0, **fields):
             only = route(idempotent=True, **{"timeout_s": TIMEOUT_S, **fields})
-            stack = exits.enter_context(running(Stack(config(routes=(only,)))))
+            stack = Stack(config(routes=(only,)), reserve=reserve)
+            stack = exits.enter_context(running(stack))
             for number, respond in enumerate(responders):
-                server = exits.enter_context(caller_server(respond))
-                address = f"127.0.0.1:{server.port}"
+                address = NO_PORT
+                if respond is not None:
+                    server = exits.enter_context(caller_server(respond))
+                    address = f"127.0.0.1:{server.port}"
                 stack.add_target(entry_target(f"t{number}", address))
                 if suspect:
                     health = stack.table.get(f"t{number}").health
@@ -376,3 +384,125 @@
     assert stack.call("GET")[0] == 504
     targets = [target_id for target_id, _ in failed]
     assert len(targets) == len(set(targets)), failed
+
+
+# The route moves to another service while a target works on the request: the second
+# attempt may not be sent, which counts as the end of the request and ends the first.
+def test_changed_route_does_not_end_an_overdue_attempt_at_work(serve):
+    respond = in_turn(after(1.4, first))
+    stack = serve(respond, respond)
+    call = gevent.spawn(stack.call, "GET")
+    gevent.sleep(0.5)
+    assert len(respond.arrived) == 1
+    split = (WeightedService("other", 1.0),)
+    moved = config(version=2, routes=(route(idempotent=True, split=split),))
+    decoded = SimpleNamespace(is_err=lambda: False, ok_value=moved)
+    view = stack.vm.view
+    view._formats = structs.replace(FORMATS, decode_config=lambda raw: decoded)
+    stack.put("config", b"2")
+    assert view.config.version == 2
+    status, _, body = call.get()
+    assert (status, body) == (200, b"first")
+    assert len(respond.arrived) == 1
+
+
+# The proof of freshness becomes too old (the store is down) while a target works.
+def test_stale_proof_does_not_end_an_overdue_attempt_at_work(serve):
+    respond = in_turn(after(1.4, first))
+    stack = serve(respond, respond)
+    call = gevent.spawn(stack.call, "GET")
+    gevent.sleep(0.5)
+    assert len(respond.arrived) == 1
+    stack.vm.freshness.max_age_s = 0.0
+    status, _, body = call.get()
+    assert (status, body) == (200, b"first")
+
+
+# The second attempt finds a target that refuses connections: nothing was sent, but the
+# only retry is charged, and the request is not sent on when the first target crashes.
+def test_second_attempt_that_is_not_sent_takes_no_retry(serve):
+    respond = in_turn(after(1.3, break_off), signed)
+    stack = serve(respond, respond, None, suspect=False, reserve=1.0, max_attempts=3)
+    order = ["t0", "t2", "t1"]
+
+    def pick(service, tried, retryable):
+        left = [name for name in order if name not in tried]
+        return stack.table.get(left[0]) if left else None
+
+    context = stack.pipeline._context
+    placer = SimpleNamespace(pick=pick, load=context.placer.load)
+    stack.pipeline._context = structs.replace(context, placer=placer)
+    stack.table.get("t0").health.add(CLOCK.now(), 0, ERROR_EVIDENCE, 0)
+    status, _, body = stack.call("GET")
+    assert (status, body) == (200, b"done"), stack.vm.log.lines[-6:]
+
+
+# The head of a request arrives early in a drain and its body just before the end: at a
+# target, the request would be cut without an answer.
+def test_request_whose_body_ends_late_in_a_drain_is_not_cut(serve):
+    respond = in_turn(after(3.0))
+    stack = serve(respond, suspect=False, timeout_s=5.0)
+    stack.server.options = structs.replace(stack.server.options, drain_head_s=1.0)
+    sock = connect(stack.server.port)
+    sock.sendall(raw_request("id-1", b"0123456789"))
+    sock.sendall(b"01234")
+    gevent.sleep(0.1)
+    draining = gevent.spawn(stack.server.drain, 1.5)
+    gevent.sleep(1.3)
+    sock.sendall(b"56789")
+    answer = sock.recv(65536)
+    assert answer.startswith(b"HTTP/1.1 503"), answer
+    assert b"not-run" in answer
+    assert respond.arrived == []
+    sock.close()
+    assert draining.get() == 0
+
+
+# Bytes are accepted from the daemon only once a third of the kernel's buffer is free: a
+# caller that reads without a pause, but slowly, counts as one that reads nothing.
+def test_long_response_to_a_caller_that_reads_slowly_is_not_cut(serve):
+    size, block = 12, 500_000
+    respond = in_parts(*[(0.0, block)] * size)
+    stack = serve(respond, suspect=False, timeout_s=60.0)
+    stack.server.options = structs.replace(stack.server.options, write_timeout_s=0.5)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    sock.settimeout(WAIT_S)
+    sock.connect(("127.0.0.1", stack.server.port))
+    sock.sendall(raw_request("id-1"))
+    received = read_head(sock)
+    while not received.endswith(b"\r\n0\r\n\r\n"):
+        gevent.sleep(0.05)  # much shorter than the longest wait for the caller
+        data = sock.recv(65536)
+        assert data, (len(received), stack.vm.log.lines[-1])
+        received += data
+    assert len(received) > size * block
+    sock.close()
+
+
+# A target sends the head of its response, then reads the rest of a long body, whose end
+# it needs for the response: the head counts as an early response, and nobody sends on.
+def test_body_is_sent_on_after_the_head_of_a_response_that_needs_it():
+    def serve_connection(sock):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        head, _, body = read_head(sock).partition(b"\r\n\r\n")
+        request_id = head.split(b"X-Id: ")[1].split(b"\r\n")[0]
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nX-Id: " + request_id + b"\r\nX-Signature: s\r\n"
+            b"Content-Length: 2\r\n\r\n"
+        )
+        gevent.sleep(0.6)
+        left = SLOW_BODY - len(body)
+        while left > 0:
+            data = sock.recv(65536)
+            if not data:
+                return
+            left -= len(data)
+        sock.sendall(b"ok")
+
+    with ExitStack() as exits:
+        stack = exits.enter_context(running(Stack(config())))
+        target = exits.enter_context(raw_target(serve_connection))
+        stack.add_target(entry_target("t0", target.address))
+        status, _, body = stack.call(body=b"x" * SLOW_BODY)
+        assert (status, body) == (200, b"ok")
