--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -190,7 +190,7 @@
         def prepare() -> Attempt | None:
             if not (request.body.can_send and self._has_time() and self._can_retry()):
                 return None
-            if self._is_refused_elsewhere():
+            if self._others_would_fail():
                 return None
             second = None if self._is_quarantined() else self._pick(False)
             if second is None or not self._spend_retry():
@@ -220,8 +220,8 @@
         self._record(outcome)
         return None
 
-    def _is_refused_elsewhere(self) -> bool:
-        """Return whether another target could not be sent the request either."""
+    def _others_would_fail(self) -> bool:
+        """Return whether a further target could not be sent the request either."""
         failure = self._last_failure
         if failure is not None and failure.final:
             return True
