Log the limits that targets name

The header is decoded, and a line `limit` is written when a target names, changes or ends a limit; `attempt` lines have it. Nothing else depends on it yet.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -13,6 +13,7 @@
 from lacewingpond.entry.formats import Formats
 from lacewingpond.entry.freshness import MAX_PROOF_AGE_RATIO, Freshness
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.limits.named_limits import NamedLimits
 from lacewingpond.entry.member import Member
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.peers.channel import DatagramChannel
@@ -163,6 +164,7 @@
             self._client,
             self._retries,
             EntryQuarantine(self._fleet, self._channel, clock, log),
+            NamedLimits(names.rate_limit, log),
             clock,
             log,
         )
--- a/lacewingpond/entry/header_names.py
+++ b/lacewingpond/entry/header_names.py
@@ -23,6 +23,9 @@
         Set by targets on each response of their own.
     not_run : str
         Set by targets on the response to a request that they did not run.
+    rate_limit : str
+        Set by targets that name a limit: the requests per second that they accept from
+        the whole fleet.
     """
 
     request_id: str
@@ -32,3 +35,4 @@
     workspace: str
     signature: str
     not_run: str
+    rate_limit: str
--- /dev/null
+++ b/lacewingpond/entry/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that targets name in their responses."""
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.limits.named_limits import NamedLimits
 from lacewingpond.entry.requests.forwarded_body import ForwardedBody
 from lacewingpond.entry.requests.hedge import Attempt, Hedge
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
@@ -117,6 +118,7 @@
     client: TargetClient
     retries: RetryBudget
     quarantine: EntryQuarantine
+    limits: NamedLimits
     clock: Clock
     log: DecisionLog
 
@@ -267,6 +269,7 @@
             state.in_flight -= 1
             request.targets.discard(target_id)
             ended = context.clock.now()
+            limit = {} if state.limit is None else {"limit": state.limit}
             context.log.decision(
                 "attempt",
                 request.request_id,
@@ -275,6 +278,7 @@
                 ms=round((ended - started) * 1000.0),
                 left_ms=round((request.deadline - ended) * 1000.0),
                 conn="kept" if reused else "new",
+                **limit,
             )
         return outcome
 
@@ -335,6 +339,8 @@
     ) -> Outcome:
         names = self._context.names
         if response.headers.get(names.not_run) or response.status == MISDIRECTED:
+            if response.status != MISDIRECTED:
+                self._context.limits.observe(state, response.headers)
             return Err(self._not_run_failure(state, response))
         if not self._is_valid_response(response):
             self._context.reporter.record_failure(
@@ -346,6 +352,7 @@
             return Err(
                 _unknown_failure(EntryRefusal.unknown(502, "bad-answer", detail))
             )
+        self._context.limits.observe(state, response.headers)
         blocks, size = [], 0
         for block in response:
             blocks.append(block)
--- a/lacewingpond/platform/names.py
+++ b/lacewingpond/platform/names.py
@@ -13,6 +13,7 @@
     workspace="X-Lacewingpond-Tenant-Name",
     signature="X-Lacewingpond-Response-Signature",
     not_run="X-Lacewingpond-Not-Executed",
+    rate_limit="Server-Limit",  # a rate, not a number of concurrent requests
 )
 READY_PATH = "/api/ready"
 CONFIG_KEY = "op/config"
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -9,6 +9,7 @@
 from path_helper import CLOCK, caller_server, exchange
 
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.limits.named_limits import NamedLimits
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.rules import QuotaRules
 from lacewingpond.entry.requests.delivery import DeliveryContext
@@ -35,6 +36,7 @@
     workspace="X-Workspace",
     signature="X-Signature",
     not_run="X-Not-Run",
+    rate_limit="X-Limit",
 )
 RULES = QuotaRules(window_s=5.0, overage=0.1, slack=20.0)
 
@@ -77,6 +79,7 @@
             self.client,
             self.retries,
             EntryQuarantine(vm.fleet, vm.channel, CLOCK, vm.log),
+            NamedLimits(NAMES.rate_limit, vm.log),
             CLOCK,
             vm.log,
         )
