--- /dev/null
+++ b/tests/entry/limit_helper.py
@@ -0,0 +1,195 @@
+"""A fleet that delivers requests to in-memory targets which name rate limits."""
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+import msgspec
+from entry_helper import Network, Vm, entry_target, route
+from result import Err, Ok
+from stack_helper import NAMES
+
+from lacewingpond.entry.limits.named_limits import NamedLimits
+from lacewingpond.entry.requests.delivery import DeliveryContext, EntryDelivery
+from lacewingpond.entry.requests.quarantine import EntryQuarantine
+from lacewingpond.entry.requests.routed_request import EntryRequest
+from lacewingpond.entry.targets.placer import EntryPlacer
+from lacewingpond.entry.targets.reporter import OutcomeReporter
+from lacewingpond.entry.targets.table import TargetTable
+from lacewingpond.http.headers import Headers
+from lacewingpond.proxy.buffered_body import BufferedBody
+from lacewingpond.retries.budget import RetryBudget
+from lacewingpond.retries.options import RetryOptions
+from lacewingpond.store.base import WatchEvent
+from lacewingpond.targets.errors import SendError, SendFailure, SendReason
+
+# The users' bound on a target that names a limit of N requests a second.
+WINDOW_S = 4.0
+OVERAGE = 1.5
+SLACK = 5
+STABLE_S = 3.0  # after the target first names its limit
+TOLD_S = 0.5  # after a VM forwarded a response with the limit
+
+
+def allowed(rate):
+    """Return the most requests in a window from VMs that were told the limit."""
+    return OVERAGE * WINDOW_S * rate + SLACK
+
+
+class MemoryTargets:
+    """Targets that respond at once, and name the limits in `limits`."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.limits = {}
+        self.failing = set()
+        self.refusing = set()
+        self.arrivals = []
+        self._named_at = {}
+        self._told_at = {}
+
+    def send(self, vm, target, request):
+        target_id, now = target.target_id, self.clock.now()
+        if not request.may_send():
+            return Err(SendError(SendFailure.NOT_SENT, SendReason.MAY_NOT_SEND))
+        self.arrivals.append((now, vm.name, target_id))
+        if target_id in self.failing:
+            return Err(SendError(SendFailure.UNKNOWN, SendReason.BROKEN))
+        headers = Headers(((NAMES.request_id, request.headers.get(NAMES.request_id)),))
+        headers.set(NAMES.signature, "s")
+        if target_id in self.refusing:
+            headers.set(NAMES.not_run, "1")
+        if target_id in self.limits:
+            headers.set(NAMES.rate_limit, self.limits[target_id])
+            self._named_at.setdefault(target_id, now)
+            self._told_at.setdefault((vm.name, target_id), now)
+        return Ok(MemoryResponse(503 if target_id in self.refusing else 200, headers))
+
+    def counted(self, target_id):
+        """Return the arrivals that the bound counts: those from VMs that were told."""
+        bound_from = self._named_at.get(target_id, float("inf")) + STABLE_S
+        return [
+            at
+            for at, vm, arrived in self.arrivals
+            if arrived == target_id
+            and at >= bound_from
+            and at >= self._told_at.get((vm, target_id), float("inf")) + TOLD_S
+        ]
+
+    def most_in_a_window(self, target_id):
+        counted = self.counted(target_id)
+        windows = (sum(at < t <= at + WINDOW_S for t in counted) for at in counted)
+        return max(windows, default=0) + (1 if counted else 0)
+
+    def arrived_at(self, target_id, since=float("-inf")):
+        return sum(t == target_id and at >= since for at, _, t in self.arrivals)
+
+
+class MemoryResponse:
+    """A complete response without a body, as `TargetClient` returns it."""
+
+    def __init__(self, status, headers):
+        self.status, self.headers = status, headers
+        self.reason, self.reused, self.end = "", False, "complete"
+
+    def __iter__(self):
+        return iter(())
+
+    def set_deadline(self, deadline):
+        pass
+
+    def close(self):
+        pass
+
+
+class LimitedVm:
+    """The delivery of requests on one VM of the fleet."""
+
+    def __init__(self, vm, targets, clock):
+        self.vm, self.clock = vm, clock
+        client = SimpleNamespace(
+            send=lambda target, request, deadline: targets.send(vm, target, request),
+            close_idle=lambda address: None,
+        )
+        self.table = TargetTable(vm.view, client, clock)
+        self.retries = RetryBudget(RetryOptions(0.2, 10.0, 10.0))
+        self.context = DeliveryContext(
+            NAMES,
+            EntryPlacer(self.table, vm.fleet, clock, vm.rng),
+            OutcomeReporter(self.table, vm.fleet, vm.channel, clock, vm.log),
+            client,
+            self.retries,
+            EntryQuarantine(vm.fleet, vm.channel, clock, vm.log),
+            NamedLimits(NAMES.rate_limit, vm.log),
+            clock,
+            vm.log,
+        )
+
+    def deliver(self, number, idempotent=False):
+        """Deliver one request and return its response or refusal."""
+        headers = Headers(((NAMES.request_id, f"id-{number}"),))
+        now = self.clock.now()
+        request = EntryRequest(
+            request_id=f"id-{number}",
+            route=route(idempotent=idempotent),
+            service="svc",
+            workspace="acme",
+            method="POST",
+            path="/a/x",
+            headers=headers,
+            body=BufferedBody(b""),
+            deadline=now + 5.0,
+            fingerprint="",
+            is_disconnected=lambda: False,
+            may_send=lambda: True,
+            received_at=now,
+        )
+        return EntryDelivery(self.context, request).run()
+
+
+class LimitFleet:
+    """VMs in three failure domains in front of the targets of one service."""
+
+    def __init__(self, clock, vms=40, targets=11):
+        self.clock, self.rng = clock, random.Random(1)
+        self.network = Network()
+        self.targets = MemoryTargets(clock)
+        self.outcomes = []
+        domains = ("zone-a", "zone-b", "zone-c")
+        self.vms = [
+            Vm(f"vm-{n}", n, self.network, clock, domains[n % 3])
+            for n in range(1, vms + 1)
+        ]
+        self.daemons = [LimitedVm(vm, self.targets, clock) for vm in self.vms]
+        for vm in self.vms:
+            self.put(f"members/{vm.name}", vm.member.encode())
+        for number in range(targets):
+            self.add_target(f"t{number}", number)
+
+    def add_target(self, target_id, number, incarnation=0):
+        spec = entry_target(
+            target_id, f"127.0.0.1:{9000 + number}", incarnation=incarnation
+        )
+        self.put(f"targets/{target_id}", msgspec.json.encode(spec))
+
+    def put(self, key, value):
+        """Apply a change of the store on all VMs."""
+        for vm in self.vms:
+            revision = vm.cache.revision + 1
+            vm.cache.apply([WatchEvent(key, value, revision)], revision)
+
+    def run(self, seconds, per_s=45, idempotent=False, vms=None):
+        """Deliver `per_s` requests a second through random VMs."""
+        daemons = self.daemons if vms is None else [self.daemons[n] for n in vms]
+        for _ in range(round(seconds * per_s)):
+            daemon = self.rng.choice(daemons)
+            outcome = daemon.deliver(len(self.outcomes), idempotent)
+            self.outcomes.append(outcome)
+            self.clock.advance(1.0 / per_s)
+
+    def statuses(self):
+        """Return how often each status was returned to callers."""
+        return Counter(
+            o.ok_value.status if o.is_ok() else o.err_value.status
+            for o in self.outcomes
+        )
