Take the token shares out of the quota limiter

The buckets that a few VMs hold for the fleet, and the requests for their tokens, know workspaces only by name, rate and size. They move to TokenShares and Allowance, so that other limits of the whole fleet can use them.

--- a/lacewingpond/entry/quota/rules.py
+++ b/lacewingpond/entry/quota/rules.py
@@ -3,8 +3,8 @@
 from msgspec import Struct
 
 from lacewingpond.entry.model.workspace import EntryWorkspace
+from lacewingpond.entry.quota.allowance import Allowance
 
-MIN_TOKENS_PER_SHARE = 4.0  # smaller shares run empty while others are full
 # Share of the tolerance that buckets may hold. The rest covers the initial tokens of
 # restarted daemons.
 BUCKET_SIZE_RATIO = 0.5
@@ -52,8 +52,17 @@
 
     def share_count(self, workspace: EntryWorkspace, fleet_size: int) -> int:
         """Return the number of shares that a workspace's bucket is split into."""
-        wanted = int(self.bucket_size(workspace) / MIN_TOKENS_PER_SHARE)
-        return min(max(wanted, 1), fleet_size)
+        return self.allowance(workspace).share_count(fleet_size)
+
+    def allowance(self, workspace: EntryWorkspace) -> Allowance:
+        """Return the bucket of a workspace, for all of its shares together."""
+        return Allowance(
+            workspace.name,
+            self.refill_rate(workspace),
+            self.bucket_size(workspace),
+            self.initial_tokens(workspace),
+            self.allows_standby(workspace),
+        )
 
     def initial_tokens(self, workspace: EntryWorkspace) -> float:
         """Return the number of tokens that all shares of a starting fleet receive."""
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -15,7 +15,8 @@
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.model.route import EntryRoute
 from lacewingpond.entry.model.workspace import EntryWorkspace
-from lacewingpond.entry.quota.limiter import OVER_RATE, QuotaLimiter
+from lacewingpond.entry.quota.limiter import QuotaLimiter
+from lacewingpond.entry.quota.token_shares import OVER_RATE
 from lacewingpond.entry.requests.delivery import DeliveryContext, EntryDelivery
 from lacewingpond.entry.requests.prefixed_body import PrefixedBody
 from lacewingpond.entry.requests.refusal import EntryRefusal
--- a/lacewingpond/replay/rate_shares.py
+++ b/lacewingpond/replay/rate_shares.py
@@ -15,6 +15,7 @@
 from lacewingpond.entry.model.workspace import EntryWorkspace
 from lacewingpond.entry.peers.messages import PeerMessage
 from lacewingpond.entry.quota.admission import Admission
+from lacewingpond.entry.quota.allowance import Allowance
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.store_cache import StoreCache
 from lacewingpond.entry.store_view import StoreView
@@ -29,7 +30,6 @@
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.rendezvous import ranked
 
-MIN_TOKENS_PER_SHARE = 4.0  # as the slices of `FleetLimiter`, the compared limiter
 MEMBERS_PREFIX = "members/"
 CONFIG_KEY = "config"
 
@@ -37,25 +37,14 @@
 class ExactRules(Struct, frozen=True):
     """Rules in place of `QuotaRules`: shares never sum to more than rate and burst."""
 
-    def refill_rate(self, workspace: EntryWorkspace) -> float:
-        """Return the refill rate of all shares together, in tokens per second."""
-        return workspace.rate
-
-    def bucket_size(self, workspace: EntryWorkspace) -> float:
-        """Return the largest number of tokens that all shares together hold."""
-        return workspace.burst
-
-    def share_count(self, workspace: EntryWorkspace, fleet_size: int) -> int:
-        """Return the number of shares that a workspace's bucket is split into."""
-        return min(max(int(workspace.burst / MIN_TOKENS_PER_SHARE), 1), fleet_size)
-
-    def initial_tokens(self, workspace: EntryWorkspace) -> float:
-        """Return the number of tokens that all shares of a starting fleet receive."""
-        return workspace.burst
-
-    def allows_standby(self, workspace: EntryWorkspace) -> bool:
-        """Return False: two VMs that each grant the whole rate would exceed it."""
-        return False
+    def allowance(self, workspace: EntryWorkspace) -> Allowance:
+        """Return the bucket of a workspace, for all of its shares together."""
+        return Allowance(
+            workspace.name,
+            refill_rate=workspace.rate,
+            bucket_size=workspace.burst,
+            initial_tokens=workspace.burst,
+        )
 
 
 class SharesNetwork:
--- a/tests/entry/test_entry_quota.py
+++ b/tests/entry/test_entry_quota.py
@@ -9,13 +9,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from lacewingpond.entry.quota.limiter import (
-    HOLDERS_UNREACHABLE,
-    OVER_RATE,
-    QuotaLimiter,
-)
+from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.rules import QuotaRules
 from lacewingpond.entry.quota.token_bucket import TokenBucket
+from lacewingpond.entry.quota.token_shares import HOLDERS_UNREACHABLE, OVER_RATE
 from lacewingpond.store.base import WatchEvent
 
 # The source text of `ConservedTokens` decides its examples, so its names stay.
@@ -112,7 +109,7 @@
 def test_standby_grants_tokens_of_small_workspace_without_its_holder(clock):
     fleet = LimiterFleet(clock, 6, 2.0, 2.0)
     clock.advance(10.0)
-    first = fleet.limiters[0]._ranked(fleet.workspace)[0]
+    first = fleet.limiters[0].shares.ranked(fleet.workspace.name)[0]
     holder = next(vm for vm in fleet.vms if vm.name == first)
     fleet.network.cut.add(holder.address)
     requester = next(n for n, vm in enumerate(fleet.vms) if vm is not holder)
@@ -127,7 +124,7 @@
     fleet = LimiterFleet(clock, 12, 31.0, 31.0)
     clock.advance(10.0)
     count = RULES.share_count(fleet.workspace, 12)
-    holders = fleet.limiters[0]._ranked(fleet.workspace)[:count]
+    holders = fleet.limiters[0].shares.ranked(fleet.workspace.name)[:count]
     cut = next(n for n, vm in enumerate(fleet.vms) if vm.name not in holders)
     fleet.network.cut.add(fleet.vms[cut].address)
     admission = fleet.admit(cut)
@@ -139,7 +136,7 @@
     vm = fleet.vms[0]
     # Removes the only member, so that the configuration is known before it registers.
     vm.cache.apply([WatchEvent(f"members/{vm.name}", None, 50)], 50)
-    assert not fleet.limiters[0]._buckets
+    assert not fleet.limiters[0].shares._buckets
     clock.advance(10.0)
     vm.cache.apply([WatchEvent(f"members/{vm.name}", vm.member.encode(), 51)], 51)
     clock.advance(5.0)
@@ -150,14 +147,16 @@
     fleet = LimiterFleet(clock, 2, 20.0, 40.0)
     vm = fleet.vms[0]
     clock.advance(10.0)
-    assert "acme" in fleet.limiters[0]._buckets
+    assert "acme" in fleet.limiters[0].shares._buckets
     members = [
         WatchEvent(f"members/new-{n}", vm.member.encode(), 10 + n) for n in range(60)
     ]
     vm.cache.apply(members, 100)
-    held = "acme" in fleet.limiters[0]._buckets
+    held = "acme" in fleet.limiters[0].shares._buckets
     count = RULES.share_count(fleet.workspace, 62)
-    assert held == (vm.name in fleet.limiters[0]._ranked(fleet.workspace)[:count])
+    assert held == (
+        vm.name in fleet.limiters[0].shares.ranked(fleet.workspace.name)[:count]
+    )
 
 
 def test_stopping_holder_grants_nothing_and_takes_tokens_from_others(clock):
