Keep the fleet within the limit that a target names

A target that names a limit was chosen like any other, 3.6 to 3.8 requests a second like the mean of its service. The class: what a target says of itself in band is not part of the model on which the fleet decides.

One token bucket for each such target now serves all VMs, held by the member that ranks first, with the tokens of the quotas (TokenShares). All that reach a target take one: first attempts, retries, trials; hedges go elsewhere. Changes are told to the fleet, so VMs that were never told keep the limit too. What fits no limit is refused at once with a time to return.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -13,6 +13,7 @@
 from lacewingpond.entry.formats import Formats
 from lacewingpond.entry.freshness import MAX_PROOF_AGE_RATIO, Freshness
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.limits.named_limits import NamedLimits
 from lacewingpond.entry.member import Member
 from lacewingpond.entry.model.entry_config import EntryConfig
@@ -99,7 +100,7 @@
         "_client",
     )
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
-    __slots__ += ("_freshness", "_limiter", "_pipeline")
+    __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
 
     def __init__(
         self,
@@ -157,6 +158,10 @@
             clock,
             rng,
         )
+        limits = NamedLimits(names.rate_limit, self._fleet, self._channel, clock, log)
+        self._target_limiter = TargetLimiter(
+            limits, table, self.view, self._fleet, self._channel, clock, rng
+        )
         context = DeliveryContext(
             names,
             EntryPlacer(table, self._fleet, clock, rng),
@@ -164,7 +169,7 @@
             self._client,
             self._retries,
             EntryQuarantine(self._fleet, self._channel, clock, log),
-            NamedLimits(names.rate_limit, log),
+            self._target_limiter,
             clock,
             log,
         )
@@ -243,6 +248,7 @@
         self.server.stop_accepting()
         self.follower.hand_over_watch()
         self._limiter.leave()
+        self._target_limiter.leave()
         self._greenlets.append(gevent.spawn(self._registration.leave))
         cut = self.server.drain(max(deadline - self._clock.now(), 0.0))
         self._pipeline.log_running("end of the stop grace")
--- a/lacewingpond/entry/limits/named_limits.py
+++ b/lacewingpond/entry/limits/named_limits.py
@@ -1,50 +1,181 @@
-"""The rate limits that targets name, as this VM has seen them."""
+"""The rate limits that targets name, as this VM and its peers have seen them."""
 
-from result import Result
+from collections import OrderedDict
 
+from lacewingpond.entry.fleet import Fleet
+from lacewingpond.entry.limits.named_limit import NamedLimit
 from lacewingpond.entry.limits.parse import parse_limit
-from lacewingpond.entry.targets.state import TargetState
+from lacewingpond.entry.model.entry_target import EntryTarget
+from lacewingpond.entry.peers.channel import DatagramChannel
+from lacewingpond.entry.peers.messages import LimitNotice
 from lacewingpond.http.headers import Headers
 from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+
+MAX_LIMITS = 10_000  # the least recently observed ones are dropped first
+ANNOUNCE_INTERVAL_S = 10.0  # for VMs that have started or missed a change since
+
+Incarnation = tuple[str, int]
+"""Id of a target, and what changes with each of its starts."""
 
 
 class NamedLimits:
-    """Logs when a target names a limit, changes it or names none any more.
+    """Records the limits of targets and announces changes to the fleet.
+
+    A limit holds until the target names another one, or responds without one to a
+    request that was sent after the limit was observed. Responses to earlier requests
+    may have been on their way when it was named. The newest observation wins.
 
     Parameters
     ----------
     header : str
         Name of the header that holds a limit.
+    fleet : Fleet
+        Addresses of the peers.
+    channel : DatagramChannel
+        Sends and receives notices.
+    clock : Clock
+        Time source.
     log : DecisionLog
         Log of changes.
     """
 
-    __slots__ = ("_header", "_log")
+    __slots__ = ("_header", "_fleet", "_channel", "_clock", "_log", "_limits")
+    __slots__ += ("_invalid",)
 
-    def __init__(self, header: str, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        header: str,
+        fleet: Fleet,
+        channel: DatagramChannel,
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
         self._header = header
+        self._fleet = fleet
+        self._channel = channel
+        self._clock = clock
         self._log = log
+        self._limits: OrderedDict[Incarnation, NamedLimit] = OrderedDict()
+        self._invalid: OrderedDict[Incarnation, None] = OrderedDict()
+        channel.register(LimitNotice, self._handle_notice)
+
+    def known(self, key: Incarnation) -> NamedLimit:
+        """Return a limit that was recorded.
+
+        Raises
+        ------
+        KeyError
+            If none was recorded for this incarnation.
+        """
+        return self._limits[key]
+
+    def named(self) -> list[Incarnation]:
+        """Return the incarnations that name a limit."""
+        return [key for key, limit in self._limits.items() if limit.rate is not None]
+
+    def get(self, target: EntryTarget) -> NamedLimit | None:
+        """Return what is known of a target's limit, or None if it has named none."""
+        return self._limits.get(_incarnation(target))
 
-    def observe(self, state: TargetState, headers: Headers) -> None:
-        """Record the limit that a response of the target names, or that it names none.
+    def observe(self, target: EntryTarget, headers: Headers, sent_at: float) -> None:
+        """Record the limit that a response names, or that it names none.
 
-        An invalid limit is ignored, and logged once for a target.
+        An invalid limit is ignored, and logged once for each incarnation.
+
+        Parameters
+        ----------
+        target : EntryTarget
+            The target that responded.
+        headers : Headers
+            Headers of the response.
+        sent_at : float
+            Time before its request was sent, in monotonic seconds.
         """
+        key = _incarnation(target)
         named = parse_limit(headers.get_all(self._header))
         if named.is_err():
-            self._log_invalid(state, named)
+            self._log_invalid(key, named.err_value)
+            return
+        rate = named.ok_value
+        if rate is None and key not in self._limits:
             return
-        limit = named.ok_value
-        if limit == state.limit:
+        now = self._clock.now()
+        observed_at = now if rate is not None else sent_at
+        if not self.record(key, rate, observed_at, "here"):
             return
-        why = "ended" if limit is None else "named"
-        state.limit = limit
-        self._log.decision("limit", state.spec.target_id, why, rate=limit)
+        limit = self._limits[key]
+        if now - limit.announced_at >= ANNOUNCE_INTERVAL_S:
+            limit.announced_at = now
+            self._broadcast(self.notice(key, limit))
 
-    def _log_invalid(
-        self, state: TargetState, named: Result[float | None, str]
-    ) -> None:
-        if not state.invalid_limit_logged:
-            state.invalid_limit_logged = True
-            why = f"ignored: {named.err_value}"
-            self._log.decision("limit", state.spec.target_id, why)
+    def record(
+        self, key: Incarnation, rate: float | None, observed_at: float, source: str
+    ) -> bool:
+        """Record an observation, and return whether it is the newest one.
+
+        Parameters
+        ----------
+        key : Incarnation
+            The target.
+        rate : float or None
+            Its limit; None if it names none.
+        observed_at : float
+            As `NamedLimit.observed_at`.
+        source : str
+            Who observed it, for the log.
+        """
+        limit = self._limits.get(key)
+        if limit is not None and not _is_newer(rate, observed_at, limit):
+            return False
+        if limit is None or limit.rate != rate:
+            self._limits[key] = NamedLimit(rate, observed_at)
+            why = "ended" if rate is None else "named"
+            self._log.decision("limit", key[0], why, rate=rate, source=source)
+        else:
+            limit.observed_at = observed_at
+        self._limits.move_to_end(key)
+        if len(self._limits) > MAX_LIMITS:
+            self._limits.popitem(last=False)
+        return True
+
+    def notice(self, key: Incarnation, limit: NamedLimit) -> LimitNotice:
+        """Return the message that tells a peer what is known of a limit."""
+        age_s = self._clock.now() - limit.observed_at
+        return LimitNotice(*key, limit.rate, age_s)
+
+    def _broadcast(self, notice: LimitNotice) -> None:
+        self._channel.broadcast(self._fleet.domain_peers(), notice)
+        relayed = LimitNotice(
+            notice.target_id, notice.incarnation, notice.rate, notice.age_s, True
+        )
+        self._channel.broadcast(self._fleet.relays(), relayed)
+
+    def _handle_notice(self, notice: LimitNotice, sender: str) -> None:
+        self._fleet.record_message(sender)
+        now = self._clock.now()
+        key = (notice.target_id, notice.incarnation)
+        if self.record(key, notice.rate, now - notice.age_s, f"peer {sender}"):
+            self._limits[key].announced_at = now
+        if notice.relay:
+            local = LimitNotice(*key, notice.rate, notice.age_s)
+            self._channel.broadcast(self._fleet.domain_peers(), local)
+
+    def _log_invalid(self, key: Incarnation, detail: str) -> None:
+        if key in self._invalid:
+            return
+        self._invalid[key] = None
+        if len(self._invalid) > MAX_LIMITS:
+            self._invalid.popitem(last=False)
+        self._log.decision("limit", key[0], f"ignored: {detail}")
+
+
+def _is_newer(rate: float | None, observed_at: float, known: NamedLimit) -> bool:
+    # Of two simultaneous observations the one with a limit is safe.
+    if rate is None:
+        return observed_at > known.observed_at
+    return observed_at >= known.observed_at
+
+
+def _incarnation(target: EntryTarget) -> Incarnation:
+    return target.target_id, target.incarnation
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -153,6 +153,48 @@
     relay: bool = False
 
 
+class LimitNotice(Struct, frozen=True, array_like=True, tag=8):
+    """Tells which limit a target names, or that it names none any more.
+
+    Parameters
+    ----------
+    target_id : str
+        Target.
+    incarnation : int
+        Changes with each start of the target.
+    rate : float or None
+        Requests per second that it accepts from the whole fleet; None without limit.
+    age_s : float
+        Age of the observation in seconds.
+    relay : bool
+        Whether the receiver forwards the notice within its failure domain.
+    """
+
+    target_id: str
+    incarnation: int
+    rate: float | None
+    age_s: float
+    relay: bool = False
+
+
+class LimitTokenRequest(Struct, frozen=True, array_like=True, tag=9):
+    """Requests one token of a target that names a limit; a `TokenGrant` responds.
+
+    Parameters
+    ----------
+    number : int
+        Pairs the response with this request.
+    target_id, incarnation, rate, age_s
+        The limit as the sender knows it, as in `LimitNotice`.
+    """
+
+    number: int
+    target_id: str
+    incarnation: int
+    rate: float
+    age_s: float
+
+
 PeerMessage = (
     ChangesRequest
     | ChangesResponse
@@ -161,6 +203,8 @@
     | TokenRequest
     | TokenGrant
     | CrashNotice
+    | LimitNotice
+    | LimitTokenRequest
 )
 
 encode = msgspec.msgpack.Encoder().encode
--- a/lacewingpond/entry/quota/admission.py
+++ b/lacewingpond/entry/quota/admission.py
@@ -17,8 +17,11 @@
         Reason code of the refusal; empty if admitted.
     retry_after_s : float
         Time after which the caller should try again, in seconds; 0 if admitted.
+    granted_by : str
+        VM whose share the token was taken from; empty if none was needed or granted.
     """
 
     admitted: bool
     reason: str = ""
     retry_after_s: float = 0.0
+    granted_by: str = ""
--- a/lacewingpond/entry/quota/token_shares.py
+++ b/lacewingpond/entry/quota/token_shares.py
@@ -98,14 +98,14 @@
         if own is not None:
             now = self._clock.now()
             if own.take(now):
-                return Admission(True)
+                return Admission(True, granted_by=self._fleet.vm_id)
             waits.append(own.wait_s(now))
         for vm_id in self._request_order(allowance):
             grant = self._request_token(vm_id, make_request)
             if grant is None:
                 continue
             if grant.granted:
-                return Admission(True)
+                return Admission(True, granted_by=vm_id)
             waits.append(grant.wait_s)
         if not waits:
             return Admission(False, HOLDERS_UNREACHABLE, UNRESPONSIVE_S / 2)
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -10,7 +10,8 @@
 from result import Err, Ok, Result
 
 from lacewingpond.entry.header_names import HeaderNames
-from lacewingpond.entry.limits.named_limits import NamedLimits
+from lacewingpond.entry.limits.limiter import TargetLimiter
+from lacewingpond.entry.quota.admission import Admission
 from lacewingpond.entry.requests.forwarded_body import ForwardedBody
 from lacewingpond.entry.requests.hedge import Attempt, Hedge
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
@@ -42,6 +43,7 @@
 # longer ones are streamed.
 MAX_BUFFERED_BYTES = 262_144
 MAX_NOT_SENT_ATTEMPTS = 4  # unsent attempts after which the request is refused
+MAX_DENIED_TARGETS = 4  # targets at their limit after which only others are tried
 MIN_ATTEMPT_S = 0.05  # no target responds in less
 BUSY_RETRY_AFTER_S = 0.6  # a busy target completes a request in about this time
 # While targets refuse requests although slots are free, other targets may accept them.
@@ -118,7 +120,7 @@
     client: TargetClient
     retries: RetryBudget
     quarantine: EntryQuarantine
-    limits: NamedLimits
+    limiter: TargetLimiter
     clock: Clock
     log: DecisionLog
 
@@ -142,6 +144,7 @@
 
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
     __slots__ += ("_last_failure", "_waiting_count", "_error_response")
+    __slots__ += ("_tokens", "_denied_count")
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
         self._context = context
@@ -152,6 +155,8 @@
         self._last_failure: AttemptFailure | None = None
         self._waiting_count = 0
         self._error_response: Response | None = None
+        self._tokens: dict[str, Admission] = {}
+        self._denied_count = 0
 
     def run(self) -> Result[Response, EntryRefusal]:
         """Return the response of a target, or the refusal if there is none."""
@@ -194,7 +199,7 @@
                 return None
             if self._others_would_fail():
                 return None
-            second = None if self._is_quarantined() else self._pick(False)
+            second = None if self._is_quarantined() else self._pick_unlimited()
             if second is None or not self._spend_retry():
                 return None
             self._may_have_run = True
@@ -245,8 +250,26 @@
         return Err(self._final_refusal())
 
     def _pick(self, retryable: bool) -> TargetState | None:
-        service = self._request.service
-        return self._context.placer.pick(service, self._tried, retryable)
+        """Return an untried target that accepts a further request by its limit."""
+        service, placer = self._request.service, self._context.placer
+        limiter = self._context.limiter
+        while self._denied_count < MAX_DENIED_TARGETS:
+            excluded = self._tried | limiter.exhausted(service).keys()
+            state = placer.pick(service, excluded, retryable)
+            if state is None:
+                return None
+            admission = limiter.admit(state.spec)
+            if admission.admitted:
+                self._tokens[state.spec.target_id] = admission
+                return state
+            self._denied_count += 1
+        return self._pick_unlimited(retryable)
+
+    def _pick_unlimited(self, retryable: bool = False) -> TargetState | None:
+        """Return an untried target that names no limit."""
+        service, placer = self._request.service, self._context.placer
+        limited = self._context.limiter.limited(service)
+        return placer.pick(service, self._tried | limited, retryable)
 
     def _is_quarantined(self) -> bool:
         return self._context.quarantine.is_quarantined(self._request.fingerprint)
@@ -269,7 +292,6 @@
             state.in_flight -= 1
             request.targets.discard(target_id)
             ended = context.clock.now()
-            limit = {} if state.limit is None else {"limit": state.limit}
             context.log.decision(
                 "attempt",
                 request.request_id,
@@ -278,10 +300,27 @@
                 ms=round((ended - started) * 1000.0),
                 left_ms=round((request.deadline - ended) * 1000.0),
                 conn="kept" if reused else "new",
-                **limit,
+                **self._limit_fields(state),
             )
         return outcome
 
+    def _limit_fields(self, state: TargetState) -> dict[str, object]:
+        """Return what the log tells about the limit of an attempt's target."""
+        limit = self._context.limiter.limits.get(state.spec)
+        if limit is None or limit.rate is None:
+            return {}
+        token = self._tokens.get(state.spec.target_id)
+        return {
+            "limit": limit.rate,
+            "limit_age_s": round(self._context.clock.now() - limit.observed_at, 2),
+            "token_from": token.granted_by if token is not None else "",
+        }
+
+    def _observe_limit(
+        self, state: TargetState, response: TargetResponse, started: float
+    ) -> None:
+        self._context.limiter.limits.observe(state.spec, response.headers, started)
+
     def _exchange(
         self, state: TargetState, started: float, hedge: Hedge | None
     ) -> tuple[Outcome, bool]:
@@ -340,7 +379,7 @@
         names = self._context.names
         if response.headers.get(names.not_run) or response.status == MISDIRECTED:
             if response.status != MISDIRECTED:
-                self._context.limits.observe(state, response.headers)
+                self._observe_limit(state, response, started)
             return Err(self._not_run_failure(state, response))
         if not self._is_valid_response(response):
             self._context.reporter.record_failure(
@@ -352,7 +391,7 @@
             return Err(
                 _unknown_failure(EntryRefusal.unknown(502, "bad-answer", detail))
             )
-        self._context.limits.observe(state, response.headers)
+        self._observe_limit(state, response, started)
         blocks, size = [], 0
         for block in response:
             blocks.append(block)
@@ -446,6 +485,11 @@
         self._context.reporter.record_failure(state, why, failure_evidence, took_s)
         return is_evidence
 
+    def _limit_waits_s(self) -> list[float]:
+        """Return the times until targets with a limit accept a request, in seconds."""
+        exhausted = self._context.limiter.exhausted(self._request.service)
+        return list(exhausted.values())
+
     def _retry_after_s(self) -> float:
         """Return the retry time for the caller: short unless the service is busy."""
         load = self._context.placer.load(self._request.service)
@@ -506,6 +550,10 @@
 
     def _final_refusal(self) -> EntryRefusal:
         if self._last_failure is None:
+            waits_s = self._limit_waits_s()
+            if waits_s:
+                detail = "The targets of the service have reached their limits."
+                return EntryRefusal.not_run(503, "target-limits", detail, min(waits_s))
             detail = "No target of the service accepts requests."
             return EntryRefusal.not_run(503, "no-target", detail, self._retry_after_s())
         refusal = self._last_failure.refusal
--- a/lacewingpond/entry/targets/state.py
+++ b/lacewingpond/entry/targets/state.py
@@ -22,21 +22,14 @@
         Its health, from the outcomes that the fleet reports.
     in_flight : int
         Number of requests of this VM that it is processing.
-    limit : float or None
-        Requests per second that it accepts from the whole fleet, if it names a limit.
-    invalid_limit_logged : bool
-        Whether a limit of it that can't be parsed was logged.
     """
 
-    __slots__ = ("spec", "target", "health", "in_flight", "limit", "_warm_at")
-    __slots__ += ("invalid_limit_logged",)
+    __slots__ = ("spec", "target", "health", "in_flight", "_warm_at")
     __slots__ += ("_peer_loads", "_unreachable_until", "_backoff_s")
 
     def __init__(self, spec: EntryTarget, now: float) -> None:
         self.health = EntryTargetHealth()
         self.in_flight = 0
-        self.limit: float | None = None
-        self.invalid_limit_logged = False
         self._peer_loads: dict[str, tuple[int, float]] = {}
         self._unreachable_until = float("-inf")
         self._backoff_s = CONNECT_BACKOFF_S
--- a/lacewingpond/telemetry/decision_metrics.py
+++ b/lacewingpond/telemetry/decision_metrics.py
@@ -15,6 +15,8 @@
 SIGNIFICANT_DIGITS = 2  # of latencies; the histogram takes 0.1 MB
 PERCENTILES = (50.0, 99.0, 99.9)
 OTHER_REASON = "other"
+LIMIT_ENDS = frozenset({("limit", "ended"), ("target", "removed")})
+"""Decisions after which a target no longer counts as limited."""
 
 
 class DecisionMetrics:
@@ -28,12 +30,13 @@
         HTTP path of the metrics.
     """
 
-    __slots__ = ("_log", "_path", "_counts", "_attempts")
+    __slots__ = ("_log", "_path", "_counts", "_attempts", "_limited")
 
     def __init__(self, log: DecisionLog, path: str) -> None:
         self._log = log
         self._path = path
         self._counts: Counter[tuple[str, str]] = Counter()
+        self._limited: set[str] = set()
         self._attempts = HdrHistogram(1, MAX_ATTEMPT_MS, SIGNIFICANT_DIGITS)
 
     def decision(self, what: str, which: str, why: str, **fields: object) -> None:
@@ -43,6 +46,10 @@
         if series not in self._counts and len(self._counts) >= MAX_SERIES:
             series = (what, OTHER_REASON)
         self._counts[series] += 1
+        if what == "limit" and why == "named":
+            self._limited.add(which)
+        elif (what, why) in LIMIT_ENDS:
+            self._limited.discard(which)
         latency_ms = fields.get("ms")
         if what == "attempt" and isinstance(latency_ms, int):
             self._attempts.record_value(min(max(latency_ms, 1), MAX_ATTEMPT_MS))
@@ -64,6 +71,7 @@
             f"{self._attempts.get_value_at_percentile(percentile)}"
             for percentile in PERCENTILES
         ]
+        lines.append(f"lacewingpond_limited_targets {len(self._limited)}")
         total = self._attempts.get_total_count()
         lines.append(f"lacewingpond_attempt_milliseconds_count {total}")
         return "\n".join(lines) + "\n"
--- a/tests/entry/limit_helper.py
+++ b/tests/entry/limit_helper.py
@@ -7,9 +7,8 @@
 import msgspec
 from entry_helper import Network, Vm, entry_target, route
 from result import Err, Ok
-from stack_helper import NAMES
+from stack_helper import NAMES, limiter_of
 
-from lacewingpond.entry.limits.named_limits import NamedLimits
 from lacewingpond.entry.requests.delivery import DeliveryContext, EntryDelivery
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.routed_request import EntryRequest
@@ -44,6 +43,7 @@
         self.limits = {}
         self.failing = set()
         self.refusing = set()
+        self.erroring = set()
         self.arrivals = []
         self._named_at = {}
         self._told_at = {}
@@ -52,7 +52,8 @@
         target_id, now = target.target_id, self.clock.now()
         if not request.may_send():
             return Err(SendError(SendFailure.NOT_SENT, SendReason.MAY_NOT_SEND))
-        self.arrivals.append((now, vm.name, target_id))
+        told_at = self._told_at.get((vm.name, target_id), float("inf"))
+        self.arrivals.append((now, target_id, now >= told_at + TOLD_S))
         if target_id in self.failing:
             return Err(SendError(SendFailure.UNKNOWN, SendReason.BROKEN))
         headers = Headers(((NAMES.request_id, request.headers.get(NAMES.request_id)),))
@@ -63,17 +64,24 @@
             headers.set(NAMES.rate_limit, self.limits[target_id])
             self._named_at.setdefault(target_id, now)
             self._told_at.setdefault((vm.name, target_id), now)
-        return Ok(MemoryResponse(503 if target_id in self.refusing else 200, headers))
+        return Ok(MemoryResponse(self._status(target_id), headers))
+
+    def _status(self, target_id):
+        if target_id in self.refusing:
+            return 503
+        return 500 if target_id in self.erroring else 200
+
+    def forget(self, vm_name):
+        """Count no request of a VM until it was told the limits again."""
+        self._told_at = {k: at for k, at in self._told_at.items() if k[0] != vm_name}
 
     def counted(self, target_id):
         """Return the arrivals that the bound counts: those from VMs that were told."""
         bound_from = self._named_at.get(target_id, float("inf")) + STABLE_S
         return [
             at
-            for at, vm, arrived in self.arrivals
-            if arrived == target_id
-            and at >= bound_from
-            and at >= self._told_at.get((vm, target_id), float("inf")) + TOLD_S
+            for at, arrived, told in self.arrivals
+            if arrived == target_id and at >= bound_from and told
         ]
 
     def most_in_a_window(self, target_id):
@@ -82,7 +90,7 @@
         return max(windows, default=0) + (1 if counted else 0)
 
     def arrived_at(self, target_id, since=float("-inf")):
-        return sum(t == target_id and at >= since for at, _, t in self.arrivals)
+        return sum(t == target_id and at >= since for at, t, _ in self.arrivals)
 
 
 class MemoryResponse:
@@ -120,7 +128,7 @@
             client,
             self.retries,
             EntryQuarantine(vm.fleet, vm.channel, clock, vm.log),
-            NamedLimits(NAMES.rate_limit, vm.log),
+            limiter_of(vm, self.table, clock),
             clock,
             vm.log,
         )
@@ -178,6 +186,15 @@
             revision = vm.cache.revision + 1
             vm.cache.apply([WatchEvent(key, value, revision)], revision)
 
+    def restart(self, number):
+        """Restart the process of a VM, which forgets all limits and tokens."""
+        vm = self.vms[number]
+        vm.view._on_targets.clear()
+        vm.view._on_members[:] = vm.view._on_members[:1]
+        self.daemons[number] = LimitedVm(vm, self.targets, self.clock)
+        self.daemons[number].table._update()
+        self.targets.forget(vm.name)
+
     def run(self, seconds, per_s=45, idempotent=False, vms=None):
         """Deliver `per_s` requests a second through random VMs."""
         daemons = self.daemons if vms is None else [self.daemons[n] for n in vms]
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -9,6 +9,7 @@
 from path_helper import CLOCK, caller_server, exchange
 
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.limits.named_limits import NamedLimits
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.rules import QuotaRules
@@ -53,6 +54,11 @@
     return signed(req, 503, b"", X_Not_Run="1")
 
 
+def limiter_of(vm, table, clock):
+    limits = NamedLimits(NAMES.rate_limit, vm.fleet, vm.channel, clock, vm.log)
+    return TargetLimiter(limits, table, vm.view, vm.fleet, vm.channel, clock, vm.rng)
+
+
 class Stack:
     """The request pipeline of one VM behind an HTTP server."""
 
@@ -79,7 +85,7 @@
             self.client,
             self.retries,
             EntryQuarantine(vm.fleet, vm.channel, CLOCK, vm.log),
-            NamedLimits(NAMES.rate_limit, vm.log),
+            limiter_of(vm, self.table, CLOCK),
             CLOCK,
             vm.log,
         )
--- a/tests/telemetry/test_telemetry_decision_metrics.py
+++ b/tests/telemetry/test_telemetry_decision_metrics.py
@@ -27,6 +27,14 @@
     assert len(log.lines) == 4
 
 
+def test_limited_targets_are_counted(metrics):
+    for target_id in ("t1", "t2", "t3"):
+        metrics.decision("limit", target_id, "named", rate=1.0)
+    metrics.decision("limit", "t1", "ended", rate=None)
+    metrics.decision("target", "t2", "removed")
+    assert "lacewingpond_limited_targets 1" in metrics.text().splitlines()
+
+
 def test_attempt_latencies_are_in_milliseconds(metrics):
     for latency_ms in range(1, 101):
         metrics.decision("attempt", "id-1", "200", ms=latency_ms)
