Respect the idle timeout that a target states

A connection was kept for up to 8 s even if its target said in Keep-Alive that it closes it after 2, so that a request could cross the close and end with 502.

Evidence: test_connection_is_not_reused_near_the_idle_timeout_of_its_target reused a connection that was idle for 1.9 s of 2 before. Connections are now reused up to 0.8 of the stated timeout. The targets of the sites state 10 s, so nothing changes there.

--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -11,6 +11,7 @@
 from lacewingpond.targets.early_response import holds_final_response, peek
 from lacewingpond.targets.errors import ExchangeError, SendReason
 from lacewingpond.targets.http_connection import TargetHttpConnection
+from lacewingpond.targets.keep_alive import REUSE_RATIO, idle_timeout_s
 from lacewingpond.targets.options import TargetOptions
 from lacewingpond.targets.request import TargetRequest
 from lacewingpond.util.clock import Clock
@@ -39,6 +40,9 @@
         Time of the last response, or of opening the connection.
     marked_silent : bool
         True when a newer connection got a response while this one got none.
+    idle_timeout_s : float
+        Idle time after which the target says that it closes the connection, in
+        seconds; infinite if it does not say.
     reusable : bool
         False when it must be closed after the current exchange.
     sent_at : float
@@ -50,6 +54,7 @@
         "last_active_at",
         "expires_at",
         "exchange_count",
+        "idle_timeout_s",
         "marked_silent",
         "reusable",
         "sent_at",
@@ -77,6 +82,7 @@
         self.last_active_at = self.opened_at
         self.expires_at = expires_at
         self.exchange_count = 0
+        self.idle_timeout_s = math.inf
         self.marked_silent = False
         self.reusable = True
         self.sent_at = 0.0
@@ -107,6 +113,11 @@
         self._http.connect()
         self.opened_at = self.last_active_at = self._clock.now()
 
+    def may_be_reused(self, now: float) -> bool:
+        """Return whether it is young, and its target does not close it soon."""
+        idle_s = now - self.last_active_at
+        return now < self.expires_at and idle_s <= self.idle_timeout_s * REUSE_RATIO
+
     def is_clean(self) -> bool:
         """Return whether it is open and has no unread bytes."""
         sock = self._http.sock
@@ -141,6 +152,7 @@
         self.sent_at = self._clock.now()
         response = self._http.getresponse()
         self._gives_up_silent = False
+        self.idle_timeout_s = idle_timeout_s(response.headers.get("Keep-Alive"))
         self.last_active_at = self._clock.now()
         return response
 
--- a/lacewingpond/targets/pool.py
+++ b/lacewingpond/targets/pool.py
@@ -225,7 +225,7 @@
                 # The other idle connections were used earlier still.
                 self._idle.append(conn)
                 return None
-            if now < conn.expires_at and conn.is_clean():
+            if conn.may_be_reused(now) and conn.is_clean():
                 return conn
             conn.close()
         return None
