--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -164,6 +164,7 @@
         )
         context = DeliveryContext(
             names,
+            table,
             EntryPlacer(table, self._fleet, clock, rng),
             self._reporter,
             self._client,
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -26,6 +26,7 @@
 from lacewingpond.entry.targets.placer import EntryPlacer
 from lacewingpond.entry.targets.reporter import OutcomeReporter
 from lacewingpond.entry.targets.state import TargetState
+from lacewingpond.entry.targets.table import TargetTable
 from lacewingpond.http.response import Response
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.targets.client import TargetClient
@@ -115,6 +116,7 @@
     """The components that all deliveries share."""
 
     names: HeaderNames
+    table: TargetTable
     placer: EntryPlacer
     reporter: OutcomeReporter
     client: TargetClient
@@ -447,6 +449,7 @@
         if error.failure is SendFailure.NOT_SENT:
             if reason is SendReason.CONNECT:
                 state.record_connect_failure(self._context.clock.now())
+            self._log_unreached(state, error)
             refusal = _not_sent_refusal(reason, self._retry_after_s())
             return AttemptFailure(FailureKind.NOT_SENT, refusal, final)
         self._sent_count += 1
@@ -455,6 +458,20 @@
         self._report_failure(state, reason, reason.value, started, hedge)
         return AttemptFailure(FailureKind.UNKNOWN, _no_response_refusal(reason), final)
 
+    def _log_unreached(self, state: TargetState, error: SendError) -> None:
+        """Log why no connection was opened, and how many others are open but unused."""
+        if error.reason is not SendReason.CONNECT:
+            return
+        client = self._context.client
+        ready = self._context.table.ready(self._request.service)
+        self._context.log.decision(
+            "unreached",
+            self._request.request_id,
+            error.detail,
+            target=state.spec.target_id,
+            idle=sum(client.idle_connections(other.target) for other in ready),
+        )
+
     def _report_failure(
         self,
         state: TargetState,
--- a/lacewingpond/targets/client.py
+++ b/lacewingpond/targets/client.py
@@ -166,6 +166,10 @@
         """Return the number of connections to `target`."""
         return self._pools.get(target.address).size
 
+    def idle_connections(self, target: Target) -> int:
+        """Return the number of connections to `target` that carry no exchange."""
+        return self._pools.get(target.address).idle
+
     def _exchange(
         self,
         target: Target,
--- a/lacewingpond/targets/pool.py
+++ b/lacewingpond/targets/pool.py
@@ -85,6 +85,11 @@
         """Number of connections that carry an exchange."""
         return len(self._busy)
 
+    @property
+    def idle(self) -> int:
+        """Number of connections that carry no exchange."""
+        return len(self._idle)
+
     def acquire(
         self, fresh: bool, deadline: float, new: bool = False
     ) -> Result[TargetConnection, SendError]:
--- a/tests/entry/limit_helper.py
+++ b/tests/entry/limit_helper.py
@@ -123,6 +123,7 @@
         self.retries = RetryBudget(RetryOptions(0.2, 10.0, 10.0))
         self.context = DeliveryContext(
             NAMES,
+            self.table,
             EntryPlacer(self.table, vm.fleet, clock, vm.rng),
             OutcomeReporter(self.table, vm.fleet, vm.channel, clock, vm.log),
             client,
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -80,6 +80,7 @@
         self.retries = RetryBudget(RetryOptions(0.2, reserve, reserve))
         context = DeliveryContext(
             NAMES,
+            self.table,
             EntryPlacer(self.table, vm.fleet, CLOCK, vm.rng),
             reporter,
             self.client,
--- a/tests/entry/test_entry_requests.py
+++ b/tests/entry/test_entry_requests.py
@@ -414,3 +414,15 @@
     assert stack.call()[0] == 200
     (attempt,) = [line[3] for line in stack.vm.log.lines if line[0] == "attempt"]
     assert 4000 < attempt["left_ms"] <= 5000
+
+
+# Tells a VM that can't reach its targets from one that overlooks open connections.
+def test_failed_connection_is_logged_with_the_connections_that_are_open(serve):
+    stack, _ = serve(signed, signed)
+    assert stack.call()[0] == 200
+    stack.add_target(entry_target("t0", "127.0.0.1:1"))
+    stack.add_target(entry_target("t1", "127.0.0.1:1"))
+    assert stack.call()[0] == 503
+    lines = [line for line in stack.vm.log.lines if line[0] == "unreached"]
+    assert lines
+    assert all("refused" in why.lower() and f["idle"] == 0 for _, _, why, f in lines)
