--- /dev/null
+++ b/tests/entry/fleet_helper.py
@@ -0,0 +1,142 @@
+"""Whole entry daemons on addresses of the loopback network, with cuts to targets."""
+
+import itertools
+import random
+from contextlib import ExitStack, contextmanager
+
+import gevent
+import msgspec
+from entry_helper import FORMATS, KEY, entry_target
+from path_helper import CLOCK, caller_server
+from result import Err
+from stack_helper import NAMES, parse_response
+
+from lacewingpond.entry.daemon import EntryDaemon
+from lacewingpond.entry.settings import check_entry_settings
+from lacewingpond.store.memory import MemoryStore
+from lacewingpond.targets.errors import SendError, SendFailure, SendReason
+from lacewingpond.targets.pool import ConnectionPool
+from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
+
+PEER_PORTS = [7440, 7455]
+HANG_S = 0.3  # the connect timeout of the entry daemon
+START_TIMEOUT_S = 20.0
+_networks = itertools.count(1)
+
+
+class CuttablePool(ConnectionPool):
+    """A pool whose VM may be unable to open connections."""
+
+    __slots__ = ("vm",)
+
+    def _open(self, deadline):
+        if not self.vm.cut:
+            return super()._open(deadline)
+        if self.vm.cut == "hang":
+            gevent.sleep(HANG_S)
+        return Err(SendError(SendFailure.NOT_SENT, SendReason.CONNECT, self.vm.cut))
+
+
+class FleetVm:
+    """One entry daemon.
+
+    Attributes
+    ----------
+    cut : str
+        How connections to targets fail: "refused" at once, or "hang" until the connect
+        timeout; empty if they don't. Open connections go on.
+    """
+
+    def __init__(self, number, network, store, domain):
+        self.name = f"vm-{number}"
+        self.ip = f"127.1.{network}.{number}"
+        self.log = RecordingDecisionLog()
+        self.cut = ""
+        settings = {
+            "vm": {
+                "id": self.name,
+                "failure_domain": domain,
+                "region": "region-1",
+                "ip": self.ip,
+            },
+            "listen": {
+                "callers": f"{self.ip}:0",
+                "readiness": f"{self.ip}:0",
+                "peer_ports": PEER_PORTS,
+            },
+            "store": {"address": "127.0.0.1:1"},
+            "bounds": {"stop_grace": "2500ms"},
+        }
+        cfg = check_entry_settings(settings, "settings").unwrap()
+        rng = random.Random(number)
+        self.daemon = EntryDaemon(
+            cfg, NAMES, FORMATS, "/ready", store, CLOCK, rng, self.log
+        )
+        self.daemon._client._pools._build = self._build_pool
+
+    def _build_pool(self, address):
+        client = self.daemon._client
+        rng = random.Random(1)
+        pool = CuttablePool(address, 100, client._options, CLOCK, rng)
+        pool.vm = self
+        return pool
+
+    def call(self, request_id, body=b"", timeout_s=10.0):
+        """Send one request on its own connection; return status, headers and body."""
+        port = self.daemon.server.port
+        sock = gevent.socket.create_connection((self.ip, port), timeout_s)
+        head = (
+            f"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: {request_id}\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        sock.sendall(head.encode() + body)
+        blocks = []
+        while block := sock.recv(65536):
+            blocks.append(block)
+        sock.close()
+        return parse_response(b"".join(blocks))
+
+    def lines(self, what):
+        return [line for line in self.log.lines if line[0] == what]
+
+
+@contextmanager
+def running_fleet(respond, size=4, targets=4, domains=("zone-a",), cfg=None):
+    """Run `size` daemons in front of `targets` targets, and yield the VMs."""
+    with ExitStack() as exits:
+        store = MemoryStore(CLOCK)
+        network = next(_networks)
+        vms = [
+            FleetVm(n, network, store, domains[n % len(domains)])
+            for n in range(1, size + 1)
+        ]
+        for number in range(targets):
+            server = exits.enter_context(caller_server(respond))
+            target = entry_target(f"t{number}", f"127.0.0.1:{server.port}")
+            store.put(f"targets/t{number}", msgspec.json.encode(target), "")
+        for vm in vms:
+            if cfg is not None:
+                vm.daemon.view._formats = msgspec.structs.replace(
+                    FORMATS, decode_config=lambda raw: cfg
+                )
+            vm.daemon.start()
+            exits.callback(vm.daemon.close)
+        store.put("config", b"1", "")
+        with gevent.Timeout(START_TIMEOUT_S):
+            while not all(_is_ready(vm, size) for vm in vms):
+                gevent.sleep(0.02)
+        yield vms
+
+
+def _is_ready(vm, size):
+    view = vm.daemon.view
+    return view.config is not None and len(view.members) == size and view.targets
+
+
+def statuses(vms, count, first=0):
+    """Return the statuses of `count` requests, sent in turn through `vms`."""
+    return [
+        vms[number % len(vms)].call(f"id-{first + number}")[0]
+        for number in range(count)
+    ]
