Serve callers of a VM without a path to any target through another VM

Cause: the VM that takes a request was the only one that could deliver it. Class: a fault of one's own links is treated as one of the other side.

A VM now tells the two apart: failures raise a suspicion, connections to other targets refute or prove it. While its links are down, a request goes one hop through a VM that reaches targets, which checks the key, delivers and says what became of it. Broken connections are reported only after the proof that the links work, so such a VM ejects no target for the fleet.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -23,6 +23,8 @@
 from lacewingpond.entry.quota.rules import QuotaRules
 from lacewingpond.entry.readiness import Readiness
 from lacewingpond.entry.registration import Registration
+from lacewingpond.entry.relay.reach import Reach
+from lacewingpond.entry.relay.sender import RelaySender
 from lacewingpond.entry.requests.delivery import DeliveryContext
 from lacewingpond.entry.requests.pipeline import EntryPipeline
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
@@ -57,6 +59,7 @@
 MAX_IDLE_S = 8.0
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for longer counts as disconnected
 CONNECTION_RATIO = 0.9  # of the connections that a target accepts from the fleet
+MAX_PEER_CONNECTIONS = 64  # relayed requests at one peer at the same time
 MIN_CONNECTIONS = 4  # per VM and target, however large the fleet is
 RESERVED_DESCRIPTORS = 200  # the platform reserves these for files
 CALLER_DESCRIPTOR_RATIO = 0.7  # the rest is for targets, peers and the store
@@ -101,6 +104,7 @@
     )
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
     __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
+    __slots__ += ("_reach", "_peer_client", "_relay_server")
 
     def __init__(
         self,
@@ -139,7 +143,7 @@
         self._registration = Registration(
             store,
             formats.members_prefix + vm.id,
-            Member(f"{host}:{port}", vm.failure_domain),
+            Member(f"{host}:{port}", vm.failure_domain, _relay_address(cfg)),
             clock,
             rng,
             log,
@@ -148,7 +152,15 @@
             _target_options(names), clock, rng, log
         )
         table = TargetTable(self.view, self._client, clock)
+        self._reach = Reach(
+            table, self._client, self._fleet, self._channel, clock, rng, log
+        )
+        peer_options = structs.replace(
+            _target_options(names), connections_per_target=MAX_PEER_CONNECTIONS
+        )
+        self._peer_client = TargetClient.from_options(peer_options, clock, rng, log)
         self._reporter = OutcomeReporter(table, self._fleet, self._channel, clock, log)
+        self._reporter.verify = self._reach.verify
         self._retries = RetryBudget.from_options(RetryOptions())
         limiter = self._limiter = QuotaLimiter(
             _quota_rules(bounds),
@@ -171,6 +183,18 @@
             self._retries,
             EntryQuarantine(self._fleet, self._channel, clock, log),
             self._target_limiter,
+            self._reach,
+            RelaySender(
+                names,
+                self._reach,
+                self.view,
+                vm.id,
+                vm.failure_domain,
+                self._peer_client,
+                clock,
+                rng,
+                log,
+            ),
             clock,
             log,
         )
@@ -183,6 +207,14 @@
             log,
             clock,
         )
+        self._relay_server = None
+        if _relay_address(cfg):
+            self._relay_server = CallerServer.from_options(
+                http_options(_relay_address(cfg), vm.descriptors),
+                pipeline.handle_relayed,
+                log,
+                clock,
+            )
         self.readiness = Readiness(
             ready_path, lambda: self.view.config is not None and freshness.is_fresh
         )
@@ -206,13 +238,16 @@
         """
         self._ready_server.start()
         self.server.start()
+        if self._relay_server is not None:
+            self._relay_server.start()
         self._channel.start()
         self._changes_server.start()
         self.follower.start()
         self._reporter.start()
         self._registration.start()
         self._greenlets = [
-            gevent.spawn(keep_running, "sweep", self._sweep, self._clock, self._log)
+            gevent.spawn(keep_running, name, loop, self._clock, self._log)
+            for name, loop in (("sweep", self._sweep), ("reach", self._reach.run))
         ]
 
     def apply_settings(self, cfg: EntrySettings) -> None:
@@ -237,6 +272,7 @@
         deadline = self._clock.now() + max(grace_s - STOP_MARGIN_S, 0.0)
         self.readiness.stopping = True
         self.server.draining = True
+        self._pipeline.stopping = True
         self._log.decision(
             "stop",
             self._cfg.vm.id,
@@ -251,12 +287,21 @@
         self._limiter.leave()
         self._target_limiter.leave()
         self._greenlets.append(gevent.spawn(self._registration.leave))
-        cut = self.server.drain(max(deadline - self._clock.now(), 0.0))
+        left_s = max(deadline - self._clock.now(), 0.0)
+        relayed = gevent.spawn(self._drain_relayed, left_s)
+        cut = self.server.drain(left_s) + relayed.get()
         self._pipeline.log_running("end of the stop grace")
         self.close()
         self._log.decision("stop", self._cfg.vm.id, "ended", cut=cut)
         return cut
 
+    def _drain_relayed(self, grace_s: float) -> int:
+        """Wait for the requests of other VMs, and return how many were aborted."""
+        if self._relay_server is None:
+            return 0
+        self._relay_server.stop_accepting()
+        return self._relay_server.drain(grace_s)
+
     def close(self) -> None:
         """Stop all components at once."""
         gevent.killall(self._greenlets)
@@ -269,23 +314,30 @@
         self._changes_server.stop()
         self._ready_server.stop()
         self.server.stop()
+        if self._relay_server is not None:
+            self._relay_server.stop()
         self._client.close()
+        self._peer_client.close()
 
     def _sweep(self) -> None:
         while True:
             self._clock.sleep(SWEEP_INTERVAL_S)
             self.view.drop_missing()
             self._client.sweep()
+            self._peer_client.sweep()
 
     def _apply_config(self, cfg: EntryConfig) -> None:
         limits = cfg.limits
-        self.server.options = structs.replace(
-            self.server.options,
-            max_head_bytes=limits.head_bytes,
-            max_request_line_bytes=limits.head_bytes,
-            head_timeout_s=limits.head_timeout_s,
-            idle_timeout_s=limits.idle_timeout_s,
-        )
+        for server in (self.server, self._relay_server):
+            if server is None:
+                continue
+            server.options = structs.replace(
+                server.options,
+                max_head_bytes=limits.head_bytes,
+                max_request_line_bytes=limits.head_bytes,
+                head_timeout_s=limits.head_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+            )
         self._retries.keep_only(frozenset(cfg.services))
         self._divide_limits()
 
@@ -307,6 +359,12 @@
             self._client.set_connection_limit(max(share, MIN_CONNECTIONS))
 
 
+def _relay_address(cfg: EntrySettings) -> str:
+    """Return where relayed requests are accepted; empty without a port for it."""
+    first, last = cfg.listen.peer_ports[0], cfg.listen.peer_ports[-1]
+    return f"{cfg.vm.ip}:{first + 1}" if first < last else ""
+
+
 def _max_proof_age_s(bounds: BoundSettings) -> float:
     if not bounds.strict_revoke:
         return float("inf")
--- a/lacewingpond/entry/header_names.py
+++ b/lacewingpond/entry/header_names.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from lacewingpond.http.headers import Headers
+
 
 class HeaderNames(Struct, frozen=True):
     """Header field names of a platform.
@@ -36,3 +38,14 @@
     signature: str
     not_run: str
     rate_limit: str
+
+    def is_valid_response(self, headers: Headers, request_id: str) -> bool:
+        """Return whether headers are those of a target's response to a request.
+
+        Such a response is signed, names the request, and its body is not encoded.
+        """
+        return (
+            headers.get(self.request_id) == request_id
+            and bool(headers.get(self.signature))
+            and "Content-Encoding" not in headers
+        )
--- a/lacewingpond/entry/member.py
+++ b/lacewingpond/entry/member.py
@@ -16,10 +16,13 @@
         ``host:port`` for datagrams and streams from peers.
     failure_domain : str
         Failure domain of its VM.
+    relay : str
+        ``host:port`` for requests that peers relay; empty if it accepts none.
     """
 
     address: str
     failure_domain: str
+    relay: str = ""
 
     def encode(self) -> bytes:
         """Return the value of the store entry."""
@@ -31,6 +34,8 @@
     try:
         member = msgspec.json.decode(raw, type=Member)
         parse_address(member.address)
+        if member.relay:
+            parse_address(member.relay)
     except (msgspec.MsgspecError, ValueError) as exc:
         return Err(str(exc))
     return Ok(member)
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -195,6 +195,24 @@
     age_s: float
 
 
+class ReachNotice(Struct, frozen=True, array_like=True, tag=10):
+    """Tells whether a VM has lost its links to all targets.
+
+    Parameters
+    ----------
+    vm_id : str
+        The VM.
+    lost : bool
+        Whether it reaches no target.
+    relay : bool
+        Whether the receiver forwards the notice within its failure domain.
+    """
+
+    vm_id: str
+    lost: bool
+    relay: bool = False
+
+
 PeerMessage = (
     ChangesRequest
     | ChangesResponse
@@ -205,6 +223,7 @@
     | CrashNotice
     | LimitNotice
     | LimitTokenRequest
+    | ReachNotice
 )
 
 encode = msgspec.msgpack.Encoder().encode
--- /dev/null
+++ b/lacewingpond/entry/relay/sender.py
@@ -0,0 +1,287 @@
+"""Sends requests through peers, for a VM that reaches no target."""
+
+import random
+from collections import Counter
+
+from result import Err, Ok
+
+from lacewingpond.config.model import Target
+from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.relay.reach import Reach
+from lacewingpond.entry.relay.result_header import (
+    ATTEMPTS_HEADER,
+    RELAY_HEADER,
+    RelayRefusal,
+    parse_relay_header,
+)
+from lacewingpond.entry.requests.forwarded_body import read_response
+from lacewingpond.entry.requests.outcome import (
+    FINAL_REASONS,
+    AttemptFailure,
+    FailureKind,
+    Outcome,
+    no_response_refusal,
+    not_sent_refusal,
+)
+from lacewingpond.entry.requests.refusal import EntryRefusal
+from lacewingpond.entry.requests.routed_request import EntryRequest
+from lacewingpond.entry.store_view import StoreView
+from lacewingpond.entry.targets.placer import SAME_DOMAIN_WEIGHT
+from lacewingpond.http.run_state import RunState
+from lacewingpond.routing.forwarded_headers import headers_to_peer
+from lacewingpond.targets.client import TargetClient
+from lacewingpond.targets.errors import (
+    SendError,
+    SendFailure,
+    SendReason,
+    TruncatedResponseError,
+)
+from lacewingpond.targets.request import TargetRequest
+from lacewingpond.targets.response import TargetResponse
+from lacewingpond.telemetry.decisions import DecisionLog
+from lacewingpond.util.clock import Clock
+
+MAX_PEERS = 3  # asked in turn, while none has sent the request on
+CANDIDATES = 2  # power of two choices, as for targets
+UNUSABLE_S = 2.0  # how long a peer that failed is not used
+RETRY_AFTER_S = 1.0  # links or other VMs may be back
+LOCAL_REASONS = frozenset(
+    {"stopping", "no-config", "stale-keys", "keys-changed", "no-path"}
+)
+"""Reasons of refusals that concern the peer itself, so that another may serve."""
+
+
+class RelaySender:
+    """Picks a peer that reaches the targets and sends it a request of a caller.
+
+    The peer checks the key again, and routes and delivers the request as one of its
+    own, but takes no token of the quota. It never relays the request further.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Names of the headers that are checked.
+    reach : Reach
+        Whether this VM and its peers reach the targets.
+    view : StoreView
+        Source of the members.
+    vm_id, failure_domain : str
+        This VM.
+    client : TargetClient
+        Sends requests to peers.
+    clock : Clock
+        Time source.
+    rng : random.Random
+        Draws peers.
+    log : DecisionLog
+        Log of relayed requests.
+
+    Attributes
+    ----------
+    reach : Reach
+        Whether this VM and its peers reach the targets.
+    """
+
+    __slots__ = ("reach", "_names", "_view", "_vm_id", "_failure_domain", "_client")
+    __slots__ += ("_clock", "_rng", "_log", "_in_flight", "_unusable_until")
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        reach: Reach,
+        view: StoreView,
+        vm_id: str,
+        failure_domain: str,
+        client: TargetClient,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+    ) -> None:
+        self.reach = reach
+        self._names = names
+        self._view = view
+        self._vm_id = vm_id
+        self._failure_domain = failure_domain
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._in_flight: Counter[str] = Counter()
+        self._unusable_until: dict[str, float] = {}
+
+    def send(self, request: EntryRequest, attempts: int) -> Outcome:
+        """Send a request through up to `MAX_PEERS` peers, one after the other.
+
+        Another peer is tried only if the last one proves that no target ran it.
+
+        Parameters
+        ----------
+        request : EntryRequest
+            The request.
+        attempts : int
+            Attempts that were made before; they count towards those of the route.
+        """
+        tried: set[str] = set()
+        outcome: Outcome = Err(_no_peer())
+        while len(tried) < MAX_PEERS and request.body.can_send:
+            vm_id = self._pick(tried)
+            if vm_id is None:
+                break
+            tried.add(vm_id)
+            outcome = self._send(request, vm_id, attempts)
+            if outcome.is_ok() or not _may_try_another(outcome.err_value):
+                break
+        return outcome
+
+    def _send(self, request: EntryRequest, vm_id: str, attempts: int) -> Outcome:
+        started = self._clock.now()
+        self._in_flight[vm_id] += 1
+        why = "cancelled"
+        try:
+            outcome = self._exchange(request, vm_id, attempts)
+            if outcome.is_ok():
+                why = str(outcome.ok_value.status)
+            else:
+                why = outcome.err_value.refusal.reason
+        finally:
+            self._in_flight[vm_id] -= 1
+            ms = round((self._clock.now() - started) * 1000.0)
+            self._log.decision("relay", request.request_id, why, via=vm_id, ms=ms)
+        return outcome
+
+    def _exchange(self, request: EntryRequest, vm_id: str, attempts: int) -> Outcome:
+        member = self._view.members[vm_id]
+        peer = Target(vm_id, member.relay, member.failure_domain, 1)
+        sent = self._client.send(
+            peer, _peer_request(request, attempts), request.deadline
+        )
+        if sent.is_err():
+            return Err(self._send_failure(vm_id, sent.err_value))
+        response = sent.ok_value
+        streaming = False
+        try:
+            response.set_deadline(request.deadline)
+            outcome = self._handle_response(request, response)
+            streaming = outcome.is_ok() and response.end is None
+            return outcome
+        except TruncatedResponseError as exc:
+            status = 504 if exc.reason is SendReason.DEADLINE else 502
+            return Err(_unknown(status, "answer-cut"))
+        finally:
+            if not streaming:
+                response.close()
+
+    def _handle_response(
+        self, request: EntryRequest, response: TargetResponse
+    ) -> Outcome:
+        parsed = parse_relay_header(response.headers.get(RELAY_HEADER))
+        if parsed.is_err():
+            return Err(_unknown(502, "bad-answer"))
+        refusal = parsed.ok_value
+        if refusal is not None:
+            return Err(_refused(response, refusal))
+        if not self._names.is_valid_response(response.headers, request.request_id):
+            return Err(_unknown(502, "bad-answer"))
+        response.headers.remove(RELAY_HEADER)
+        return Ok(read_response(response))
+
+    def _send_failure(self, vm_id: str, error: SendError) -> AttemptFailure:
+        reason = error.reason
+        final = reason in FINAL_REASONS
+        if not final and reason is not SendReason.CONNECTION_LIMIT:
+            self._unusable_until[vm_id] = self._clock.now() + UNUSABLE_S
+        if error.failure is SendFailure.UNKNOWN:
+            refusal = no_response_refusal(reason)
+            return AttemptFailure(FailureKind.UNKNOWN, refusal, final)
+        if final:
+            refusal = not_sent_refusal(reason, RETRY_AFTER_S)
+            return AttemptFailure(FailureKind.NOT_SENT, refusal, final)
+        return _no_peer()
+
+    def _pick(self, tried: set[str]) -> str | None:
+        """Return a peer that reaches the targets, or None if there is none."""
+        now = self._clock.now()
+        peers, weights = [], []
+        for vm_id, member in self._view.members.items():
+            if vm_id == self._vm_id or vm_id in tried or not member.relay:
+                continue
+            if not self.reach.peer_reaches(vm_id):
+                continue
+            if self._unusable_until.get(vm_id, now) > now:
+                continue
+            peers.append(vm_id)
+            same_domain = member.failure_domain == self._failure_domain
+            weights.append(SAME_DOMAIN_WEIGHT if same_domain else 1.0)
+        if not peers:
+            return None
+        drawn = self._rng.choices(peers, weights, k=CANDIDATES)
+        return min(drawn, key=lambda vm_id: self._in_flight[vm_id])
+
+
+def _peer_request(request: EntryRequest, attempts: int) -> TargetRequest:
+    headers = headers_to_peer(request.caller_headers)
+    headers.set(ATTEMPTS_HEADER, str(attempts))
+    return TargetRequest(
+        method=request.method,
+        path=request.path,
+        headers=headers,
+        body=request.body.open(),
+        content_length=request.body.content_length,
+        idempotent=request.route.idempotent,
+        is_disconnected=request.is_disconnected,
+        may_send=request.may_send,
+        # A peer on a connection that seems silent may be at work.
+        on_overdue=_never,
+    )
+
+
+def _never() -> bool:
+    return False
+
+
+def _may_try_another(failure: AttemptFailure) -> bool:
+    if failure.final or failure.kind is FailureKind.UNKNOWN:
+        return False
+    return _concerns_peer(failure.refusal.reason)
+
+
+def _concerns_peer(reason: str) -> bool:
+    """Return whether another peer may serve what one refused for `reason`."""
+    return reason in LOCAL_REASONS or reason.startswith("unreached-")
+
+
+def _refused(response: TargetResponse, refusal: RelayRefusal) -> AttemptFailure:
+    """Return the failure for a refusal of the peer itself, as its caller sees it."""
+    for _ in response:
+        # Reads the body, so that the connection can be reused.
+        pass
+    if refusal.run is not RunState.NOT_RUN:
+        return _unknown(response.status, refusal.reason)
+    detail = "The VM that the request was relayed to refused it."
+    retry_after_s = _retry_after_s(response)
+    refused = EntryRefusal.not_run(
+        response.status, refusal.reason, detail, retry_after_s
+    )
+    final = not _concerns_peer(refusal.reason)
+    return AttemptFailure(FailureKind.NOT_RUN, refused, final)
+
+
+def _retry_after_s(response: TargetResponse) -> float | None:
+    text = response.headers.get("Retry-After")
+    try:
+        return float(text) if text is not None else None
+    except ValueError:
+        # The peer is of another version; the caller may return when it likes.
+        return None
+
+
+def _no_peer() -> AttemptFailure:
+    detail = "This VM reaches no target, and no other VM that does."
+    refusal = EntryRefusal.not_run(503, "no-path", detail, RETRY_AFTER_S)
+    return AttemptFailure(FailureKind.NOT_SENT, refusal)
+
+
+def _unknown(status: int, reason: str) -> AttemptFailure:
+    detail = "The request was relayed to another VM, which did not serve it."
+    refusal = EntryRefusal.unknown(status, reason, detail)
+    return AttemptFailure(FailureKind.UNKNOWN, refusal)
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -4,7 +4,6 @@
 """
 
 import math
-from enum import Enum
 
 from msgspec import Struct
 from result import Err, Ok, Result
@@ -12,8 +11,19 @@
 from lacewingpond.entry.header_names import HeaderNames
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.quota.admission import Admission
-from lacewingpond.entry.requests.forwarded_body import ForwardedBody
+from lacewingpond.entry.relay.reach import Reach
+from lacewingpond.entry.relay.sender import RelaySender
+from lacewingpond.entry.requests.forwarded_body import read_response
 from lacewingpond.entry.requests.hedge import Attempt, Hedge
+from lacewingpond.entry.requests.outcome import (
+    FINAL_REASONS,
+    IDLE_RETRY_AFTER_S,
+    AttemptFailure,
+    FailureKind,
+    Outcome,
+    no_response_refusal,
+    not_sent_refusal,
+)
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
@@ -40,17 +50,13 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
-# Responses up to this size are read whole and checked before they are forwarded;
-# longer ones are streamed.
-MAX_BUFFERED_BYTES = 262_144
 MAX_NOT_SENT_ATTEMPTS = 4  # unsent attempts after which the request is refused
 MAX_DENIED_TARGETS = 4  # targets at their limit after which only others are tried
 MIN_ATTEMPT_S = 0.05  # no target responds in less
 BUSY_RETRY_AFTER_S = 0.6  # a busy target completes a request in about this time
-# While targets refuse requests although slots are free, other targets may accept them.
-IDLE_RETRY_AFTER_S = 0.15
 BUSY_LOAD = 0.9  # requests per slot from which a service counts as busy
 QUARANTINE_RETRY_AFTER_S = 30.0  # half of the time that a quarantine lasts
+MAX_RELAYS = 2  # a second peer, for an idempotent request that the first one lost
 MISDIRECTED = 421
 GATEWAY_TIMEOUT = 504
 FIRST_SERVER_ERROR = 500
@@ -65,53 +71,12 @@
     }
 )
 """Reasons that are no evidence against the target."""
-FINAL_REASONS = frozenset(
-    {
-        SendReason.CALLER_DISCONNECTED,
-        SendReason.CALLER_BODY,
-        SendReason.CALLER_HEADERS,
-        SendReason.MAY_NOT_SEND,
-    }
-)
-"""Reasons for which another target would fail as well."""
 TIMEOUT_REASONS = frozenset(
     {SendReason.DEADLINE, SendReason.SILENT_CONNECTION, SendReason.SUPERSEDED}
 )
 """Reasons that mean that no response arrived in time."""
 
 
-class FailureKind(Enum):
-    """What a failed attempt shows about whether the target ran the request."""
-
-    NOT_SENT = "unreached"
-    """No byte of the request was sent."""
-    NOT_RUN = "not-run"
-    """The target responded that it did not run the request."""
-    UNKNOWN = "unknown"
-    """The target may have run it."""
-
-
-class AttemptFailure(Struct, frozen=True):
-    """An attempt without a response that is forwarded to the caller.
-
-    Parameters
-    ----------
-    kind : FailureKind
-        What the failure shows about whether the target ran the request.
-    refusal : EntryRefusal
-        Response to the caller if there is no further attempt.
-    final : bool
-        Whether another target would fail as well.
-    """
-
-    kind: FailureKind
-    refusal: EntryRefusal
-    final: bool = False
-
-
-Outcome = Result[Response, AttemptFailure]
-
-
 class DeliveryContext(Struct, frozen=True):
     """The components that all deliveries share."""
 
@@ -123,6 +88,8 @@
     retries: RetryBudget
     quarantine: EntryQuarantine
     limiter: TargetLimiter
+    reach: Reach
+    relay: RelaySender
     clock: Clock
     log: DecisionLog
 
@@ -146,7 +113,13 @@
 
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
     __slots__ += ("_last_failure", "_waiting_count", "_error_response")
-    __slots__ += ("_tokens", "_denied_count")
+    __slots__ += (
+        "_tokens",
+        "_denied_count",
+        "_earned",
+        "_relays_left",
+        "_relayed_count",
+    )
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
         self._context = context
@@ -159,23 +132,60 @@
         self._error_response: Response | None = None
         self._tokens: dict[str, Admission] = {}
         self._denied_count = 0
+        self._earned = False
+        self._relayed_count = 0
+        self._relays_left = 0 if request.is_relayed else MAX_RELAYS
 
     def run(self) -> Result[Response, EntryRefusal]:
         """Return the response of a target, or the refusal if there is none."""
         if self._is_quarantined():
             return Err(_quarantine_refusal())
-        self._context.retries.earn(self._request.service)
         while True:
-            state = self._pick(self._is_retryable())
-            if state is None:
+            outcome = self._next_attempt()
+            if outcome is None:
                 return self._give_up()
-            outcome = self._hedged_attempt(state)
             if outcome.is_ok() and _ends_request(outcome):
                 return outcome
             self._record(outcome)
             if not self._take_retry(outcome) or self._is_quarantined():
                 return self._give_up()
 
+    def _next_attempt(self) -> Outcome | None:
+        """Return the outcome of a relayed or a direct attempt, None without target."""
+        if self._should_relay():
+            return self._relayed_attempt()
+        if not self._earned:
+            self._earned = True
+            self._context.retries.earn(self._request.service)
+        state = self._pick(self._is_retryable())
+        return self._hedged_attempt(state) if state is not None else None
+
+    def _should_relay(self) -> bool:
+        """Return whether another VM should deliver the request.
+
+        It should if this VM reaches no target, or opened no connection to several.
+        """
+        if not self._relays_left:
+            return False
+        return self._context.reach.lost or (
+            self._unsent_count() >= MAX_NOT_SENT_ATTEMPTS and not self._may_have_run
+        )
+
+    def _unsent_count(self) -> int:
+        """Return the number of targets that got no byte of the request."""
+        return len(self._tried) - self._sent_count - self._waiting_count
+
+    def _relayed_attempt(self) -> Outcome:
+        """Return the outcome of an attempt through another VM."""
+        self._relays_left -= 1
+        attempts = self._attempt_count()
+        outcome = self._context.relay.send(self._request, attempts)
+        if outcome.is_ok() or outcome.err_value.kind is FailureKind.UNKNOWN:
+            self._relayed_count += 1
+        else:
+            self._relays_left = 0
+        return outcome
+
     def _hedged_attempt(self, state: TargetState) -> Outcome:
         """Return the outcome of an attempt and, if it was overdue, of its hedge.
 
@@ -201,8 +211,11 @@
                 return None
             if self._others_would_fail():
                 return None
-            second = None if self._is_quarantined() else self._pick_unlimited()
-            if second is None or not self._spend_retry():
+            if self._is_quarantined():
+                return None
+            relays = self._context.reach.lost and self._should_relay()
+            second = None if relays else self._pick_unlimited()
+            if (second is None and not relays) or not self._spend_retry():
                 return None
             self._may_have_run = True
             self._report_failure(state, SendReason.DEADLINE, "overdue", started, hedge)
@@ -214,13 +227,15 @@
         hedge = Hedge(prepare, log_error)
         return hedge
 
-    def _second_attempt(self, state: TargetState) -> Outcome | None:
+    def _second_attempt(self, state: TargetState | None) -> Outcome | None:
         """Return the outcome of an attempt beside another, if it ends the request.
 
         One that could not be sent does not: the other may be at work. It costs no
-        retry.
+        retry. Without `state` the attempt is relayed.
         """
-        outcome = self._attempt(state, None)
+        outcome = (
+            self._relayed_attempt() if state is None else self._attempt(state, None)
+        )
         sent = outcome.is_ok() or outcome.err_value.kind is not FailureKind.NOT_SENT
         if sent and _ends_request(outcome):
             return outcome
@@ -234,8 +249,7 @@
         failure = self._last_failure
         if failure is not None and failure.final:
             return True
-        unsent = len(self._tried) - self._sent_count - self._waiting_count
-        return unsent >= MAX_NOT_SENT_ATTEMPTS
+        return self._unsent_count() >= MAX_NOT_SENT_ATTEMPTS
 
     def _record(self, outcome: Outcome) -> None:
         """Keep what an attempt that does not end the request leaves to respond with."""
@@ -349,6 +363,8 @@
             return Err(self._send_failure(state, error, started, hedge)), error.reused
         self._sent_count += 1
         state.reset_connect_backoff()
+        if not sent.ok_value.reused:
+            self._context.reach.record_connected()
         response = sent.ok_value
         streaming = False
         try:
@@ -383,7 +399,7 @@
             if response.status != MISDIRECTED:
                 self._observe_limit(state, response, started)
             return Err(self._not_run_failure(state, response))
-        if not self._is_valid_response(response):
+        if not names.is_valid_response(response.headers, self._request.request_id):
             self._context.reporter.record_failure(
                 state, "invalid response", BROKEN_EVIDENCE
             )
@@ -394,12 +410,10 @@
                 _unknown_failure(EntryRefusal.unknown(502, "bad-answer", detail))
             )
         self._observe_limit(state, response, started)
-        blocks, size = [], 0
-        for block in response:
-            blocks.append(block)
-            size += len(block)
-            if size > MAX_BUFFERED_BYTES:
-                return Ok(self._streamed(response, blocks))
+        forwarded = read_response(response)
+        if not isinstance(forwarded.body, bytes):
+            # Neither a success nor a failure of the target is recorded for it.
+            return Ok(forwarded)
         if response.status == GATEWAY_TIMEOUT:
             self._record_lateness(state, str(response.status), started)
         elif response.status >= FIRST_SERVER_ERROR:
@@ -408,25 +422,7 @@
         else:
             self._context.reporter.record_success(state, on_trial)
         self._context.quarantine.clear_crashes(self._request.fingerprint)
-        body = b"".join(blocks)
-        return Ok(Response(response.status, response.headers, body, response.reason))
-
-    def _streamed(self, response: TargetResponse, blocks: list[bytes]) -> Response:
-        """Return a response that forwards `blocks` and the rest as it arrives.
-
-        Neither a success nor a failure of the target is recorded for it.
-        """
-        body = ForwardedBody(blocks, response)
-        return Response(response.status, response.headers, body, response.reason)
-
-    def _is_valid_response(self, response: TargetResponse) -> bool:
-        names = self._context.names
-        headers = response.headers
-        return (
-            headers.get(names.request_id) == self._request.request_id
-            and bool(headers.get(names.signature))
-            and "Content-Encoding" not in headers
-        )
+        return Ok(forwarded)
 
     def _not_run_failure(
         self, state: TargetState, response: TargetResponse
@@ -449,14 +445,15 @@
         if error.failure is SendFailure.NOT_SENT:
             if reason is SendReason.CONNECT:
                 state.record_connect_failure(self._context.clock.now())
+                self._context.reach.record_connect_failure(state.spec.target_id)
             self._log_unreached(state, error)
-            refusal = _not_sent_refusal(reason, self._retry_after_s())
+            refusal = not_sent_refusal(reason, self._retry_after_s())
             return AttemptFailure(FailureKind.NOT_SENT, refusal, final)
         self._sent_count += 1
         if reason is SendReason.BROKEN:
             self._context.quarantine.record_crash(self._request.fingerprint)
         self._report_failure(state, reason, reason.value, started, hedge)
-        return AttemptFailure(FailureKind.UNKNOWN, _no_response_refusal(reason), final)
+        return AttemptFailure(FailureKind.UNKNOWN, no_response_refusal(reason), final)
 
     def _log_unreached(self, state: TargetState, error: SendError) -> None:
         """Log why no connection was opened, and how many others are open but unused."""
@@ -525,18 +522,23 @@
             if failure.final:
                 return False
             if failure.kind is FailureKind.NOT_SENT:
-                return len(self._tried) - self._sent_count < MAX_NOT_SENT_ATTEMPTS
+                return self._may_try_unsent()
         may_have_run = self._may_have_run or outcome.is_ok()
         if may_have_run and not request.route.idempotent:
             return False
         return self._spend_retry()
 
+    def _may_try_unsent(self) -> bool:
+        """Return whether to go on after an attempt of which no byte was sent."""
+        limit = 1 if self._context.reach.lost else MAX_NOT_SENT_ATTEMPTS
+        return self._should_relay() or self._unsent_count() < limit
+
     def _is_retryable(self) -> bool:
         """Return whether the request can be retried if the next target fails."""
         request = self._request
         if not request.route.idempotent or not request.body.can_send:
             return False
-        attempts = self._sent_count + self._waiting_count + 1
+        attempts = self._attempt_count() + 1
         if attempts >= request.route.max_attempts or not self._has_time():
             return False
         return self._context.retries.can_spend(request.service)
@@ -556,12 +558,16 @@
     def _has_time(self) -> bool:
         return self._context.clock.now() + MIN_ATTEMPT_S < self._request.deadline
 
+    def _attempt_count(self) -> int:
+        """Return the number of targets that may have got the request, on any VM."""
+        here = self._sent_count + self._waiting_count
+        return here + self._relayed_count + self._request.attempts_elsewhere
+
     def _spend_retry(self) -> bool:
         return self._can_retry() and self._context.retries.spend(self._request.service)
 
     def _can_retry(self) -> bool:
-        attempts = self._sent_count + self._waiting_count
-        if attempts >= self._request.route.max_attempts:
+        if self._attempt_count() >= self._request.route.max_attempts:
             return False
         return self._context.retries.can_spend(self._request.service)
 
@@ -598,27 +604,3 @@
 def _quarantine_refusal() -> EntryRefusal:
     detail = "Targets crashed during earlier runs of this request."
     return EntryRefusal.not_run(503, "quarantined", detail, QUARANTINE_RETRY_AFTER_S)
-
-
-def _not_sent_refusal(reason: SendReason, retry_after_s: float) -> EntryRefusal:
-    if reason in (SendReason.CALLER_BODY, SendReason.CALLER_HEADERS):
-        return EntryRefusal.not_run(
-            400, reason.value, "The request can't be forwarded."
-        )
-    if reason is SendReason.MAY_NOT_SEND:
-        detail = "The route or the key changed before the request was sent."
-        return EntryRefusal.not_run(503, "route-changed", detail, IDLE_RETRY_AFTER_S)
-    detail = "The request did not reach a target."
-    return EntryRefusal.not_run(503, f"unreached-{reason.value}", detail, retry_after_s)
-
-
-def _no_response_refusal(reason: SendReason) -> EntryRefusal:
-    if reason is SendReason.CALLER_BODY:
-        return EntryRefusal.unknown(
-            400, reason.value, "The request's body ended early."
-        )
-    status = (
-        504 if reason in (SendReason.DEADLINE, SendReason.SILENT_CONNECTION) else 502
-    )
-    detail = "The request reached a target, which did not respond."
-    return EntryRefusal.unknown(status, f"unanswered-{reason.value}", detail)
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -17,6 +17,13 @@
 from lacewingpond.entry.model.workspace import EntryWorkspace
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.token_shares import OVER_RATE
+from lacewingpond.entry.relay.result_header import (
+    ATTEMPTS_HEADER,
+    RELAY_HEADER,
+    RESPONSE,
+    RelayRefusal,
+    attempts_elsewhere,
+)
 from lacewingpond.entry.requests.delivery import DeliveryContext, EntryDelivery
 from lacewingpond.entry.requests.prefixed_body import PrefixedBody
 from lacewingpond.entry.requests.refusal import EntryRefusal
@@ -67,9 +74,19 @@
     ----------
     running : set of EntryRequest
         Requests that are being delivered.
+    stopping : bool
+        Whether a planned stop has begun; relayed requests are then refused.
     """
 
-    __slots__ = ("running", "_names", "_view", "_freshness", "_limiter", "_context")
+    __slots__ = (
+        "running",
+        "stopping",
+        "_names",
+        "_view",
+        "_freshness",
+        "_limiter",
+        "_context",
+    )
     __slots__ += ("_clock", "_rng", "_log", "_stripped_headers")
 
     def __init__(
@@ -84,6 +101,7 @@
         log: DecisionLog,
     ) -> None:
         self.running: set[EntryRequest] = set()
+        self.stopping = False
         self._names = names
         self._view = view
         self._freshness = freshness
@@ -101,6 +119,8 @@
                 names.workspace,
                 names.signature,
                 names.not_run,
+                ATTEMPTS_HEADER,
+                RELAY_HEADER,
                 "Authorization",
             )
         )
@@ -112,12 +132,36 @@
         up to `PROOF_WAIT_S`.
         """
         request_id = req.headers.get(self._names.request_id) or ""
-        outcome = self._process(req, request_id)
+        outcome = self._process(req, request_id, relayed=False)
         if outcome.is_ok():
             return outcome.ok_value
+        return self._refuse("refuse", request_id, outcome.err_value)
+
+    def handle_relayed(self, req: Request) -> Response:
+        """Return the response to a request that another VM relays to this one.
+
+        The relaying VM has taken the token of the quota. A header tells it whether a
+        target has responded.
+        """
+        request_id = req.headers.get(self._names.request_id) or ""
+        if self._context.reach.lost:
+            outcome = Err(_unavailable("no-path", "This VM reaches no target."))
+        elif self.stopping:
+            outcome = Err(_unavailable("stopping", "This VM is being stopped."))
+        else:
+            outcome = self._process(req, request_id, relayed=True)
+        if outcome.is_ok():
+            outcome.ok_value.headers.set(RELAY_HEADER, RESPONSE)
+            return outcome.ok_value
         refusal = outcome.err_value
+        response = self._refuse("refuse-relayed", request_id, refusal)
+        relayed = RelayRefusal(refusal.run, refusal.reason)
+        response.headers.set(RELAY_HEADER, relayed.encode())
+        return response
+
+    def _refuse(self, what: str, request_id: str, refusal: EntryRefusal) -> Response:
         self._log.decision(
-            "refuse",
+            what,
             request_id[:MAX_ID_CHARS],
             refusal.reason,
             status=refusal.status,
@@ -129,7 +173,9 @@
             response.headers.add(self._names.request_id, request_id)
         return response
 
-    def _process(self, req: Request, request_id: str) -> Result[Response, EntryRefusal]:
+    def _process(
+        self, req: Request, request_id: str, relayed: bool
+    ) -> Result[Response, EntryRefusal]:
         # A VM that was paused must first receive the changes that it missed. A proof
         # that is still missing then is a reason to refuse only where a key is needed.
         self._freshness.await_proof(PROOF_WAIT_S)
@@ -151,7 +197,7 @@
         deadline = self._deadline(req, route)
         if deadline.is_err():
             return deadline
-        refused = self._check_rate(workspace)
+        refused = None if relayed else self._check_rate(workspace)
         if refused is not None:
             return Err(refused)
         try:
@@ -171,6 +217,7 @@
             body,
             deadline.ok_value,
             lambda: self._may_send(req, route, workspace, key),
+            relayed,
         )
         if not routed.may_send():
             return Err(
@@ -265,6 +312,7 @@
         body: OutgoingBody,
         deadline: float,
         may_send: Callable[[], bool],
+        relayed: bool,
     ) -> EntryRequest:
         headers = Headers(
             (name, value)
@@ -287,6 +335,9 @@
             is_disconnected=req.is_disconnected,
             may_send=may_send,
             received_at=req.received_at,
+            caller_headers=req.headers,
+            is_relayed=relayed,
+            attempts_elsewhere=attempts_elsewhere(req.headers) if relayed else 0,
         )
 
     def _may_send(
@@ -326,6 +377,7 @@
             workspace=routed.workspace,
             version=cfg.version,
             proof_age_s=round(self._freshness.age_s, 2),
+            relayed=routed.is_relayed,
         )
 
 
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -42,11 +42,18 @@
         Time at which its headers had arrived, in monotonic seconds.
     targets : set of str
         Ids of the targets that it is being sent to.
+    caller_headers : Headers
+        Headers as the caller sent them, with the key; for another VM only.
+    is_relayed : bool
+        Whether another VM has relayed it to this one.
+    attempts_elsewhere : int
+        Attempts that the relaying VM has made.
     """
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
     __slots__ += ("headers", "body", "deadline", "is_disconnected", "may_send")
-    __slots__ += ("fingerprint", "received_at", "targets")
+    __slots__ += ("fingerprint", "received_at", "targets", "caller_headers")
+    __slots__ += ("is_relayed", "attempts_elsewhere")
 
     def __init__(
         self,
@@ -63,6 +70,9 @@
         is_disconnected: Callable[[], bool],
         may_send: Callable[[], bool],
         received_at: float,
+        caller_headers: Headers,
+        is_relayed: bool = False,
+        attempts_elsewhere: int = 0,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -78,6 +88,9 @@
         self.may_send = may_send
         self.received_at = received_at
         self.targets: set[str] = set()
+        self.caller_headers = caller_headers
+        self.is_relayed = is_relayed
+        self.attempts_elsewhere = attempts_elsewhere
 
     def for_target(self, expected_header: str, target_id: str) -> TargetRequest:
         """Return the request to send to one target.
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -3,6 +3,8 @@
 `lacewingpond.health.reporter` has those of the standalone daemon to its detector.
 """
 
+from collections.abc import Callable
+
 import gevent
 from gevent.event import Event
 from msgspec import structs
@@ -10,7 +12,7 @@
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.peers.channel import DatagramChannel
 from lacewingpond.entry.peers.messages import OutcomeRow, Outcomes
-from lacewingpond.entry.targets.health import EJECT_SCORE
+from lacewingpond.entry.targets.health import BROKEN_EVIDENCE, EJECT_SCORE
 from lacewingpond.entry.targets.state import TargetState
 from lacewingpond.entry.targets.table import TargetTable
 from lacewingpond.telemetry.decisions import DecisionLog
@@ -72,9 +74,15 @@
         Time source.
     log : DecisionLog
         Log of ejections.
+
+    Attributes
+    ----------
+    verify : callable or None
+        Called before broken connections are reported; returns False if this VM
+        reaches no target, so that they say nothing about the targets.
     """
 
-    __slots__ = ("_table", "_fleet", "_channel", "_clock", "_log", "_counts")
+    __slots__ = ("verify", "_table", "_fleet", "_channel", "_clock", "_log", "_counts")
     __slots__ += ("_urgent", "_relay_counts", "_loads", "_greenlets")
 
     def __init__(
@@ -93,6 +101,7 @@
         self._counts: dict[str, _OutcomeCounts] = {}
         self._relay_counts: dict[str, _OutcomeCounts] = {}
         self._loads: dict[str, int] = {}
+        self.verify: Callable[[], bool] | None = None
         self._urgent = Event()
         self._greenlets: list[gevent.Greenlet] = []
         channel.register(Outcomes, self._handle_report)
@@ -191,12 +200,25 @@
             self._clock.sleep(URGENT_BATCH_S)
             self._urgent.clear()
             rows = self._take_rows(only_urgent=True)
-            self._channel.broadcast(self._fleet.domain_peers(), Outcomes(rows))
             relayed = self._take_relay_rows()
+            if not self._is_evidence(rows):
+                continue
+            self._channel.broadcast(self._fleet.domain_peers(), Outcomes(rows))
             if relayed:
                 report = Outcomes(relayed, relay=True)
                 self._channel.broadcast(self._fleet.relays(), report)
 
+    def _is_evidence(self, rows: tuple[OutcomeRow, ...]) -> bool:
+        """Return whether failures may be held against the targets.
+
+        Connections that break because this VM loses its links are not.
+        """
+        broken = sum(row.failure_evidence >= BROKEN_EVIDENCE for row in rows)
+        if not broken or self.verify is None or self.verify():
+            return True
+        self._log.decision("report", self._fleet.vm_id, "dropped", broken=broken)
+        return False
+
     def _report_loads(self) -> None:
         while True:
             self._clock.sleep(LOAD_REPORT_S)
--- a/lacewingpond/routing/forwarded_headers.py
+++ b/lacewingpond/routing/forwarded_headers.py
@@ -46,6 +46,15 @@
     return forwarded
 
 
+def headers_to_peer(headers: Headers) -> Headers:
+    """Return the headers of a request that another VM of the fleet may see.
+
+    These include the API key, which that VM checks again.
+    """
+    removed = _HOP_BY_HOP | {"expect"} | _named_by_connection(headers)
+    return Headers((n, v) for n, v in headers if n.lower() not in removed)
+
+
 def headers_to_caller(headers: Headers) -> Headers:
     """Return the headers of a target's response that the caller may see."""
     removed = _HIDDEN_FROM_CALLERS | _named_by_connection(headers)
--- a/lacewingpond/targets/client.py
+++ b/lacewingpond/targets/client.py
@@ -170,6 +170,33 @@
         """Return the number of connections to `target` that carry no exchange."""
         return self._pools.get(target.address).idle
 
+    def open_idle(self, target: Target, deadline: float) -> bool:
+        """Open a connection for later requests, and return whether it was accepted.
+
+        At the limit of connections one is open already, which counts as accepted.
+
+        Parameters
+        ----------
+        target : Target
+            Where to connect to.
+        deadline : float
+            Time limit in monotonic seconds.
+        """
+        pool = self._pools.get(target.address)
+        acquired = pool.acquire(fresh=True, deadline=deadline, new=True)
+        if acquired.is_err():
+            return acquired.err_value.reason is SendReason.CONNECTION_LIMIT
+        pool.release(acquired.ok_value)
+        return True
+
+    def mark_silent(self) -> None:
+        """Treat all open connections as silent: close the idle ones, mark the others.
+
+        Requests on them go on, but count as overdue after `silent_after_s`.
+        """
+        for pool in self._pools:
+            pool.mark_silent()
+
     def _exchange(
         self,
         target: Target,
--- a/lacewingpond/targets/pool.py
+++ b/lacewingpond/targets/pool.py
@@ -1,5 +1,6 @@
 """Pools of connections, one pool for each target address."""
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -209,6 +210,10 @@
             self._close_inactive(conn.sent_at)
         return False
 
+    def mark_silent(self) -> None:
+        """Close the idle connections and mark the others as silent."""
+        self._mark_silent(math.inf)
+
     def _mark_silent(self, opened_before: float) -> None:
         self._close_inactive(opened_before)
         for conn in self._busy:
--- a/tests/entry/fleet_helper.py
+++ b/tests/entry/fleet_helper.py
@@ -7,8 +7,8 @@
 import gevent
 import msgspec
 from entry_helper import FORMATS, KEY, entry_target
-from path_helper import CLOCK, caller_server
-from result import Err
+from path_helper import CLOCK, caller_server, read_all
+from result import Err, Ok
 from stack_helper import NAMES, parse_response
 
 from lacewingpond.entry.daemon import EntryDaemon
@@ -90,12 +90,9 @@
             f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
-        sock.sendall(head.encode() + body)
-        blocks = []
-        while block := sock.recv(65536):
-            blocks.append(block)
-        sock.close()
-        return parse_response(b"".join(blocks))
+        with sock:
+            sock.sendall(head.encode() + body)
+            return parse_response(read_all(sock))
 
     def lines(self, what):
         return [line for line in self.log.lines if line[0] == what]
@@ -118,7 +115,7 @@
         for vm in vms:
             if cfg is not None:
                 vm.daemon.view._formats = msgspec.structs.replace(
-                    FORMATS, decode_config=lambda raw: cfg
+                    FORMATS, decode_config=lambda raw: Ok(cfg)
                 )
             vm.daemon.start()
             exits.callback(vm.daemon.close)
--- a/tests/entry/limit_helper.py
+++ b/tests/entry/limit_helper.py
@@ -7,7 +7,7 @@
 import msgspec
 from entry_helper import Network, Vm, entry_target, route
 from result import Err, Ok
-from stack_helper import NAMES, limiter_of
+from stack_helper import NAMES, limiter_of, relay_of
 
 from lacewingpond.entry.requests.delivery import DeliveryContext, EntryDelivery
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
@@ -130,6 +130,7 @@
             self.retries,
             EntryQuarantine(vm.fleet, vm.channel, clock, vm.log),
             limiter_of(vm, self.table, clock),
+            *relay_of(vm, self.table, client, clock),
             clock,
             vm.log,
         )
@@ -152,6 +153,7 @@
             is_disconnected=lambda: False,
             may_send=lambda: True,
             received_at=now,
+            caller_headers=headers,
         )
         return EntryDelivery(self.context, request).run()
 
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -13,6 +13,8 @@
 from lacewingpond.entry.limits.named_limits import NamedLimits
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.rules import QuotaRules
+from lacewingpond.entry.relay.reach import Reach
+from lacewingpond.entry.relay.sender import RelaySender
 from lacewingpond.entry.requests.delivery import DeliveryContext
 from lacewingpond.entry.requests.pipeline import EntryPipeline
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
@@ -59,6 +61,16 @@
     return TargetLimiter(limits, table, vm.view, vm.fleet, vm.channel, clock, vm.rng)
 
 
+def relay_of(vm, table, client, clock):
+    """Return whether the VM reaches its targets, and how it relays requests."""
+    channel, rng, log = vm.channel, vm.rng, vm.log
+    reach = Reach(table, client, vm.fleet, channel, clock, rng, log)
+    sender = RelaySender(
+        NAMES, reach, vm.view, vm.name, vm.domain, client, clock, rng, log
+    )
+    return reach, sender
+
+
 class Stack:
     """The request pipeline of one VM behind an HTTP server."""
 
@@ -87,6 +99,7 @@
             self.retries,
             EntryQuarantine(vm.fleet, vm.channel, CLOCK, vm.log),
             limiter_of(vm, self.table, CLOCK),
+            *relay_of(vm, self.table, self.client, CLOCK),
             CLOCK,
             vm.log,
         )
