Close a target that sends bytes without end

Heads were bounded by lines only, up to 13 MB for each request, and the body of a rejected response to a non-idempotent request was read in the background for 30 s at full speed, because its target might still be at work.

Heads now have a limit of 256 KB together, and a body that nobody needs is closed after 1 MB.

--- a/lacewingpond/targets/http_connection.py
+++ b/lacewingpond/targets/http_connection.py
@@ -14,6 +14,8 @@
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
+MAX_HEAD_BYTES = 262_144
+"""Most bytes of all heads that come before the body of a response."""
 MAX_INTERIM_RESPONSES = 16
 MAX_FIELDS = 200
 MAX_STRAY_RESPONSES = 8
@@ -38,6 +40,7 @@
     """True when the target sent bytes after the end of the response."""
     id_header = ""
     expected_id: str | None = None
+    head_bytes_left = MAX_HEAD_BYTES
 
     def begin(self) -> None:
         """Read the status line and headers; skips responses to other requests."""
@@ -98,7 +101,7 @@
         # The email parser of http.client accepts ambiguous headers, and is slow.
         fields = http.client.HTTPMessage()
         for _ in range(MAX_FIELDS):
-            line = self.fp.readline(_MAX_FIELD_BYTES)
+            line = self._read_head_line()
             if line == b"\r\n":
                 return fields
             match = _FIELD.fullmatch(line)
@@ -108,6 +111,11 @@
             fields[match[1].decode("latin-1")] = value
         raise self._header_error("too many headers")
 
+    def _read_head_line(self) -> bytes:
+        line = self.fp.readline(min(_MAX_FIELD_BYTES, self.head_bytes_left))
+        self.head_bytes_left -= len(line)
+        return line
+
     def _set_framing(self) -> None:
         lengths = self.msg.get_all("Content-Length", [])
         codings = self.msg.get_all("Transfer-Encoding", [])
@@ -177,7 +185,7 @@
     def _read_status(self) -> tuple[str, int, str]:
         # http.client skips status 100 only; other 1xx responses have no body either.
         for _ in range(MAX_INTERIM_RESPONSES):
-            match = _STATUS_LINE.fullmatch(self.fp.readline(_MAX_FIELD_BYTES))
+            match = _STATUS_LINE.fullmatch(self._read_head_line())
             if match is None:
                 raise self._header_error("malformed status line")
             version, status, reason = (
--- a/lacewingpond/targets/response.py
+++ b/lacewingpond/targets/response.py
@@ -17,6 +17,9 @@
 from lacewingpond.targets.options import TargetOptions
 from lacewingpond.targets.pool import ConnectionPool
 
+MAX_ABANDONED_BYTES = 1_048_576
+"""Most bytes of a body that nobody needs that are read; an endless one is closed."""
+
 
 class ResponseEnd(Enum):
     """How a response ended."""
@@ -108,7 +111,7 @@
 
         An incomplete response to an idempotent request is abandoned and its connection
         closed. One to a non-idempotent request is read on in the background, for
-        `abandoned_body_s` at most; `end` is None until then.
+        `abandoned_body_s` and `MAX_ABANDONED_BYTES` at most; `end` is None until then.
         """
         if self.end is not None:
             return
@@ -143,12 +146,14 @@
         self._caller_disconnected = True
         self._conn.detach_caller(self._options.abandoned_body_s)
         self._conn.reusable = False
+        left = MAX_ABANDONED_BYTES
         try:
-            while self.end is None:
-                self._read()
+            while self.end is None and left > 0:
+                left -= len(self._read())
         except TruncatedResponseError:
             # No caller waits for this response, and `_fail` has recorded its end.
             return
+        self._finish(ResponseEnd.ABANDONED)
 
     def _finish(self, end: ResponseEnd) -> None:
         if self.end is not None:
