Keep the first attempt when another VM refuses its hedge

A refusal of the other VM counted as the end of the request, although the first target was at work: 502 instead of its response. Now only a response through another VM ends the first attempt.

A refuted suspicion is also followed by a pause of half a second, so that a VM does not open connections all the time while many targets are down.

Evidence: test_refused_hedge_through_another_vm_leaves_the_first_attempt_at_work gave 502 before.

--- a/lacewingpond/entry/relay/reach.py
+++ b/lacewingpond/entry/relay/reach.py
@@ -20,6 +20,7 @@
 # Targets that are probed at once. A path to one shows that the links work; the second
 # round keeps a few targets that are down from being taken for the links.
 PROBE_ROUNDS = (2, 8)
+SUSPICION_PAUSE_S = 0.5  # bounds the connections while many targets are down
 PROBE_INTERVAL_S = 0.5  # while the links are down; varied, so that VMs return in turn
 PROBES_TO_RETURN = 2  # one connection may be luck on a link that loses packets
 ANNOUNCE_INTERVAL_S = 2.0
@@ -122,6 +123,8 @@
                 self.verify()
             if self.lost:
                 self._await_return()
+            else:
+                self._clock.sleep(SUSPICION_PAUSE_S)
 
     def _verify(self) -> bool:
         targets = self._draw_targets(sum(PROBE_ROUNDS))
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -231,13 +231,16 @@
         """Return the outcome of an attempt beside another, if it ends the request.
 
         One that could not be sent does not: the other may be at work. It costs no
-        retry. Without `state` the attempt is relayed.
+        retry. Without `state` the attempt is relayed, and only a response ends the
+        request: a refusal of another VM says nothing of the first attempt.
         """
-        outcome = (
-            self._relayed_attempt() if state is None else self._attempt(state, None)
-        )
+        if state is None:
+            outcome = self._relayed_attempt()
+        else:
+            outcome = self._attempt(state, None)
         sent = outcome.is_ok() or outcome.err_value.kind is not FailureKind.NOT_SENT
-        if sent and _ends_request(outcome):
+        may_end = outcome.is_ok() or state is not None
+        if sent and may_end and _ends_request(outcome):
             return outcome
         if not sent:
             self._context.retries.refund(self._request.service)
--- a/tests/entry/test_entry_relay.py
+++ b/tests/entry/test_entry_relay.py
@@ -296,6 +296,28 @@
     assert status == 200
 
 
+# Guards against a refusal of another VM ending an attempt whose target is at work.
+def test_refused_hedge_through_another_vm_leaves_the_first_attempt_at_work():
+    started = Event()
+
+    def respond(req):
+        if req.headers.get("X-Id") == "id-1" and not started.is_set():
+            started.set()
+            gevent.sleep(2.5)
+            return signed(req)
+        return not_run(req)
+
+    cfg = cfg_of(idempotent=True, timeout_s=8.0)
+    with running_fleet(respond, size=2, targets=3, cfg=cfg) as vms:
+        call = gevent.spawn(vms[0].call, "id-1")
+        started.wait(5.0)
+        vms[0].cut = "hang"
+        vms[0].daemon._reach.verify()
+        status, _, _ = call.get(timeout=8.0)
+        assert vms[0].lines("relay")
+    assert status == 200
+
+
 # Guards against a planned stop that cuts requests of other VMs.
 def test_planned_stop_of_the_peer_cuts_no_relayed_request():
     started, release = Event(), Event()
