--- a/tests/entry/fleet_helper.py
+++ b/tests/entry/fleet_helper.py
@@ -1,6 +1,7 @@
 """Whole entry daemons on addresses of the loopback network, with cuts to targets."""
 
 import itertools
+import os
 import random
 from contextlib import ExitStack, contextmanager
 
@@ -21,6 +22,7 @@
 PEER_PORTS = [7440, 7455]
 HANG_S = 0.3  # the connect timeout of the entry daemon
 START_TIMEOUT_S = 20.0
+MAX_VMS = 8
 _networks = itertools.count(1)
 
 
@@ -49,7 +51,7 @@
 
     def __init__(self, number, network, store, domain):
         self.name = f"vm-{number}"
-        self.ip = f"127.1.{network}.{number}"
+        self.ip = _address(network, number)
         self.log = RecordingDecisionLog()
         self.cut = ""
         settings = {
@@ -98,6 +100,13 @@
         return [line for line in self.log.lines if line[0] == what]
 
 
+def _address(network, number):
+    """Return a loopback address that no other process and no running fleet uses."""
+    pid = os.getpid()
+    host = (network * MAX_VMS + number) % 250 + 1
+    return f"127.{pid // 250 % 250 + 1}.{pid % 250 + 1}.{host}"
+
+
 @contextmanager
 def running_fleet(respond, size=4, targets=4, domains=("zone-a",), cfg=None):
     """Run `size` daemons in front of `targets` targets, and yield the VMs."""
