--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -7,13 +7,13 @@
 
 from lacewingpond.config.model import Target
 from lacewingpond.entry.header_names import HeaderNames
-from lacewingpond.entry.relay.reach import Reach
-from lacewingpond.entry.relay.result_header import (
+from lacewingpond.entry.relay.headers import (
     ATTEMPTS_HEADER,
     RELAY_HEADER,
     RelayRefusal,
     parse_relay_header,
 )
+from lacewingpond.entry.relay.reach import Reach
 from lacewingpond.entry.requests.forwarded_body import read_response
 from lacewingpond.entry.requests.outcome import (
     FINAL_REASONS,
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -17,7 +17,7 @@
 from lacewingpond.entry.model.workspace import EntryWorkspace
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.token_shares import OVER_RATE
-from lacewingpond.entry.relay.result_header import (
+from lacewingpond.entry.relay.headers import (
     ATTEMPTS_HEADER,
     RELAY_HEADER,
     RESPONSE,
