Relay requests of services with few targets at once, on connections that stay open

A service with up to three targets had no fourth target to fail at, so its requests were refused until the loss of the links was proved. And connections between VMs took the idle timeout of callers from the configuration, so that with a short one a relayed request could cross the close.

When no target of a service was reached, the request now goes to one other VM; more are asked only once the loss is proved, so that a service that is down costs one hop. The relay server keeps its own idle timeout.

Evidence: the two new tests failed before (503; no connection left after 0.8 s).

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -59,6 +59,7 @@
 MAX_IDLE_S = 8.0
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for longer counts as disconnected
 CONNECTION_RATIO = 0.9  # of the connections that a target accepts from the fleet
+RELAY_HEAD_BYTES = 1024  # the headers that the relaying VM adds
 MAX_PEER_CONNECTIONS = 64  # relayed requests at one peer at the same time
 MIN_CONNECTIONS = 4  # per VM and target, however large the fleet is
 RESERVED_DESCRIPTORS = 200  # the platform reserves these for files
@@ -328,15 +329,19 @@
 
     def _apply_config(self, cfg: EntryConfig) -> None:
         limits = cfg.limits
-        for server in (self.server, self._relay_server):
-            if server is None:
-                continue
-            server.options = structs.replace(
-                server.options,
-                max_head_bytes=limits.head_bytes,
+        self.server.options = structs.replace(
+            self.server.options,
+            max_head_bytes=limits.head_bytes,
+            max_request_line_bytes=limits.head_bytes,
+            head_timeout_s=limits.head_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+        if self._relay_server is not None:
+            # Not the idle timeout: a relayed request must not cross the close.
+            self._relay_server.options = structs.replace(
+                self._relay_server.options,
+                max_head_bytes=limits.head_bytes + RELAY_HEAD_BYTES,
                 max_request_line_bytes=limits.head_bytes,
-                head_timeout_s=limits.head_timeout_s,
-                idle_timeout_s=limits.idle_timeout_s,
             )
         self._retries.keep_only(frozenset(cfg.services))
         self._divide_limits()
--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -110,9 +110,10 @@
         self._unusable_until: dict[str, float] = {}
 
     def send(self, request: EntryRequest, attempts: int) -> Outcome:
-        """Send a request through up to `MAX_PEERS` peers, one after the other.
+        """Send a request through a peer, or through up to `MAX_PEERS` in turn.
 
-        Another peer is tried only if the last one proves that no target ran it.
+        Another peer is tried only if this VM reaches no target, so that the targets may
+        be up, and if the last peer proves that no target ran the request.
 
         Parameters
         ----------
@@ -123,7 +124,8 @@
         """
         tried: set[str] = set()
         outcome: Outcome = Err(_no_peer())
-        while len(tried) < MAX_PEERS and request.body.can_send:
+        max_peers = MAX_PEERS if self.reach.lost else 1
+        while len(tried) < max_peers and request.body.can_send:
             vm_id = self._pick(tried)
             if vm_id is None:
                 break
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -158,7 +158,9 @@
             self._earned = True
             self._context.retries.earn(self._request.service)
         state = self._pick(self._is_retryable())
-        return self._hedged_attempt(state) if state is not None else None
+        if state is not None:
+            return self._hedged_attempt(state)
+        return self._relayed_attempt() if self._reached_none() else None
 
     def _should_relay(self) -> bool:
         """Return whether another VM should deliver the request.
@@ -171,6 +173,11 @@
             self._unsent_count() >= MAX_NOT_SENT_ATTEMPTS and not self._may_have_run
         )
 
+    def _reached_none(self) -> bool:
+        """Return whether other VMs may reach targets of which this VM reached none."""
+        unsent = self._unsent_count()
+        return bool(self._relays_left) and 0 < unsent == len(self._tried)
+
     def _unsent_count(self) -> int:
         """Return the number of targets that got no byte of the request."""
         return len(self._tried) - self._sent_count - self._waiting_count
--- a/tests/entry/test_entry_relay.py
+++ b/tests/entry/test_entry_relay.py
@@ -5,12 +5,14 @@
 from collections import Counter
 
 import gevent
+import msgspec
 import pytest
 from entry_helper import config, route, workspace
 from fleet_helper import running_fleet, statuses
 from gevent.event import Event
 from stack_helper import not_run, signed
 
+from lacewingpond.entry.model.caller_limits import CallerLimits
 from lacewingpond.entry.relay.reach import PROBE_INTERVAL_S
 from lacewingpond.entry.targets.health import HealthStatus
 from lacewingpond.http.headers import Headers
@@ -399,3 +401,22 @@
         assert sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT) == 0
         assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
         assert sock.getsockopt(tcp, socket.TCP_KEEPIDLE) == 10
+
+
+# Guards against a service with few targets being refused until the loss is proved.
+@pytest.mark.parametrize("targets", [1, 3])
+def test_request_of_a_service_with_few_targets_is_relayed_at_once(targets):
+    with running_fleet(signed, size=3, targets=targets) as vms:
+        vms[0].cut = "refused"
+        assert vms[0].call("id-1")[0] == 200
+
+
+# Guards against a request that crosses the close of an idle connection between VMs.
+def test_idle_timeout_of_callers_does_not_close_connections_between_vms():
+    limits = CallerLimits(idle_timeout_s=0.5)
+    cfg = msgspec.structs.replace(config(), limits=limits)
+    with running_fleet(signed, size=2, cfg=cfg) as vms:
+        lose(vms[0])
+        assert statuses(vms[:1], 1) == [200]
+        gevent.sleep(0.8)
+        assert vms[1].daemon._relay_server.connection_count == 1
