--- /dev/null
+++ b/tests/entry/test_entry_relay_config.py
@@ -0,0 +1,191 @@
+"""Tests of relayed requests while VMs have different configurations or targets."""
+
+from collections import Counter
+
+import gevent
+import msgspec
+import pytest
+from entry_helper import KEY, config, entry_target, route, workspace
+from fleet_helper import running_fleet, statuses
+from path_helper import caller_server
+from stack_helper import signed
+
+from lacewingpond.entry.model.route import WeightedService
+from lacewingpond.entry.model.service import EntryService
+from lacewingpond.entry.peers.messages import LeavingNotice
+
+MOVED = (WeightedService("svc-2", 1.0),)
+
+
+def cfg_of(version, *routes, **fields):
+    cfg = config(version, routes, **fields)
+    services = {name: EntryService(name) for name in ("svc", "svc-2")}
+    return msgspec.structs.replace(cfg, services=services)
+
+
+def lose(vm):
+    """Cut a VM off from all targets, and wait until it has noticed."""
+    vm.cut = "refused"
+    vm.daemon._client.close()
+    vm.daemon._reach.verify()
+    assert vm.daemon._reach.lost
+
+
+class Service:
+    """Records the ids of the requests that its targets run."""
+
+    def __init__(self, respond=signed):
+        self.ids = []
+        self.respond = respond
+
+    def __call__(self, req):
+        b"".join(req.body)
+        self.ids.append(req.headers.get("X-Id"))
+        return self.respond(req)
+
+
+def add_service(vms, server):
+    """Add a target of the second service for all VMs."""
+    target = entry_target("t-2", f"127.0.0.1:{server.port}")
+    target = msgspec.structs.replace(target, service="svc-2")
+    views = [vm.daemon.view for vm in vms]
+    vms[0].daemon.follower._store.put("targets/t-2", msgspec.json.encode(target), "")
+    with gevent.Timeout(10.0):
+        while not all("t-2" in view.targets for view in views):
+            gevent.sleep(0.02)
+
+
+NONE = cfg_of(1)
+FIRST = cfg_of(1, route())
+ADDED = cfg_of(2, route())
+
+
+# Guards against a route that was added being unknown again through another VM.
+def test_added_route_is_served_through_a_vm_that_does_not_know_it_yet():
+    with running_fleet(signed, size=2, cfg=ADDED) as vms:
+        vms[1].daemon.view.config = NONE
+        lose(vms[0])
+        assert statuses(vms[:1], 10) == [200] * 10
+
+
+# Guards against a request that is handled by an older configuration than its VM has.
+@pytest.mark.parametrize("ahead", [False, True])
+def test_service_is_chosen_by_the_configuration_of_the_vm_that_took_the_request(ahead):
+    first, second = Service(), Service()
+    moved, kept = cfg_of(2, route(split=MOVED)), FIRST
+    mine, others = (kept, moved) if ahead else (moved, kept)
+    with (
+        running_fleet(first, size=3, cfg=mine) as vms,
+        caller_server(second) as server,
+    ):
+        add_service(vms, server)
+        vms[1].daemon.view.config = others
+        lose(vms[0])
+        assert statuses(vms[:1], 20) == [200] * 20
+    counts = [len(first.ids), len(second.ids)]
+    assert counts == ([20, 0] if ahead else [0, 20])
+
+
+# Guards against a key that was added being refused through another VM.
+def test_added_key_is_accepted_through_a_vm_that_does_not_know_it_yet():
+    added = config(2, workspaces=(workspace(keys=("old", KEY)),))
+    with running_fleet(signed, size=2, cfg=added) as vms:
+        vms[1].daemon.view.config = config(1, workspaces=(workspace(keys=("old",)),))
+        lose(vms[0])
+        assert statuses(vms[:1], 5) == [200] * 5
+
+
+# Guards against a key that a newer version withdrew working through an older VM.
+@pytest.mark.parametrize("version", [1, 2])
+def test_key_that_the_carrier_knows_as_withdrawn_is_refused(version):
+    target = Service()
+    with running_fleet(target, size=2) as vms:
+        newer = config(version, workspaces=(workspace(keys=("new",)),))
+        vms[1].daemon.view.config = newer
+        lose(vms[0])
+        assert statuses(vms[:1], 3) == [401] * 3
+    assert target.ids == []
+
+
+# Guards against a request that may no longer be repeated running twice.
+def test_kind_of_a_request_is_that_of_the_vm_that_took_it():
+    def respond(req):
+        raise ConnectionError("the target crashes")
+
+    target = Service(respond)
+    cfg = cfg_of(2, route(idempotent=False, max_attempts=3))
+    with running_fleet(target, size=2, cfg=cfg) as vms:
+        older = cfg_of(1, route(idempotent=True, max_attempts=3))
+        vms[1].daemon.view.config = older
+        lose(vms[0])
+        assert statuses(vms[:1], 4) == [502] * 4
+    assert max(Counter(target.ids).values()) == 1
+
+
+# Guards against a request being ended at a time-out that is no longer in force.
+def test_longer_timeout_holds_through_a_vm_with_a_shorter_one():
+    def respond(req):
+        gevent.sleep(0.5)
+        return signed(req)
+
+    with running_fleet(respond, size=2, cfg=FIRST) as vms:
+        vms[1].daemon.view.config = cfg_of(1, route(timeout_s=0.2))
+        lose(vms[0])
+        assert statuses(vms[:1], 2) == [200] * 2
+
+
+# Guards against requests being refused because their carrier can't check keys.
+def test_vm_that_the_store_turns_away_carries_requests_whose_key_was_checked():
+    with running_fleet(signed, size=2) as vms:
+        vms[1].daemon._freshness.max_age_s = -1.0
+        lose(vms[0])
+        assert statuses(vms[:1], 5) == [200] * 5
+
+
+# Guards against a target that leaves getting requests through a VM that was not told.
+@pytest.mark.parametrize("how", ["statement", "entry"])
+def test_target_that_leaves_gets_no_request_through_another_vm(how):
+    target, leaving = Service(), Service()
+    with (
+        running_fleet(target, size=2) as vms,
+        caller_server(leaving) as server,
+    ):
+        store = vms[0].daemon.follower._store
+        entry = entry_target("t-2", f"127.0.0.1:{server.port}")
+        store.put("targets/t-2", msgspec.json.encode(entry), "")
+        with gevent.Timeout(10.0):
+            while not all("t-2" in vm.daemon.view.targets for vm in vms):
+                gevent.sleep(0.02)
+        if how == "statement":
+            notice = LeavingNotice("t-2", 0)
+            vms[0].daemon._statements._handle_notice(notice, "peer")
+        else:
+            targets = vms[0].daemon.view.targets
+            targets["t-2"] = msgspec.structs.replace(entry, draining=True)
+            for listener in vms[0].daemon.view._on_targets:
+                listener()
+        lose(vms[0])
+        assert statuses(vms[:1], 20) == [200] * 20
+    assert leaving.ids == []
+
+
+# Guards against a refusal for want of targets that other VMs know.
+def test_vm_without_targets_of_the_service_is_passed_over():
+    with running_fleet(signed, size=3) as vms:
+        vms[1].daemon.view.targets.clear()
+        for listener in vms[1].daemon.view._on_targets:
+            listener()
+        lose(vms[0])
+        assert statuses(vms[:1], 10) == [200] * 10
+
+
+# Guards against logs that can't tell by which version a relayed request was handled.
+def test_log_names_both_versions_of_a_relayed_request():
+    with running_fleet(signed, size=2, cfg=ADDED) as vms:
+        vms[1].daemon.view.config = FIRST
+        lose(vms[0])
+        statuses(vms[:1], 1)
+        fields = [line[3] for line in vms[1].lines("route")]
+    assert [(f["version"], f["own_version"], f["relayed"]) for f in fields] == [
+        (2, 1, True)
+    ]
