Deliver a relayed request as the VM that took it has decided

What callers saw: a VM without links to the targets sends its requests through another VM. Right after a change of the configuration they got 404 for a route that the VM had served before, 401 for a key that was added, or an answer of the service that the route had left. Requests alternated between two versions, and targets that leave got new requests.

Cause: the carrier routed the request and checked its key again, by its own configuration and its own view of the targets. VMs follow a change within a second, not at once.

Why this works: route, service, kind, attempts, workspace and the time for which the check of the key holds go with the request, so that one configuration handles all requests of a VM. The position of that configuration goes along: whichever VM is behind pulls at once, and a carrier that is not behind still refuses a withdrawn key. Carriers of earlier builds get no decision, are used last, and their 404 becomes 503, not run.

Ruled out: choosing carriers by their version (in the second after a change there may be none), and refusing by a carrier that is ahead (docs/design/relay.md).

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -25,6 +25,7 @@
 from lacewingpond.entry.quota.rules import QuotaRules
 from lacewingpond.entry.readiness import Readiness
 from lacewingpond.entry.registration import Registration
+from lacewingpond.entry.relay.decision import decider
 from lacewingpond.entry.relay.reach import Reach
 from lacewingpond.entry.relay.sender import RelaySender
 from lacewingpond.entry.requests.delivery import DeliveryContext
@@ -63,7 +64,7 @@
 MAX_IDLE_S = 8.0
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for longer counts as disconnected
 CONNECTION_RATIO = 0.9  # of the connections that a target accepts from the fleet
-RELAY_HEAD_BYTES = 1024  # the headers that the relaying VM adds
+RELAY_HEAD_BYTES = 8192  # the headers that the relaying VM adds
 MAX_PEER_CONNECTIONS = 64  # relayed requests at one peer at the same time
 MIN_CONNECTIONS = 4  # per VM and target, however large the fleet is
 RESERVED_DESCRIPTORS = 200  # the platform reserves these for files
@@ -213,6 +214,8 @@
                 names,
                 self._reach,
                 statements,
+                decider(vm.id, table, freshness, statements),
+                self.follower.catch_up,
                 self.view,
                 vm.id,
                 vm.failure_domain,
@@ -225,7 +228,15 @@
             log,
         )
         pipeline = self._pipeline = EntryPipeline(
-            names, self.view, freshness, limiter, context, clock, rng, log
+            names,
+            self.view,
+            freshness,
+            limiter,
+            context,
+            self.follower.catch_up,
+            clock,
+            rng,
+            log,
         )
         self.server = CallerServer.from_options(
             structs.replace(
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -136,6 +136,13 @@
         """Stop following changes."""
         gevent.killall(self._greenlets)
 
+    def catch_up(self, vm_id: str) -> None:
+        """Pull changes at once from a peer that has shown that it knows more."""
+        address = self._fleet.address(vm_id)
+        if address is not None:
+            self._newer_peer = address
+            self._wake.set()
+
     def hand_over_watch(self) -> None:
         """Ask the peers of this domain to take over the watch, before a planned stop.
 
--- a/lacewingpond/entry/peers/protocol.py
+++ b/lacewingpond/entry/peers/protocol.py
@@ -16,7 +16,8 @@
 BASE_VERSION = 1  # changes of the store, outcomes, quota tokens, crashes
 LIMITS_VERSION = 2  # adds limits of targets, and relayed requests
 STATEMENTS_VERSION = 3  # adds targets that leave, and evidence of overdue requests
-CURRENT_VERSION = STATEMENTS_VERSION
+DECISIONS_VERSION = 4  # adds decisions in relayed requests
+CURRENT_VERSION = DECISIONS_VERSION
 
 _VERSIONS: dict[type, int] = {
     LimitNotice: LIMITS_VERSION,
--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -2,11 +2,19 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 
 from result import Err, Ok
 
 from lacewingpond.config.model import Target
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.model.config_position import parse_config_position
+from lacewingpond.entry.peers.protocol import DECISIONS_VERSION
+from lacewingpond.entry.relay.decision import (
+    CONFIG_HEADER,
+    DECISION_HEADER,
+    RelayDecision,
+)
 from lacewingpond.entry.relay.headers import (
     ATTEMPTS_HEADER,
     RELAY_HEADER,
@@ -49,8 +57,18 @@
 UNUSABLE_S = 2.0  # how long a peer that failed is not used
 RETRY_AFTER_S = 1.0  # links or other VMs may be back
 MAX_LOGGED_CHARS = 40  # of a header that can't be decoded
+NO_ROUTE = "no-route"
 LOCAL_REASONS = frozenset(
-    {"stopping", "no-config", "stale-keys", "keys-changed", "no-path"}
+    {
+        "stopping",
+        "no-config",
+        "stale-keys",
+        "keys-changed",
+        "no-path",
+        "no-target",
+        "bad-decision",
+        NO_ROUTE,
+    }
 )
 """Reasons of refusals that concern the peer itself, so that another may serve."""
 
@@ -58,8 +76,10 @@
 class RelaySender:
     """Picks a peer that reaches the targets and sends it a request of a caller.
 
-    The peer checks the key again, and routes and delivers the request as one of its
-    own, but takes no token of the quota. It never relays the request further.
+    The peer delivers the request as this VM has decided, whichever configuration it
+    has itself, and takes no token of the quota. It never relays the request further.
+    One of a build that knows no decisions checks the key and routes the request again;
+    it is used only if there is no other.
 
     Parameters
     ----------
@@ -69,6 +89,10 @@
         Whether this VM and its peers reach the targets.
     statements : TargetStatements
         Receives what targets say of themselves.
+    decide : callable
+        Returns how a request is to be handled.
+    catch_up : callable
+        Called with the id of a peer whose configuration is newer than this VM's.
     view : StoreView
         Source of the members.
     vm_id, failure_domain : str
@@ -90,13 +114,15 @@
 
     __slots__ = ("reach", "_names", "_view", "_vm_id", "_failure_domain", "_client")
     __slots__ += ("_clock", "_rng", "_log", "_in_flight", "_unusable_until")
-    __slots__ += ("_statements",)
+    __slots__ += ("_statements", "_decide", "_catch_up")
 
     def __init__(
         self,
         names: HeaderNames,
         reach: Reach,
         statements: TargetStatements,
+        decide: Callable[[EntryRequest], RelayDecision],
+        catch_up: Callable[[str], None],
         view: StoreView,
         vm_id: str,
         failure_domain: str,
@@ -108,6 +134,8 @@
         self.reach = reach
         self._names = names
         self._statements = statements
+        self._decide = decide
+        self._catch_up = catch_up
         self._view = view
         self._vm_id = vm_id
         self._failure_domain = failure_domain
@@ -157,21 +185,31 @@
         finally:
             self._in_flight[vm_id] -= 1
             ms = round((self._clock.now() - started) * 1000.0)
-            self._log.decision("relay", request.request_id, why, via=vm_id, ms=ms)
+            self._log.decision(
+                "relay",
+                request.request_id,
+                why,
+                via=vm_id,
+                ms=ms,
+                version=request.config.version,
+            )
         return outcome
 
     def _exchange(self, request: EntryRequest, vm_id: str, attempts: int) -> Outcome:
         member = self._view.members[vm_id]
         peer = Target(vm_id, member.relay, member.failure_domain, 1)
-        sent = self._client.send(
-            peer, _peer_request(request, attempts), request.deadline
-        )
+        peer_request = _peer_request(request, attempts)
+        if member.version >= DECISIONS_VERSION:
+            decision = self._decide(request)
+            peer_request.headers.set(DECISION_HEADER, decision.encode())
+        sent = self._client.send(peer, peer_request, request.deadline)
         if sent.is_err():
             return Err(self._send_failure(vm_id, sent.err_value))
         response = sent.ok_value
         streaming = False
         try:
             response.set_deadline(request.deadline)
+            self._compare_config(vm_id, response)
             outcome = self._handle_response(request, response)
             streaming = outcome.is_ok() and response.end is None
             return outcome
@@ -182,6 +220,13 @@
             if not streaming:
                 response.close()
 
+    def _compare_config(self, vm_id: str, response: TargetResponse) -> None:
+        """Catch up with a peer that has a newer configuration."""
+        position = parse_config_position(response.headers.get(CONFIG_HEADER))
+        response.headers.remove(CONFIG_HEADER)
+        if position is not None and position > self._view.config_position:
+            self._catch_up(vm_id)
+
     def _handle_response(
         self, request: EntryRequest, response: TargetResponse
     ) -> Outcome:
@@ -216,19 +261,26 @@
     def _pick(self, tried: set[str]) -> str | None:
         """Return a peer that reaches the targets, or None if there is none."""
         now = self._clock.now()
-        peers, weights = [], []
-        for vm_id, member in self._view.members.items():
-            if vm_id == self._vm_id or vm_id in tried or not member.relay:
-                continue
-            if not self.reach.peer_reaches(vm_id):
-                continue
-            if self._unusable_until.get(vm_id, now) > now:
-                continue
-            peers.append(vm_id)
-            same_domain = member.failure_domain == self._failure_domain
-            weights.append(SAME_DOMAIN_WEIGHT if same_domain else 1.0)
-        if not peers:
+        members = {
+            vm_id: member
+            for vm_id, member in self._view.members.items()
+            if vm_id != self._vm_id
+            and vm_id not in tried
+            and member.relay
+            and self.reach.peer_reaches(vm_id)
+            and self._unusable_until.get(vm_id, now) <= now
+        }
+        if not members:
             return None
+        knows_decisions = {
+            k: m for k, m in members.items() if m.version >= DECISIONS_VERSION
+        }
+        members = knows_decisions or members
+        peers = list(members)
+        weights = [
+            SAME_DOMAIN_WEIGHT if m.failure_domain == self._failure_domain else 1.0
+            for m in members.values()
+        ]
         drawn = self._rng.choices(peers, weights, k=CANDIDATES)
         return min(drawn, key=lambda vm_id: self._in_flight[vm_id])
 
@@ -276,6 +328,9 @@
         return _unknown(response.status, refusal.reason)
     detail = "The VM that the request was relayed to refused it."
     retry_after_s = _retry_after_s(response, log)
+    if refusal.reason == NO_ROUTE:
+        # A peer that knows no decisions has an older configuration.
+        return _no_peer()
     refused = EntryRefusal.not_run(
         response.status, refusal.reason, detail, retry_after_s
     )
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -290,7 +290,7 @@
         limiter = self._context.limiter
         while self._denied_count < MAX_DENIED_TARGETS:
             limited = limiter.exhausted(service).keys()
-            state = placer.pick(service, self._tried, retryable, limited)
+            state = placer.pick(service, self._unusable(), retryable, limited)
             if state is None:
                 return None
             self._passed_over = placer.passed_over(service, limited)
@@ -306,7 +306,12 @@
         service, placer = self._request.service, self._context.placer
         limited = self._context.limiter.limited(service)
         self._passed_over = placer.passed_over(service, limited)
-        return placer.pick(service, self._tried, retryable, limited)
+        return placer.pick(service, self._unusable(), retryable, limited)
+
+    def _unusable(self) -> set[str] | frozenset[str]:
+        """Return the ids of the targets that the request must not be sent to."""
+        excluded = self._request.excluded
+        return self._tried | excluded if excluded else self._tried
 
     def _is_quarantined(self) -> bool:
         return self._context.quarantine.is_quarantined(self._request.fingerprint)
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import sys
 from collections.abc import Callable
 
 import xxhash
@@ -12,11 +13,18 @@
 
 from lacewingpond.entry.freshness import Freshness
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.model.config_position import ConfigPosition
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.model.route import EntryRoute
 from lacewingpond.entry.model.workspace import EntryWorkspace
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.token_shares import OVER_RATE
+from lacewingpond.entry.relay.decision import (
+    CONFIG_HEADER,
+    DECISION_HEADER,
+    RelayDecision,
+    parse_decision,
+)
 from lacewingpond.entry.relay.headers import (
     ATTEMPTS_HEADER,
     RELAY_HEADER,
@@ -63,6 +71,8 @@
         Checks the quotas of workspaces.
     context : DeliveryContext
         Components of deliveries.
+    catch_up : callable
+        Called with the id of a peer whose configuration is newer than this VM's.
     clock : Clock
         Time source.
     rng : random.Random
@@ -86,6 +96,7 @@
         "_freshness",
         "_limiter",
         "_context",
+        "_catch_up",
     )
     __slots__ += ("_clock", "_rng", "_log", "_stripped_headers")
 
@@ -96,6 +107,7 @@
         freshness: Freshness,
         limiter: QuotaLimiter,
         context: DeliveryContext,
+        catch_up: Callable[[str], None],
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
@@ -107,6 +119,7 @@
         self._freshness = freshness
         self._limiter = limiter
         self._context = context
+        self._catch_up = catch_up
         self._clock = clock
         self._rng = rng
         self._log = log
@@ -121,6 +134,7 @@
                 names.not_run,
                 ATTEMPTS_HEADER,
                 RELAY_HEADER,
+                DECISION_HEADER,
                 "Authorization",
             )
         )
@@ -146,8 +160,8 @@
     def handle_relayed(self, req: Request) -> Response:
         """Return the response to a request that another VM relays to this one.
 
-        The relaying VM has taken the token of the quota. A header tells it whether a
-        target has responded.
+        The relaying VM has decided how to handle it, and taken the token of the quota.
+        A header tells it whether a target has responded.
         """
         request_id = req.headers.get(self._names.request_id) or ""
         if self._context.reach.lost:
@@ -155,16 +169,84 @@
         elif self.stopping:
             outcome = Err(_unavailable("stopping", "This VM is being stopped."))
         else:
-            outcome = self._process(req, request_id, relayed=True)
+            outcome = self._carry(req, request_id)
         if outcome.is_ok():
-            outcome.ok_value.headers.set(RELAY_HEADER, RESPONSE)
-            return outcome.ok_value
-        refusal = outcome.err_value
-        response = self._refuse("refuse-relayed", request_id, refusal)
-        relayed = RelayRefusal(refusal.run, refusal.reason)
-        response.headers.set(RELAY_HEADER, relayed.encode())
+            response = outcome.ok_value
+            response.headers.set(RELAY_HEADER, RESPONSE)
+        else:
+            refusal = outcome.err_value
+            response = self._refuse("refuse-relayed", request_id, refusal)
+            relayed = RelayRefusal(refusal.run, refusal.reason)
+            response.headers.set(RELAY_HEADER, relayed.encode())
+        response.headers.set(CONFIG_HEADER, self._view.config_position.encode())
         return response
 
+    def _carry(self, req: Request, request_id: str) -> Result[Response, EntryRefusal]:
+        """Deliver a request as the VM that relays it has decided."""
+        parsed = parse_decision(req.headers.get(DECISION_HEADER))
+        if parsed.is_err():
+            self._log.decision("relay", "decision", "invalid", error=parsed.err_value)
+            return Err(_unavailable("bad-decision", "The relayed request is invalid."))
+        decision = parsed.ok_value
+        if decision is None:
+            # The VM is of a build that leaves the decision to this one.
+            return self._process(req, request_id, relayed=True)
+        if self._view.config is None:
+            return Err(_unavailable("no-config", "This VM has no configuration yet."))
+        if decision.config > self._view.config_position:
+            self._catch_up(decision.vm_id)
+        key = presented_key(req.headers)
+        if self._is_withdrawn(decision, key):
+            return Err(EntryRefusal.not_run(401, "bad-key", "The key was withdrawn."))
+        route = decision.entry_route(req.host)
+        deadline = self._deadline(req, route)
+        if deadline.is_err():
+            return deadline
+        valid_s = float("inf") if decision.valid_s is None else decision.valid_s
+        valid_until = self._clock.boot() + valid_s
+        excluded = [
+            state.spec.target_id
+            for state in self._context.table.ready(decision.service)
+            if decision.excludes(state.spec)
+        ]
+        return self._deliver(
+            req,
+            request_id,
+            route,
+            decision.service,
+            decision.workspace,
+            deadline.ok_value,
+            sys.maxsize,  # the VM that decided has checked the length
+            lambda: self._may_carry(decision, key, valid_until),
+            decision.config,
+            is_relayed=True,
+            excluded=frozenset(excluded),
+        )
+
+    def _may_carry(
+        self, decision: RelayDecision, key: str | None, valid_until: float
+    ) -> bool:
+        """Return whether a relayed request may be sent to a target now."""
+        if self._is_withdrawn(decision, key):
+            return False
+        if self._clock.boot() <= valid_until:
+            return True
+        is_current = self._view.config_position >= decision.config
+        return is_current and self._freshness.is_fresh
+
+    def _is_withdrawn(self, decision: RelayDecision, key: str | None) -> bool:
+        """Return whether the key does not belong to its workspace any more.
+
+        An older configuration than the one that the key was checked by can't tell.
+        """
+        cfg = self._view.config
+        if not decision.workspace or not cfg.has_workspaces:
+            return False
+        if self._view.config_position < decision.config:
+            return False
+        owner = cfg.workspace_of(key) if key is not None else None
+        return owner is None or owner.name != decision.workspace
+
     def _refuse(self, what: str, request_id: str, refusal: EntryRefusal) -> Response:
         self._log.decision(
             what,
@@ -206,8 +288,36 @@
         refused = None if relayed else self._check_rate(workspace)
         if refused is not None:
             return Err(refused)
+        return self._deliver(
+            req,
+            request_id,
+            route,
+            self._draw_service(route),
+            workspace.name if workspace is not None else "",
+            deadline.ok_value,
+            cfg.limits.body_bytes,
+            lambda: self._may_send(req, route, workspace, key),
+            self._view.config_position,
+            relayed,
+        )
+
+    def _deliver(
+        self,
+        req: Request,
+        request_id: str,
+        route: EntryRoute,
+        service: str,
+        workspace: str,
+        deadline: float,
+        max_body_bytes: int,
+        may_send: Callable[[], bool],
+        config: ConfigPosition,
+        is_relayed: bool,
+        excluded: frozenset[str] = frozenset(),
+    ) -> Result[Response, EntryRefusal]:
+        """Read the body of a request and deliver it, if it may still be sent."""
         try:
-            body = _read_body(req, cfg.limits.body_bytes)
+            body = _read_body(req, max_body_bytes)
         except RequestBodyError as exc:
             return Err(EntryRefusal.not_run(exc.status, "bad-body", exc.detail))
         if body is None:
@@ -215,15 +325,25 @@
         if not req.body.is_empty and req.is_refused():
             # Its target would not respond before the end of the stop.
             return Err(_unavailable("stopping", "This VM is being stopped."))
-        routed = self._routed_request(
-            req,
-            request_id,
-            route,
-            workspace,
-            body,
-            deadline.ok_value,
-            lambda: self._may_send(req, route, workspace, key),
-            relayed,
+        routed = EntryRequest(
+            request_id=request_id,
+            route=route,
+            service=service,
+            workspace=workspace,
+            method=req.method,
+            path=req.path,
+            headers=self._headers_to_target(req, workspace),
+            body=body,
+            deadline=deadline,
+            fingerprint=_fingerprint(req, route, workspace, body),
+            is_disconnected=req.is_disconnected,
+            may_send=may_send,
+            received_at=req.received_at,
+            caller_headers=req.headers,
+            config=config,
+            is_relayed=is_relayed,
+            attempts_elsewhere=attempts_elsewhere(req.headers) if is_relayed else 0,
+            excluded=excluded,
         )
         if not routed.may_send():
             return Err(
@@ -231,7 +351,7 @@
                     "keys-changed", "The route or the key changed, or can't be checked."
                 )
             )
-        self._log_route(routed, cfg)
+        self._log_route(routed)
         self.running.add(routed)
         try:
             return EntryDelivery(self._context, routed).run()
@@ -309,42 +429,15 @@
             status, admission.reason, detail, admission.retry_after_s
         )
 
-    def _routed_request(
-        self,
-        req: Request,
-        request_id: str,
-        route: EntryRoute,
-        workspace: EntryWorkspace | None,
-        body: OutgoingBody,
-        deadline: float,
-        may_send: Callable[[], bool],
-        relayed: bool,
-    ) -> EntryRequest:
+    def _headers_to_target(self, req: Request, workspace: str) -> Headers:
         headers = Headers(
             (name, value)
             for name, value in headers_to_target(req.headers)
             if name.lower() not in self._stripped_headers
         )
-        if workspace is not None:
-            headers.add(self._names.workspace, workspace.name)
-        return EntryRequest(
-            request_id=request_id,
-            route=route,
-            service=self._draw_service(route),
-            workspace=workspace.name if workspace is not None else "",
-            method=req.method,
-            path=req.path,
-            headers=headers,
-            body=body,
-            deadline=deadline,
-            fingerprint=_fingerprint(req, route, workspace, body),
-            is_disconnected=req.is_disconnected,
-            may_send=may_send,
-            received_at=req.received_at,
-            caller_headers=req.headers,
-            is_relayed=relayed,
-            attempts_elsewhere=attempts_elsewhere(req.headers) if relayed else 0,
-        )
+        if workspace:
+            headers.add(self._names.workspace, workspace)
+        return headers
 
     def _may_send(
         self,
@@ -374,14 +467,15 @@
         weights = [part.weight for part in route.split]
         return self._rng.choices(route.split, weights)[0].service
 
-    def _log_route(self, routed: EntryRequest, cfg: EntryConfig) -> None:
+    def _log_route(self, routed: EntryRequest) -> None:
         self._log.decision(
             "route",
             routed.request_id,
             routed.route.name,
             service=routed.service,
             workspace=routed.workspace,
-            version=cfg.version,
+            version=routed.config.version,
+            own_version=self._view.config_position.version,
             proof_age_s=round(self._freshness.age_s, 2),
             relayed=routed.is_relayed,
         )
@@ -398,14 +492,13 @@
 def _fingerprint(
     req: Request,
     route: EntryRoute,
-    workspace: EntryWorkspace | None,
+    workspace: str,
     body: OutgoingBody,
 ) -> str:
     if not isinstance(body, BufferedBody):
         return ""
     body_digest = xxhash.xxh3_128_digest(body.data)
-    name = workspace.name if workspace is not None else ""
-    return fingerprint(name, route.name, req.method, req.path, body_digest)
+    return fingerprint(workspace, route.name, req.method, req.path, body_digest)
 
 
 def _read_body(req: Request, limit: int) -> OutgoingBody | None:
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+from lacewingpond.entry.model.config_position import ConfigPosition
 from lacewingpond.entry.model.route import EntryRoute
 from lacewingpond.http.headers import Headers
 from lacewingpond.proxy.outgoing_body import OutgoingBody
@@ -48,12 +49,16 @@
         Whether another VM has relayed it to this one.
     attempts_elsewhere : int
         Attempts that the relaying VM has made.
+    config : ConfigPosition
+        The configuration by which it was routed.
+    excluded : frozenset of str
+        Ids of targets that accept no new requests, as the relaying VM knows.
     """
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
     __slots__ += ("headers", "body", "deadline", "is_disconnected", "may_send")
     __slots__ += ("fingerprint", "received_at", "targets", "caller_headers")
-    __slots__ += ("is_relayed", "attempts_elsewhere")
+    __slots__ += ("is_relayed", "attempts_elsewhere", "config", "excluded")
 
     def __init__(
         self,
@@ -71,8 +76,10 @@
         may_send: Callable[[], bool],
         received_at: float,
         caller_headers: Headers,
+        config: ConfigPosition,
         is_relayed: bool = False,
         attempts_elsewhere: int = 0,
+        excluded: frozenset[str] = frozenset(),
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -91,6 +98,8 @@
         self.caller_headers = caller_headers
         self.is_relayed = is_relayed
         self.attempts_elsewhere = attempts_elsewhere
+        self.config = config
+        self.excluded = excluded
 
     def for_target(self, expected_header: str, target_id: str) -> TargetRequest:
         """Return the request to send to one target.
--- a/lacewingpond/entry/store_view.py
+++ b/lacewingpond/entry/store_view.py
@@ -4,6 +4,7 @@
 
 from lacewingpond.entry.formats import Formats
 from lacewingpond.entry.member import Member, decode_member
+from lacewingpond.entry.model.config_position import ConfigPosition
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.model.entry_target import EntryTarget
 from lacewingpond.entry.registration import LEASE_TTL_S
@@ -82,6 +83,13 @@
         self._on_members: list[Callable[[], None]] = []
         cache.on_change(self._apply)
 
+    @property
+    def config_position(self) -> ConfigPosition:
+        """Position of the configuration in force, to compare it with that of peers."""
+        if self.config is None:
+            return ConfigPosition()
+        return ConfigPosition(self.config.version, self._config_era)
+
     def on_config(self, listener: Callable[[EntryConfig], None]) -> None:
         """Call `listener` with each configuration that is applied."""
         self._on_config.append(listener)
@@ -150,7 +158,7 @@
             return
         cfg = decoded.ok_value
         era = self._cache.position.era
-        if self.config is not None and not self._is_newer(cfg.version, era):
+        if ConfigPosition(cfg.version, era) <= self.config_position:
             self._log.decision(
                 "config", str(cfg.version), "not newer than the current version"
             )
@@ -160,13 +168,6 @@
         for listener in self._on_config:
             listener(cfg)
 
-    def _is_newer(self, version: int, era: int) -> bool:
-        """Return whether a version that was written in `era` is newer than current.
-
-        A version that was lost may have been given out again, with other content.
-        """
-        return (version, era) > (self.config.version, self._config_era)
-
     def _apply_target(self, event: WatchEvent, target_id: str) -> None:
         if event.value is None:
             self._remove_target(target_id)
--- a/lacewingpond/entry/targets/table.py
+++ b/lacewingpond/entry/targets/table.py
@@ -20,7 +20,7 @@
         Time source of new states.
     """
 
-    __slots__ = ("_view", "_client", "_clock", "_states", "_services")
+    __slots__ = ("_view", "_client", "_clock", "_states", "_services", "_draining")
 
     def __init__(self, view: StoreView, client: TargetClient, clock: Clock) -> None:
         self._view = view
@@ -28,6 +28,7 @@
         self._clock = clock
         self._states: dict[str, TargetState] = {}
         self._services: dict[str, tuple[TargetState, ...]] = {}
+        self._draining: dict[str, list[TargetState]] = {}
         view.on_targets(self._update)
 
     def get(self, target_id: str) -> TargetState | None:
@@ -38,6 +39,10 @@
         """Return the targets of a service that are not draining, healthy or not."""
         return self._services.get(service, ())
 
+    def draining(self, service: str) -> list[TargetState]:
+        """Return the targets of a service that are draining."""
+        return self._draining.get(service, [])
+
     def all(self) -> list[TargetState]:
         """Return the states of all targets, including draining ones."""
         return list(self._states.values())
@@ -47,10 +52,11 @@
         for target_id in self._states.keys() - targets.keys():
             self._client.close_idle(self._states.pop(target_id).spec.address)
         services: dict[str, list[TargetState]] = {}
+        self._draining = draining = {}
         for target_id, spec in targets.items():
             state = self._update_state(target_id, spec)
-            if not spec.draining:
-                services.setdefault(spec.service, []).append(state)
+            group = draining if spec.draining else services
+            group.setdefault(spec.service, []).append(state)
         self._services = {name: tuple(states) for name, states in services.items()}
 
     def _update_state(self, target_id: str, spec: EntryTarget) -> TargetState:
--- a/tests/entry/form_recorder.py
+++ b/tests/entry/form_recorder.py
@@ -13,6 +13,7 @@
 from lacewingpond.entry.peers.messages import OutcomeRow, PeerMessage, encode
 from lacewingpond.entry.peers.protocol import CURRENT_VERSION, version_of
 from lacewingpond.entry.quota.rules import QuotaRules
+from lacewingpond.entry.relay.decision import RelayDecision
 from lacewingpond.quarantine.fingerprint import fingerprint
 from lacewingpond.store.base import WatchEvent
 from lacewingpond.util.rendezvous import ranked
@@ -47,6 +48,7 @@
         },
         "OutcomeRow": _schema(OutcomeRow),
         "WatchEvent": _schema(WatchEvent),
+        "RelayDecision": _schema(RelayDecision),
         "member": member.encode().decode(),
         "ranking": ranked("acme", [f"vm-{number}" for number in range(12)]),
         "quota": {
--- a/tests/entry/limit_helper.py
+++ b/tests/entry/limit_helper.py
@@ -19,6 +19,7 @@
 from result import Err, Ok
 from stack_helper import NAMES, limiter_of, relay_of
 
+from lacewingpond.entry.model.config_position import ConfigPosition
 from lacewingpond.entry.requests.delivery import DeliveryContext, EntryDelivery
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.routed_request import EntryRequest
@@ -228,6 +229,7 @@
             may_send=lambda: True,
             received_at=now,
             caller_headers=headers,
+            config=ConfigPosition(1),
         )
         return EntryDelivery(self.context, request).run()
 
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -23,6 +23,7 @@
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.quota.limiter import QuotaLimiter
 from lacewingpond.entry.quota.rules import QuotaRules
+from lacewingpond.entry.relay.decision import decider
 from lacewingpond.entry.relay.reach import Reach
 from lacewingpond.entry.relay.sender import RelaySender
 from lacewingpond.entry.requests.delivery import DeliveryContext
@@ -75,7 +76,18 @@
     channel, rng, log = vm.channel, vm.rng, vm.log
     reach = Reach(table, client, vm.fleet, channel, clock, rng, log)
     sender = RelaySender(
-        NAMES, reach, statements, vm.view, vm.name, vm.domain, client, clock, rng, log
+        NAMES,
+        reach,
+        statements,
+        decider(vm.name, table, vm.freshness, statements),
+        lambda vm_id: None,
+        vm.view,
+        vm.name,
+        vm.domain,
+        client,
+        clock,
+        rng,
+        log,
     )
     return reach, sender
 
@@ -128,7 +140,15 @@
         )
         limiter = QuotaLimiter(RULES, vm.view, vm.fleet, vm.channel, CLOCK, vm.rng)
         self.pipeline = EntryPipeline(
-            NAMES, vm.view, vm.freshness, limiter, context, CLOCK, vm.rng, vm.log
+            NAMES,
+            vm.view,
+            vm.freshness,
+            limiter,
+            context,
+            lambda vm_id: None,
+            CLOCK,
+            vm.rng,
+            vm.log,
         )
         self.server = CallerServer.from_options(
             HttpOptions(), self.pipeline.handle, vm.log, CLOCK
--- a/tests/entry/test_entry_compatibility.py
+++ b/tests/entry/test_entry_compatibility.py
@@ -43,6 +43,7 @@
     "9f3c3e6": BASE_VERSION,
     "2c7a3aa": BASE_VERSION,
     "ee9febd": LIMITS_VERSION,
+    "a52f939": STATEMENTS_VERSION,
 }
 TYPES = {"int": int, "float": float, "bool": bool, "str": str, "float | None": object}
 
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -3,9 +3,17 @@
 import gevent
 import msgspec
 import pytest
-from entry_helper import FailingListingStore, Network, Vm, decisions, entry_target
+from entry_helper import (
+    FailingListingStore,
+    Network,
+    Vm,
+    at,
+    decisions,
+    entry_target,
+)
 
 from lacewingpond.entry.follower import WATCH_PAUSE_S, WATCH_TIMEOUT_S, Follower
+from lacewingpond.store.base import WatchEvent
 from lacewingpond.store.memory import MemoryStore
 
 STEP_S = 0.05
@@ -93,6 +101,18 @@
     assert cut.vm.freshness.is_fresh
 
 
+# Guards against a relayed request leaving its two VMs at different configurations.
+def test_vm_that_catches_up_has_the_change_at_once(fleet, clock, store):
+    ahead, behind = [each for each in fleet if not each.follower.watching][:2]
+    revision = store.put("config", b"2", "").unwrap()
+    event = WatchEvent("config", b"2", revision)
+    ahead.vm.cache.apply([event], at(revision))
+    behind.follower.catch_up(ahead.vm.name)
+    run(clock, STEP_S * 2)
+    assert behind.version == 2
+    behind.follower.catch_up("vm-that-is-gone")
+
+
 def test_lost_watcher_is_replaced(fleet, clock, store):
     lost = watching(fleet)[0]
     lost.store.unavailable = True
--- a/tests/entry/test_entry_relay_config.py
+++ b/tests/entry/test_entry_relay_config.py
@@ -1,6 +1,7 @@
 """Tests of relayed requests while VMs have different configurations or targets."""
 
 from collections import Counter
+from types import SimpleNamespace
 
 import gevent
 import msgspec
@@ -10,9 +11,19 @@
 from path_helper import caller_server
 from stack_helper import signed
 
+from lacewingpond.entry.model.config_position import (
+    ConfigPosition,
+    parse_config_position,
+)
 from lacewingpond.entry.model.route import WeightedService
 from lacewingpond.entry.model.service import EntryService
 from lacewingpond.entry.peers.messages import LeavingNotice
+from lacewingpond.entry.peers.protocol import STATEMENTS_VERSION
+from lacewingpond.entry.relay.decision import (
+    DECISION_HEADER,
+    RelayDecision,
+    parse_decision,
+)
 
 MOVED = (WeightedService("svc-2", 1.0),)
 
@@ -189,3 +200,124 @@
     assert [(f["version"], f["own_version"], f["relayed"]) for f in fields] == [
         (2, 1, True)
     ]
+
+
+# Guards against a header that VMs of an earlier build would forward to targets.
+def test_vm_of_an_earlier_build_gets_no_decision_and_is_used_last():
+    seen = []
+    with running_fleet(signed, size=3) as vms:
+        for vm in vms[1:]:
+            handler = vm.daemon._relay_server.handler
+
+            def record(req, handler=handler, name=vm.name):
+                seen.append((name, req.headers.get(DECISION_HEADER) is not None))
+                return handler(req)
+
+            vm.daemon._relay_server.handler = record
+        members = vms[0].daemon.view.members
+        members["vm-2"] = msgspec.structs.replace(
+            members["vm-2"], speaks=STATEMENTS_VERSION
+        )
+        lose(vms[0])
+        assert statuses(vms[:1], 10) == [200] * 10
+        assert seen == [("vm-3", True)] * 10
+        members["vm-3"] = msgspec.structs.replace(members["vm-3"], relay="")
+        assert statuses(vms[:1], 1, first=10) == [200]
+    assert seen[10:] == [("vm-2", False)]
+
+
+# Guards against a 404 for a route that only a VM of an earlier build does not know.
+def test_route_that_a_vm_of_an_earlier_build_does_not_know_is_refused_as_not_run():
+    with running_fleet(signed, size=2, cfg=ADDED) as vms:
+        vms[1].daemon.view.config = NONE
+        members = vms[0].daemon.view.members
+        members["vm-2"] = msgspec.structs.replace(
+            members["vm-2"], speaks=STATEMENTS_VERSION
+        )
+        lose(vms[0])
+        status, headers, body = vms[0].call("id-1")
+    assert (status, b'"run":"not-run"' in body) == (503, True)
+    assert float(headers["retry-after"]) > 0.0
+
+
+# Guards against a decision that can't be read being taken for none.
+@pytest.mark.parametrize("value", ["", "none", "gQ==", "kw=="])
+def test_invalid_decision_is_logged_and_refused_as_not_run(value):
+    target = Service()
+    with running_fleet(target, size=2) as vms:
+        lose(vms[0])
+        sender = vms[0].daemon._pipeline._context.relay
+        sender._decide = lambda request: SimpleNamespace(encode=lambda: value)
+        status, _, body = vms[0].call("id-1")
+        assert [line[2] for line in vms[1].lines("relay")] == ["invalid"]
+    assert (status, b'"run":"not-run"' in body) == (503, True)
+    assert target.ids == []
+
+
+# Guards against a key whose check has expired on the way being used.
+def test_check_of_a_key_holds_only_as_long_as_the_proof_of_its_vm():
+    target = Service()
+    with running_fleet(target, size=2) as vms:
+        lose(vms[0])
+        vms[1].daemon._freshness.max_age_s = -1.0
+        sender = vms[0].daemon._pipeline._context.relay
+        decide = sender._decide
+        sender._decide = lambda request: msgspec.structs.replace(
+            decide(request), valid_s=-0.001
+        )
+        assert statuses(vms[:1], 2) == [503] * 2
+        vms[1].daemon._freshness.max_age_s = 60.0
+        assert statuses(vms[:1], 2, first=2) == [200] * 2
+    assert target.ids == ["id-2", "id-3"]
+
+
+# Guards against VMs that relay requests staying at different configurations.
+@pytest.mark.parametrize("behind", [0, 1])
+def test_vm_that_is_behind_catches_up_with_the_other_one(behind):
+    with running_fleet(signed, size=2, cfg=ADDED) as vms:
+        vms[behind].daemon.view.config = FIRST
+        asked = {0: [], 1: []}
+        for number, vm in enumerate(vms):
+            pipeline = vm.daemon._pipeline
+            pipeline._catch_up = asked[number].append
+            pipeline._context.relay._catch_up = asked[number].append
+        lose(vms[0])
+        assert statuses(vms[:1], 1) == [200]
+    assert asked == {behind: [vms[1 - behind].name], 1 - behind: []}
+
+
+def test_decision_survives_its_header():
+    decision = RelayDecision(
+        "vm-1",
+        ConfigPosition(7, 2),
+        "route\u00e9",
+        "svc",
+        True,
+        3,
+        1.5,
+        4,
+        "acme",
+        2.5,
+        (("t-1", 1785310069212),),
+    )
+    header = decision.encode()
+    assert header.isascii()
+    assert parse_decision(header).ok_value == decision
+    assert parse_decision(None).ok_value is None
+
+
+# Guards against an incarnation that has just started being excluded for its last one.
+@pytest.mark.parametrize(
+    ("incarnation", "excluded"), [(4, True), (5, True), (6, False)]
+)
+def test_exclusion_ends_with_the_next_incarnation(incarnation, excluded):
+    decision = RelayDecision("vm", ConfigPosition(), "r", "svc", leaving=(("t", 5),))
+    assert decision.excludes(entry_target("t", incarnation=incarnation)) is excluded
+
+
+def test_positions_order_by_version_then_by_era():
+    positions = [ConfigPosition(), ConfigPosition(3, 1), ConfigPosition(3, 2)]
+    assert positions[0] < positions[1] < positions[2]
+    assert all(parse_config_position(p.encode()) == p for p in positions)
+    assert parse_config_position(None) is None
+    assert parse_config_position("x;1") is None
