Tell callers at the end of a planned stop what became of their requests

What callers saw: the connection of a request that still ran at the end of the grace was closed without a byte, also if no target had seen the request.

Cause: the end of a drain closed all connections.

Why this works: the phases of a drain are a plan of their own with absolute times. At the end, what has arrived is still passed on; then the handlers are interrupted, and return 503 (not run) if no byte was sent, else 504 (unknown), before the connections are closed. Each interrupted request has a `cut` line.

The test that expected an empty close for pipelined requests expects two responses now.

--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -333,7 +333,6 @@
                 why = outcome.err_value.refusal.reason
         finally:
             state.in_flight -= 1
-            request.targets.discard(target_id)
             ended = context.clock.now()
             context.log.decision(
                 "attempt",
@@ -346,6 +345,8 @@
                 **self._limit_fields(state),
                 **({"passed_over": passed_over} if passed_over else {}),
             )
+        # Not after an exception: what ends the request logs its targets.
+        request.targets.discard(target_id)
         return outcome
 
     def _limit_fields(self, state: TargetState) -> dict[str, object]:
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -39,6 +39,7 @@
 from lacewingpond.entry.store_view import StoreView
 from lacewingpond.http.errors import RequestBodyError
 from lacewingpond.http.headers import Headers
+from lacewingpond.http.interrupt import RequestInterruptedError
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
 from lacewingpond.proxy.buffered_body import BufferedBody
@@ -146,7 +147,10 @@
         up to `PROOF_WAIT_S`.
         """
         request_id = req.headers.get(self._names.request_id) or ""
-        outcome = self._process(req, request_id, relayed=False)
+        try:
+            outcome = self._process(req, request_id, relayed=False)
+        except RequestInterruptedError:
+            outcome = Err(_stopping())
         if outcome.is_ok():
             return outcome.ok_value
         return self._refuse("refuse", request_id, outcome.err_value)
@@ -167,9 +171,12 @@
         if self._context.reach.lost:
             outcome = Err(_unavailable("no-path", "This VM reaches no target."))
         elif self.stopping:
-            outcome = Err(_unavailable("stopping", "This VM is being stopped."))
+            outcome = Err(_stopping())
         else:
-            outcome = self._carry(req, request_id)
+            try:
+                outcome = self._carry(req, request_id)
+            except RequestInterruptedError:
+                outcome = Err(_stopping())
         if outcome.is_ok():
             response = outcome.ok_value
             response.headers.set(RELAY_HEADER, RESPONSE)
@@ -324,7 +331,7 @@
             return Err(_too_large())
         if not req.body.is_empty and req.is_refused():
             # Its target would not respond before the end of the stop.
-            return Err(_unavailable("stopping", "This VM is being stopped."))
+            return Err(_stopping())
         routed = EntryRequest(
             request_id=request_id,
             route=route,
@@ -355,21 +362,31 @@
         self.running.add(routed)
         try:
             return EntryDelivery(self._context, routed).run()
+        except RequestInterruptedError:
+            self._log_cut(routed, "end of the stop grace")
+            if not routed.may_have_run:
+                return Err(_stopping())
+            detail = "This VM stops; the request may have run."
+            return Err(EntryRefusal.unknown(504, "stopping", detail))
         finally:
             self.running.discard(routed)
 
     def log_running(self, why: str) -> None:
         """Log each request that is being delivered, as ``cut``, with `why`."""
-        now = self._clock.now()
         for routed in tuple(self.running):
-            self._log.decision(
-                "cut",
-                routed.request_id,
-                why,
-                target=",".join(sorted(routed.targets)),
-                ms=round((now - routed.received_at) * 1000.0),
-                left_ms=round((routed.deadline - now) * 1000.0),
-            )
+            self._log_cut(routed, why)
+
+    def _log_cut(self, routed: EntryRequest, why: str) -> None:
+        now = self._clock.now()
+        self._log.decision(
+            "cut",
+            routed.request_id,
+            why,
+            target=",".join(sorted(routed.targets)),
+            run="unknown" if routed.may_have_run else "not-run",
+            ms=round((now - routed.received_at) * 1000.0),
+            left_ms=round((routed.deadline - now) * 1000.0),
+        )
 
     def _authenticate(
         self, key: str | None, cfg: EntryConfig, route: EntryRoute
@@ -485,6 +502,10 @@
     return EntryRefusal.not_run(413, "body-too-large", "The body is too long.")
 
 
+def _stopping() -> EntryRefusal:
+    return _unavailable("stopping", "This VM is being stopped.")
+
+
 def _unavailable(reason: str, detail: str) -> EntryRefusal:
     return EntryRefusal.not_run(503, reason, detail, UNAVAILABLE_RETRY_AFTER_S)
 
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -37,8 +37,8 @@
         Identifies the request and its repeats; empty if the body is streamed.
     is_disconnected : callable
         Returns whether the caller has disconnected.
-    may_send : callable
-        Called just before the first byte is sent; returns whether it may be.
+    may_have_run : bool
+        Whether a byte of it was sent to a target or to another VM.
     received_at : float
         Time at which its headers had arrived, in monotonic seconds.
     targets : set of str
@@ -56,9 +56,10 @@
     """
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
-    __slots__ += ("headers", "body", "deadline", "is_disconnected", "may_send")
+    __slots__ += ("headers", "body", "deadline", "is_disconnected")
     __slots__ += ("fingerprint", "received_at", "targets", "caller_headers")
     __slots__ += ("is_relayed", "attempts_elsewhere", "config", "excluded")
+    __slots__ += ("may_have_run", "_may_send")
 
     def __init__(
         self,
@@ -92,7 +93,8 @@
         self.deadline = deadline
         self.fingerprint = fingerprint
         self.is_disconnected = is_disconnected
-        self.may_send = may_send
+        self.may_have_run = False
+        self._may_send = may_send
         self.received_at = received_at
         self.targets: set[str] = set()
         self.caller_headers = caller_headers
@@ -101,6 +103,12 @@
         self.config = config
         self.excluded = excluded
 
+    def may_send(self) -> bool:
+        """Return whether it may be sent; called just before the first byte is."""
+        allowed = self._may_send()
+        self.may_have_run |= allowed
+        return allowed
+
     def for_target(self, expected_header: str, target_id: str) -> TargetRequest:
         """Return the request to send to one target.
 
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import gevent
 from result import Result
 
 from lacewingpond.http.body import RequestBody
 from lacewingpond.http.errors import BodyFailure, HeadError, RequestBodyError
 from lacewingpond.http.head import RequestHead, parse_head
+from lacewingpond.http.interrupt import RequestInterruptedError
 from lacewingpond.http.options import HttpOptions
 from lacewingpond.http.pipelined import PipelinedRequests
 from lacewingpond.http.reader import RECEIVE_BYTES, SocketReader
@@ -62,10 +64,12 @@
     ----------
     is_idle : bool
         Whether no request is being served; also true while headers arrive.
+    was_interrupted : bool
+        Whether a handler was ended by `interrupt`.
     """
 
     __slots__ = ("socket", "address", "server", "is_idle", "_reader", "_pipelines")
-    __slots__ += ("_pipelined", "_read_ahead")
+    __slots__ += ("_pipelined", "_read_ahead", "_handling", "was_interrupted")
 
     def __init__(
         self, sock: socket.socket, address: str, server: ConnectionServer
@@ -78,6 +82,8 @@
         self._pipelines = False
         self._pipelined: PipelinedRequests | None = None
         self._read_ahead = 0
+        self._handling: gevent.Greenlet | None = None
+        self.was_interrupted = False
 
     def handle(self) -> None:
         """Serve requests until either side ends the connection."""
@@ -110,11 +116,35 @@
         self.socket.close()
         return True
 
-    def abort(self) -> None:
-        """Close the connection, whether a request is served or not."""
+    def interrupt(self) -> None:
+        """End the handlers of requests, so that their callers are told.
+
+        A request whose response has begun goes on.
+        """
+        if self._pipelined is not None:
+            self.was_interrupted = self._pipelined.interrupt()
+        else:
+            # Not `kill`, which could end the greenlet while it sends a response.
+            gevent.get_hub().loop.run_callback(self._interrupt_handler)
+
+    def _interrupt_handler(self) -> None:
+        if self._handling is not None:
+            self.was_interrupted = True
+            self._handling.throw(RequestInterruptedError)
+
+    def abort(self) -> bool:
+        """Close the connection, whether a request is served or not.
+
+        Returns
+        -------
+        bool
+            Whether a request was served that had not been interrupted.
+        """
+        aborted = not self.is_idle and not self.was_interrupted
         if self._pipelined is not None:
             self._pipelined.unwatch()
         self.socket.close()
+        return aborted
 
     def refuse(self, response: Response) -> None:
         """Send `response` without reading a request, then close the connection."""
@@ -148,7 +178,11 @@
         req = self._build_request(head.ok())
         if self._may_overlap(head.ok(), req):
             return self._serve_overlapping(head.ok(), req)
-        response = self._call_handler(req)
+        self._handling = gevent.getcurrent()
+        try:
+            response = self._call_handler(req)
+        finally:
+            self._handling = None
         return self._send_response(head.ok(), req, response)
 
     def _parse_head(self, raw: bytes) -> Result[RequestHead, HeadError]:
@@ -252,6 +286,9 @@
             return refusal_response(
                 exc.status, RunState.UNKNOWN, "bad-body", exc.detail
             )
+        except RequestInterruptedError:
+            self.server.log.decision("cut", self.address, "end of the drain")
+            return _interrupted()
         except Exception as exc:
             # A failure in one request must not affect other connections.
             self.server.log.decision("handler-error", self.address, repr(exc))
@@ -366,6 +403,11 @@
     return refusal_response(503, RunState.NOT_RUN, "stopping", detail, 0.0)
 
 
+def _interrupted() -> Response:
+    detail = "This VM stops; the request may have run."
+    return refusal_response(504, RunState.UNKNOWN, "stopping", detail)
+
+
 def _internal_error() -> Response:
     return refusal_response(
         500,
--- a/lacewingpond/http/pipelined.py
+++ b/lacewingpond/http/pipelined.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from lacewingpond.http.head import RequestHead
+from lacewingpond.http.interrupt import RequestInterruptedError
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
 
@@ -39,6 +40,13 @@
         """The response; None until the handler has returned it."""
         return self._greenlet.value if self._greenlet.ready() else None
 
+    def interrupt(self) -> bool:
+        """Make the handler respond at once; return whether it has not responded yet."""
+        if self._greenlet.ready():
+            return False
+        self._greenlet.kill(RequestInterruptedError, block=False)
+        return True
+
     def cancel(self) -> None:
         """End the handler, or close the response that it has returned."""
         response = self.response
@@ -120,6 +128,11 @@
             self._watcher.close()
             self._watcher = None
 
+    def interrupt(self) -> bool:
+        """Make all handlers respond at once; return whether one had not responded."""
+        interrupted = [each.interrupt() for each in self._requests]
+        return any(interrupted)
+
     def cancel(self) -> int:
         """End all handlers and drop their responses; return how many there were."""
         count = len(self._requests)
--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -8,6 +8,7 @@
 from gevent.server import StreamServer
 
 from lacewingpond.http.connection import CallerConnection
+from lacewingpond.http.drain_plan import ANSWER_S, SETTLE_S, DrainPhase, DrainPlan
 from lacewingpond.http.options import HttpOptions
 from lacewingpond.http.refusal import refusal_response
 from lacewingpond.http.request import Request
@@ -138,9 +139,9 @@
     def drain(self, grace_s: float) -> int:
         """Wait for running requests, then close all connections.
 
-        From now on each connection is closed after its response. An idle connection
-        is closed after `HttpOptions.drain_idle_s`, and a request whose headers are
-        complete only after `HttpOptions.drain_head_s` is refused.
+        From now on each connection is closed after its response; `DrainPhase` tells
+        what becomes of requests. The callers of requests that still run at the end are
+        told so, as far as no byte of a response was sent.
 
         Parameters
         ----------
@@ -150,23 +151,36 @@
         Returns
         -------
         int
-            Number of requests that were aborted at the end of the wait.
+            Number of requests that were interrupted or aborted at the end of the wait.
         """
         self.draining = True
         # Let the greenlets of connections that were just accepted start.
         gevent.sleep(0)
-        started = self.clock.now()
-        while self._connections and (passed_s := self.clock.now() - started) < grace_s:
-            if passed_s >= self.options.drain_idle_s:
+        plan = DrainPlan.from_options(self.options, self.clock.now(), grace_s)
+        while self._connections:
+            phase = plan.phase(self.clock.now())
+            if phase >= DrainPhase.ANSWERING:
+                break
+            if phase >= DrainPhase.CLOSING_IDLE:
                 self._close_idle()
-            self.refusing = passed_s >= self.options.drain_head_s
+            self.refusing = phase >= DrainPhase.REFUSING
             self.clock.sleep(DRAIN_POLL_S)
+        return self._end_requests()
+
+    def _end_requests(self) -> int:
+        """Close all connections; return how many requests had no whole response."""
+        self.refusing = True
         self._close_idle()
-        self.clock.sleep(0)
-        aborted = self.request_count
-        for conn in tuple(self._connections):
-            conn.abort()
-        return aborted
+        if self.request_count:
+            self.clock.sleep(SETTLE_S)
+        connections = tuple(self._connections)
+        for conn in connections:
+            conn.interrupt()
+        answers_by = self.clock.now() + ANSWER_S
+        while self.request_count and self.clock.now() < answers_by:
+            self.clock.sleep(DRAIN_POLL_S)
+        aborted = sum(conn.abort() for conn in tuple(self._connections))
+        return aborted + sum(conn.was_interrupted for conn in connections)
 
     def stop(self) -> None:
         """Stop at once; running requests are aborted."""
--- a/tests/http/test_pipelined_requests.py
+++ b/tests/http/test_pipelined_requests.py
@@ -312,13 +312,17 @@
         assert bodies(read_all(sock)) == [b"/a"]
 
 
-def test_end_of_a_stop_closes_connections_whose_requests_run():
+# Guards against callers who are not told of any of their requests at the end of a stop.
+def test_end_of_a_stop_tells_the_callers_of_all_requests_that_run():
     handler = Handler(held=["/a", "/b"])
     with overlapping_server(handler) as server, connect(server.port) as sock:
         sock.sendall(get("/a") + get("/b"))
         handler.wait_started(2)
         assert server.drain(0.05) == 1
-        assert read_all(sock) == b""
+        response = read_all(sock)
+    assert response.count(b"HTTP/1.1 504") == 2
+    assert response.count(b'"run":"unknown"') == 2
+    assert sorted(handler.ended) == ["/a", "/b"]
 
 
 STEPS = ["send_get", "send_post", "send_half", "read", "stop", "close"]
