Do not probe links again after a later response or an accepted probe

Cause: each report on a broken connection, and each report of loads while requests waited, opened two connections to prove that the links work, also right after such a proof.

Why this works: a response of a target, or an accepted probe, that is later than the last broken connection proves the same; waits that are suspicious need one proof a second.

--- a/lacewingpond/entry/relay/reach.py
+++ b/lacewingpond/entry/relay/reach.py
@@ -61,6 +61,7 @@
 
     __slots__ = ("lost", "_table", "_client", "_fleet", "_channel", "_clock", "_rng")
     __slots__ += ("_log", "_failures", "_suspected", "_verifying", "_lost_peers")
+    __slots__ += ("_last_contact_at",)
 
     def __init__(
         self,
@@ -84,6 +85,7 @@
         self._suspected = Event()
         self._verifying: gevent.Greenlet | None = None
         self._lost_peers: dict[str, float] = {}
+        self._last_contact_at = float("-inf")
         channel.register(ReachNotice, self._handle_notice)
 
     def record_connect_failure(self, target_id: str) -> None:
@@ -100,17 +102,29 @@
         """Record that a new connection to a target was accepted."""
         self._failures.clear()
 
+    def record_response(self) -> None:
+        """Record that a response of a target has arrived."""
+        self._last_contact_at = self._clock.now()
+
     def peer_reaches(self, vm_id: str) -> bool:
         """Return whether a peer has not said that it reaches no target."""
         return self._lost_peers.get(vm_id, 0.0) <= self._clock.now()
 
-    def verify(self) -> bool:
+    def verify(self, since: float = float("inf")) -> bool:
         """Probe some targets, unless `lost`, and return whether one is reached.
 
         Concurrent calls share the probes.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic time in seconds. A response, or a probe that was accepted, after
+            it proves that the links work, and saves the probes.
         """
         if self.lost:
             return False
+        if self._last_contact_at > since:
+            return True
         if self._verifying is None or self._verifying.ready():
             self._verifying = gevent.spawn(self._verify)
         return self._verifying.get()
@@ -136,6 +150,7 @@
             gevent.joinall(probes)
             if not targets or any(probe.value for probe in probes):
                 self._failures.clear()
+                self._last_contact_at = self._clock.now()
                 return True
             left = left[count:]
             hung |= self._clock.now() - started >= PROBE_TIMEOUT_S * HANG_RATIO
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -399,6 +399,7 @@
             error = sent.err_value
             return Err(self._send_failure(waiting, error)), error.reused
         self._sent_count += 1
+        self._context.reach.record_response()
         state.reset_connect_backoff()
         if not sent.ok_value.reused:
             self._context.reach.record_connected()
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -90,13 +90,14 @@
     Attributes
     ----------
     verify : callable or None
-        Called before broken connections are reported; returns False if this VM
-        reaches no target, so that they say nothing about the targets.
+        Called before broken connections are reported, with the time of the last one;
+        returns False if this VM reaches no target, so that they say nothing about the
+        targets.
     """
 
     __slots__ = ("verify", "_table", "_fleet", "_channel", "_clock", "_log", "_counts")
     __slots__ += ("_urgent", "_relay_counts", "_loads", "_greenlets")
-    __slots__ += ("_last_success_at",)
+    __slots__ += ("_last_success_at", "_last_broken_at")
 
     def __init__(
         self,
@@ -115,7 +116,8 @@
         self._relay_counts: dict[str, _OutcomeCounts] = {}
         self._loads: dict[str, int] = {}
         self._last_success_at = clock.now()
-        self.verify: Callable[[], bool] | None = None
+        self.verify: Callable[[float], bool] | None = None
+        self._last_broken_at = clock.now()
         self._urgent = Event()
         self._greenlets: list[gevent.Greenlet] = []
         channel.register(Outcomes, self._handle_report)
@@ -170,6 +172,8 @@
         self._record(
             state, OutcomeRow(target_id, 0, failure_evidence, age_s=age_s), why
         )
+        if failure_evidence >= BROKEN_EVIDENCE:
+            self._last_broken_at = self._clock.now()
         self._urgent.set()
 
     def record_overdue(
@@ -290,7 +294,10 @@
         overdue = sum(row.overdue_evidence > 0.0 for row in rows)
         silent_s = self._clock.now() - self._last_success_at
         hangs = overdue >= LINK_SUSPECT_TARGETS and silent_s >= LINK_SUSPECT_S
-        if not (broken or hangs) or self.verify is None or self.verify():
+        if not (broken or hangs) or self.verify is None:
+            return True
+        since = self._clock.now() - LINK_SUSPECT_S if hangs else self._last_broken_at
+        if self.verify(since):
             return True
         self._log.decision(
             "report", self._fleet.vm_id, "dropped", broken=broken, overdue=overdue
--- a/tests/entry/test_entry_overdue.py
+++ b/tests/entry/test_entry_overdue.py
@@ -196,7 +196,7 @@
 def test_waits_of_a_vm_that_reaches_no_target_are_not_reported(clock):
     fleet = SpellFleet(clock, seed=1, vms=4, targets=6, spells=False)
     lost = fleet.daemons[0]
-    lost.reporter.verify = lambda: False
+    lost.reporter.verify = lambda since: False
     clock.advance(2.0)
     for state in lost.table.ready("svc"):
         lost.overdue.start(state, fleet.route)
--- a/tests/entry/test_entry_relay.py
+++ b/tests/entry/test_entry_relay.py
@@ -1,5 +1,6 @@
 """Tests of VMs that reach no target: their callers are served through other VMs."""
 
+import random
 import socket
 import time
 from collections import Counter
@@ -8,13 +9,13 @@
 import gevent
 import msgspec
 import pytest
-from entry_helper import config, route, workspace
+from entry_helper import config, entry_target, route, workspace
 from fleet_helper import running_fleet, statuses
 from gevent.event import Event
 from stack_helper import not_run, signed
 
 from lacewingpond.entry.model.caller_limits import CallerLimits
-from lacewingpond.entry.relay.reach import PROBE_INTERVAL_S
+from lacewingpond.entry.relay.reach import PROBE_INTERVAL_S, Reach
 from lacewingpond.entry.relay.sender import _retry_after_s
 from lacewingpond.entry.targets.health import HealthStatus
 from lacewingpond.http.headers import Headers
@@ -237,6 +238,49 @@
     assert statuses_elsewhere == {HealthStatus.HEALTHY}
 
 
+class CountingClient:
+    """Counts the connections that are opened as probes, of which all are accepted."""
+
+    def __init__(self):
+        self.opened = 0
+
+    def open_idle(self, target, deadline):
+        self.opened += 1
+        return True
+
+
+# Guards against probes on each report, which cost more connections than the requests.
+def test_links_are_not_probed_again_after_a_later_response_or_probe(clock):
+    client, table = CountingClient(), SimpleNamespace(all=targets_of(4))
+    channel = SimpleNamespace(register=lambda kind, handler: None)
+    reach = Reach(
+        table, client, None, channel, clock, random.Random(1), RecordingDecisionLog()
+    )
+    assert reach.verify(since=clock.now())
+    assert client.opened == 2
+    clock.advance(0.5)
+    assert reach.verify(since=clock.now() - 1.0)
+    assert client.opened == 2
+    broken_at = clock.now()
+    assert reach.verify(since=broken_at)
+    assert client.opened == 4
+    clock.advance(0.1)
+    broken_at = clock.now()
+    clock.advance(0.01)
+    reach.record_response()
+    assert reach.verify(since=broken_at)
+    assert client.opened == 4
+    assert reach.verify()
+    assert client.opened == 6
+
+
+def targets_of(count):
+    states = [
+        SimpleNamespace(spec=entry_target(f"t{n}"), target=None) for n in range(count)
+    ]
+    return lambda: list(states)
+
+
 def test_broken_connections_of_a_vm_with_links_are_reported():
     def respond(req):
         raise ConnectionError("the target crashes")
