Grant tokens of a workspace that the holder does not know yet

What callers saw: for up to a second after a workspace or its quota was added, its requests were refused with 429 though it had used nothing.

Cause: the VMs that hold the tokens of a workspace look its quota up in their own configuration, and refuse if it has none.

Evidence: the new test, in which the holders have the older configuration: none of 200 requests within the quota is admitted before, at least 80 now and no more than the bound.

Why this works: the question states the quota as the sender knows it, which a holder uses if it knows none.

--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -128,10 +128,23 @@
 
 
 class TokenRequest(Struct, frozen=True, array_like=True, tag=5):
-    """Requests one token of the workspace named `bucket`."""
+    """Requests one token of a workspace.
+
+    Parameters
+    ----------
+    number : int
+        Pairs the response with this request.
+    bucket : str
+        Name of the workspace.
+    rate, burst : float
+        Its quota as the sender knows it, for a receiver that does not know the
+        workspace yet; 0 if not stated.
+    """
 
     number: int
     bucket: str
+    rate: float = 0.0
+    burst: float = 0.0
 
 
 class TokenGrant(Struct, frozen=True, array_like=True, tag=6):
--- a/lacewingpond/entry/quota/limiter.py
+++ b/lacewingpond/entry/quota/limiter.py
@@ -72,7 +72,9 @@
             return Admission(True)
         return self.shares.take(
             self.rules.allowance(workspace),
-            lambda number: TokenRequest(number, workspace.name),
+            lambda number: TokenRequest(
+                number, workspace.name, workspace.rate, workspace.burst
+            ),
         )
 
     def leave(self) -> None:
@@ -83,8 +85,13 @@
         self._fleet.record_message(sender)
         cfg = self._view.config
         workspace = cfg.workspaces.get(request.bucket) if cfg is not None else None
-        known = workspace is not None and workspace.rate > 0.0
-        allowance = self.rules.allowance(workspace) if known else None
+        if workspace is None or workspace.rate <= 0.0:
+            # The sender may have a newer configuration, which adds the quota.
+            workspace = EntryWorkspace(
+                request.bucket, (), None, request.rate, request.burst
+            )
+        has_quota = workspace.rate > 0.0
+        allowance = self.rules.allowance(workspace) if has_quota else None
         self._channel.send(sender, self.shares.grant(request.number, allowance))
 
     def _on_members_changed(self) -> None:
--- a/tests/entry/test_entry_quota.py
+++ b/tests/entry/test_entry_quota.py
@@ -92,6 +92,25 @@
     assert refused <= refused_centrally + asked * 0.01
 
 
+# Guards against refusals of a workspace that the VMs with its tokens do not know yet.
+@pytest.mark.parametrize("known", [(), (workspace(0.0, 0.0),)])
+def test_added_quota_is_granted_by_holders_with_an_older_configuration(clock, known):
+    rate, burst = 20.0, 10.0
+    fleet = LimiterFleet(clock, 12, rate, burst)
+    for vm in fleet.vms[1:]:
+        vm.view.config = config(workspaces=known)
+        for listener in vm.view._on_config:
+            listener(vm.view.config)
+    clock.advance(20.0)
+    admitted = 0
+    for _ in range(50):
+        clock.advance(0.1)
+        admitted += sum(fleet.admit(0).admitted for _ in range(4))
+    quota = rate * RULES.window_s + burst
+    assert admitted >= rate * RULES.window_s * 0.8
+    assert admitted <= quota + RULES.tolerance(fleet.workspace)
+
+
 def test_refusal_has_retry_time_of_the_next_token(clock):
     fleet = LimiterFleet(clock, 3, 1.0, 2.0)
     while (admission := fleet.admit(0)).admitted:
