Relay past a VM of which all targets want a pause

What callers saw: a request that a VM without links relayed was refused with targets-paused because the targets had asked the carrying VM for a pause, though they accept requests of other VMs.

Cause: a refusal that concerns the carrier alone was taken for one of the service.

Why this works: the reason is among those for which another VM may serve.

--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -66,6 +66,7 @@
         "keys-changed",
         "no-path",
         "no-target",
+        "targets-paused",
         "bad-decision",
         NO_ROUTE,
     }
--- a/tests/entry/test_entry_relay_config.py
+++ b/tests/entry/test_entry_relay_config.py
@@ -190,6 +190,16 @@
         assert statuses(vms[:1], 10) == [200] * 10
 
 
+# Guards against a refusal for pauses that the targets have asked of one VM alone.
+def test_vm_of_which_all_targets_want_a_pause_is_passed_over():
+    with running_fleet(signed, size=3) as vms:
+        for target in vms[1].daemon.view.targets.values():
+            key = (target.target_id, target.incarnation)
+            vms[1].daemon._statements._pause(key, 30.0)
+        lose(vms[0])
+        assert statuses(vms[:1], 10) == [200] * 10
+
+
 # Guards against logs that can't tell by which version a relayed request was handled.
 def test_log_names_both_versions_of_a_relayed_request():
     with running_fleet(signed, size=2, cfg=ADDED) as vms:
