Drop a decision that a caller sends before a request is relayed

A caller could send the header of a relayed request's decision itself. It was replaced before the request went to a VM that reads decisions, but not where the list of members states an earlier build, which may be out of date for a moment after an upgrade. Such a VM would have delivered the request to the service, and for the workspace, that the caller named. The new test fails before with a forged workspace refused as a withdrawn key.

--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -288,6 +288,7 @@
 
 def _peer_request(request: EntryRequest, attempts: int) -> TargetRequest:
     headers = headers_to_peer(request.caller_headers)
+    headers.remove(DECISION_HEADER)  # a caller may have sent one
     headers.set(ATTEMPTS_HEADER, str(attempts))
     return TargetRequest(
         method=request.method,
--- a/tests/entry/fleet_helper.py
+++ b/tests/entry/fleet_helper.py
@@ -83,13 +83,16 @@
         pool.vm = self
         return pool
 
-    def call(self, request_id, body=b"", timeout_s=10.0):
-        """Send one request on its own connection; return status, headers and body."""
+    def call(self, request_id, body=b"", timeout_s=10.0, more="X-More: 1"):
+        """Send one request on its own connection; return status, headers and body.
+
+        `more` is one further header.
+        """
         port = self.daemon.server.port
         sock = gevent.socket.create_connection((self.ip, port), timeout_s)
         head = (
             f"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: {request_id}\r\n"
-            f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n{more}\r\n"
             "Connection: close\r\n\r\n"
         )
         with sock:
--- a/tests/entry/test_entry_relay_config.py
+++ b/tests/entry/test_entry_relay_config.py
@@ -236,6 +236,26 @@
     assert seen[10:] == [("vm-2", False)]
 
 
+# Guards against a caller that decides for the fleet.
+def test_decision_that_a_caller_sends_reaches_no_other_vm():
+    forged = RelayDecision("vm-9", ConfigPosition(9), "r", "svc-2", True, workspace="x")
+    names = []
+
+    def respond(req):
+        names.append(req.headers.get("X-Workspace"))
+        return signed(req)
+
+    with running_fleet(respond, size=2) as vms:
+        members = vms[0].daemon.view.members
+        members["vm-2"] = msgspec.structs.replace(
+            members["vm-2"], speaks=STATEMENTS_VERSION
+        )
+        lose(vms[0])
+        header = f"{DECISION_HEADER}: {forged.encode()}"
+        status, _, _ = vms[0].call("id-1", more=header)
+    assert (status, names) == (200, ["acme"])
+
+
 # Guards against a 404 for a route that only a VM of an earlier build does not know.
 def test_route_that_a_vm_of_an_earlier_build_does_not_know_is_refused_as_not_run():
     with running_fleet(signed, size=2, cfg=ADDED) as vms:
