--- a/tests/entry/fleet_helper.py
+++ b/tests/entry/fleet_helper.py
@@ -10,7 +10,7 @@
 from entry_helper import FORMATS, KEY, entry_target
 from path_helper import CLOCK, caller_server, read_all
 from result import Err, Ok
-from stack_helper import NAMES, parse_response
+from stack_helper import NAMES, parse_response, signed
 
 from lacewingpond.entry.daemon import EntryDaemon
 from lacewingpond.entry.settings import check_entry_settings
@@ -103,6 +103,27 @@
         return [line for line in self.log.lines if line[0] == what]
 
 
+class Recorder:
+    """A target that records the ids of its requests and responds as told."""
+
+    def __init__(self, respond=signed):
+        self.ids = []
+        self.respond = respond
+
+    def __call__(self, req):
+        b"".join(req.body)
+        self.ids.append(req.headers.get("X-Id"))
+        return self.respond(req)
+
+
+def lose(vm, how="refused"):
+    """Cut a VM off from all targets, and wait until it has noticed."""
+    vm.cut = how
+    vm.daemon._client.close()
+    vm.daemon._reach.verify()
+    assert vm.daemon._reach.lost
+
+
 def _address(network, number):
     """Return a loopback address that no other process and no running fleet uses."""
     pid = os.getpid()
--- a/tests/entry/test_entry_relay.py
+++ b/tests/entry/test_entry_relay.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 from entry_helper import config, entry_target, route, workspace
-from fleet_helper import running_fleet, statuses
+from fleet_helper import Recorder, lose, running_fleet, statuses
 from gevent.event import Event
 from stack_helper import not_run, signed
 
@@ -26,31 +26,10 @@
 RETURN_S = PROBE_INTERVAL_S * 8  # some probes in a row
 
 
-def lose(vm, how="refused"):
-    """Cut a VM off from all targets, and wait until it has noticed."""
-    vm.cut = how
-    vm.daemon._client.close()
-    vm.daemon._reach.verify()
-    assert vm.daemon._reach.lost
-
-
 def cfg_of(**fields):
     return config(routes=(route(**fields),))
 
 
-class Recorder:
-    """A target that records the ids of its requests and responds as told."""
-
-    def __init__(self, respond=signed):
-        self.ids = []
-        self.respond = respond
-
-    def __call__(self, req):
-        b"".join(req.body)
-        self.ids.append(req.headers.get("X-Id"))
-        return self.respond(req)
-
-
 # Guards against a VM refusing requests for want of a path which its neighbours have.
 @pytest.mark.parametrize("how", CUTS)
 def test_vm_without_a_path_to_any_target_serves_its_callers(how):
--- a/tests/entry/test_entry_relay_config.py
+++ b/tests/entry/test_entry_relay_config.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 from entry_helper import KEY, config, entry_target, route, workspace
-from fleet_helper import running_fleet, statuses
+from fleet_helper import Recorder, lose, running_fleet, statuses
 from path_helper import caller_server
 from stack_helper import signed
 
@@ -34,27 +34,6 @@
     return msgspec.structs.replace(cfg, services=services)
 
 
-def lose(vm):
-    """Cut a VM off from all targets, and wait until it has noticed."""
-    vm.cut = "refused"
-    vm.daemon._client.close()
-    vm.daemon._reach.verify()
-    assert vm.daemon._reach.lost
-
-
-class Service:
-    """Records the ids of the requests that its targets run."""
-
-    def __init__(self, respond=signed):
-        self.ids = []
-        self.respond = respond
-
-    def __call__(self, req):
-        b"".join(req.body)
-        self.ids.append(req.headers.get("X-Id"))
-        return self.respond(req)
-
-
 def add_service(vms, server):
     """Add a target of the second service for all VMs."""
     target = entry_target("t-2", f"127.0.0.1:{server.port}")
@@ -82,7 +61,7 @@
 # Guards against a request that is handled by an older configuration than its VM has.
 @pytest.mark.parametrize("ahead", [False, True])
 def test_service_is_chosen_by_the_configuration_of_the_vm_that_took_the_request(ahead):
-    first, second = Service(), Service()
+    first, second = Recorder(), Recorder()
     moved, kept = cfg_of(2, route(split=MOVED)), FIRST
     mine, others = (kept, moved) if ahead else (moved, kept)
     with (
@@ -109,7 +88,7 @@
 # Guards against a key that a newer version withdrew working through an older VM.
 @pytest.mark.parametrize("version", [1, 2])
 def test_key_that_the_carrier_knows_as_withdrawn_is_refused(version):
-    target = Service()
+    target = Recorder()
     with running_fleet(target, size=2) as vms:
         newer = config(version, workspaces=(workspace(keys=("new",)),))
         vms[1].daemon.view.config = newer
@@ -123,7 +102,7 @@
     def respond(req):
         raise ConnectionError("the target crashes")
 
-    target = Service(respond)
+    target = Recorder(respond)
     cfg = cfg_of(2, route(idempotent=False, max_attempts=3))
     with running_fleet(target, size=2, cfg=cfg) as vms:
         older = cfg_of(1, route(idempotent=True, max_attempts=3))
@@ -156,7 +135,7 @@
 # Guards against a target that leaves getting requests through a VM that was not told.
 @pytest.mark.parametrize("how", ["statement", "entry"])
 def test_target_that_leaves_gets_no_request_through_another_vm(how):
-    target, leaving = Service(), Service()
+    target, leaving = Recorder(), Recorder()
     with (
         running_fleet(target, size=2) as vms,
         caller_server(leaving) as server,
@@ -273,7 +252,7 @@
 # Guards against a decision that can't be read being taken for none.
 @pytest.mark.parametrize("value", ["", "none", "gQ==", "kw=="])
 def test_invalid_decision_is_logged_and_refused_as_not_run(value):
-    target = Service()
+    target = Recorder()
     with running_fleet(target, size=2) as vms:
         lose(vms[0])
         sender = vms[0].daemon._pipeline._context.relay
@@ -286,7 +265,7 @@
 
 # Guards against a key whose check has expired on the way being used.
 def test_check_of_a_key_holds_only_as_long_as_the_proof_of_its_vm():
-    target = Service()
+    target = Recorder()
     with running_fleet(target, size=2) as vms:
         lose(vms[0])
         vms[1].daemon._freshness.max_age_s = -1.0
