--- a/tests/entry/test_entry_relay.py
+++ b/tests/entry/test_entry_relay.py
@@ -41,15 +41,17 @@
     assert served >= 20 * 2 / 3
 
 
-# Guards against requests with little time being lost while a VM notices its cut.
+# Guards against requests with little time being lost while a VM notices its cut. What
+# they may spend is counted in connect time-outs, whatever the processor takes beside.
 @pytest.mark.parametrize("idempotent", [False, True])
-def test_request_with_little_time_is_relayed_when_connections_begin_to_hang(idempotent):
-    cfg = cfg_of(timeout_s=0.9, idempotent=idempotent)
-    with running_fleet(signed, targets=12, cfg=cfg) as vms:
+def test_request_is_relayed_after_one_connection_that_hangs(idempotent):
+    with running_fleet(signed, targets=12, cfg=cfg_of(idempotent=idempotent)) as vms:
         vms[0].cut = "hang"
         calls = [gevent.spawn(vms[0].call, f"id-{n}") for n in range(10)]
         served = [call.get(timeout=10.0)[0] for call in calls]
+        hung = Counter(which for _, which, _, _ in vms[0].lines("unreached"))
     assert served == [200] * 10
+    assert set(hung.values()) == {1}
 
 
 # Guards against the loss of all links of a domain being more than the others can carry.
