Refuse a request that was not sent by the end of a stop as not run

What callers saw: a request that a stopping VM had not sent to any target got 504 (unknown) instead of 503 (not run), so that it could not be repeated. Found by reading the change again.

Cause: the check before a delivery recorded the request as sent.

Evidence: the new test, in which a carrier stops before it sends: 504 before, 200 through another VM now, and each request runs once.

--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -352,7 +352,7 @@
             attempts_elsewhere=attempts_elsewhere(req.headers) if is_relayed else 0,
             excluded=excluded,
         )
-        if not routed.may_send():
+        if not may_send():
             return Err(
                 _unavailable(
                     "keys-changed", "The route or the key changed, or can't be checked."
--- a/tests/entry/test_entry_relay.py
+++ b/tests/entry/test_entry_relay.py
@@ -17,6 +17,7 @@
 from lacewingpond.entry.model.caller_limits import CallerLimits
 from lacewingpond.entry.relay.reach import PROBE_INTERVAL_S, Reach
 from lacewingpond.entry.relay.sender import _retry_after_s
+from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.targets.health import HealthStatus
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.response import Response
@@ -383,6 +384,33 @@
     assert b'"run":"not-run"' in body
 
 
+# Guards against a request that a stopping carrier has not sent being given up.
+def test_request_that_a_stopping_carrier_has_not_sent_goes_through_another(monkeypatch):
+    waiting = Event()
+    is_quarantined = EntryQuarantine.is_quarantined
+
+    def block(quarantine, fingerprint):
+        if quarantine._fleet.vm_id == "vm-2":
+            waiting.set()
+            gevent.sleep(30.0)
+        return is_quarantined(quarantine, fingerprint)
+
+    target = Recorder()
+    with running_fleet(target, size=3) as vms:
+        lose(vms[0])
+        monkeypatch.setattr(EntryQuarantine, "is_quarantined", block)
+        calls = []
+        while not waiting.is_set():
+            calls.append(gevent.spawn(vms[0].call, f"id-{len(calls)}"))
+            gevent.sleep(0.05)
+        assert vms[1].daemon.stop() >= 1
+        served = [call.get(timeout=5.0)[0] for call in calls]
+        cuts = {fields["run"] for *_, fields in vms[1].lines("cut")}
+    assert served == [200] * len(calls)
+    assert cuts == {"not-run"}
+    assert len(target.ids) == len(set(target.ids)) == len(calls)
+
+
 # Guards against a target working on for a caller that has left another VM.
 def test_target_is_freed_when_the_caller_of_the_relaying_vm_leaves():
     started, freed = Event(), Event()
