Split the choice of targets from deliveries; add forms of the load reports

Cause: several parts of the work under heavy load change how a request's target is chosen, how it is refused and what daemons tell one another.

Peer protocol 5 adds WarmupTokenRequest, DomainLoads, the field OutcomeRow.rejections and RelayDecision.evacuated; nothing sends them yet. A request carries its priority class, the workspace's before the route's, also across a relay. Settings take warmup_overage and warmup_slack.

--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -101,6 +101,8 @@
     overdue_evidence : float
         The same evidence of requests without a response so far; negative for those
         that got one after all.
+    rejections : int
+        Requests that the target rejected without running them, as it was busy.
     """
 
     target_id: str
@@ -110,6 +112,7 @@
     in_flight: int = 0
     age_s: float = 0.0
     overdue_evidence: float = 0.0
+    rejections: int = 0
 
 
 class Outcomes(Struct, frozen=True, array_like=True, tag=4):
@@ -261,6 +264,69 @@
     relay: bool = False
 
 
+class WarmupTokenRequest(Struct, frozen=True, array_like=True, tag=12):
+    """Requests one token of a target that is cold; a `TokenGrant` responds.
+
+    Parameters
+    ----------
+    number : int
+        Pairs the response with this request.
+    target_id : str
+        Target.
+    incarnation : int
+        Changes with each start of the target.
+    rate : float
+        Requests per second that it tolerates from the whole fleet while it is cold.
+    bound : float
+        Requests that it may get in any second.
+    left_s : float
+        Time for which the sender takes it for cold, in seconds.
+    """
+
+    number: int
+    target_id: str
+    incarnation: int
+    rate: float
+    bound: float
+    left_s: float
+
+
+class LoadRow(Struct, frozen=True, array_like=True):
+    """Requests in flight from one failure domain to the targets of a service.
+
+    Parameters
+    ----------
+    service : str
+        Service.
+    failure_domain : str
+        Failure domain of the targets.
+    in_flight : int
+        Requests in flight to them.
+    """
+
+    service: str
+    failure_domain: str
+    in_flight: int
+
+
+class DomainLoads(Struct, frozen=True, array_like=True, tag=13):
+    """Reports the load that the VMs of one failure domain put on the targets.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of the VMs.
+    rows : tuple of LoadRow
+        One row for each service and failure domain of targets.
+    relay : bool
+        Whether the receiver forwards the report within its failure domain.
+    """
+
+    failure_domain: str
+    rows: tuple[LoadRow, ...]
+    relay: bool = False
+
+
 PeerMessage = (
     ChangesRequest
     | ChangesResponse
@@ -273,6 +339,8 @@
     | LimitTokenRequest
     | ReachNotice
     | LeavingNotice
+    | WarmupTokenRequest
+    | DomainLoads
 )
 
 encode = msgspec.msgpack.Encoder().encode
--- a/lacewingpond/entry/peers/protocol.py
+++ b/lacewingpond/entry/peers/protocol.py
@@ -6,24 +6,29 @@
 """
 
 from lacewingpond.entry.peers.messages import (
+    DomainLoads,
     LeavingNotice,
     LimitNotice,
     LimitTokenRequest,
     PeerMessage,
     ReachNotice,
+    WarmupTokenRequest,
 )
 
 BASE_VERSION = 1  # changes of the store, outcomes, quota tokens, crashes
 LIMITS_VERSION = 2  # adds limits of targets, and relayed requests
 STATEMENTS_VERSION = 3  # adds targets that leave, and evidence of overdue requests
 DECISIONS_VERSION = 4  # adds decisions in relayed requests
-CURRENT_VERSION = DECISIONS_VERSION
+LOADS_VERSION = 5  # adds tokens of cold targets, loads of domains, rejections
+CURRENT_VERSION = LOADS_VERSION
 
 _VERSIONS: dict[type, int] = {
     LimitNotice: LIMITS_VERSION,
     LimitTokenRequest: LIMITS_VERSION,
     ReachNotice: LIMITS_VERSION,
     LeavingNotice: STATEMENTS_VERSION,
+    WarmupTokenRequest: LOADS_VERSION,
+    DomainLoads: LOADS_VERSION,
 }
 
 
--- a/lacewingpond/entry/relay/decision.py
+++ b/lacewingpond/entry/relay/decision.py
@@ -41,7 +41,7 @@
     idempotent : bool
         Whether the request may run more than once.
     priority : int
-        Priority class.
+        Priority class of the request; 0 is the highest.
     target_latency_s : float
         Latency objective, in seconds.
     max_attempts : int
@@ -52,6 +52,8 @@
         For how long the check of the key holds, in seconds; None without an end.
     leaving : tuple of (str, int)
         Id and incarnation of targets of the service that accept no new requests.
+    evacuated : tuple of str
+        Failure domains whose targets must get no requests.
     """
 
     vm_id: str
@@ -65,6 +67,7 @@
     workspace: str = ""
     valid_s: float | None = None
     leaving: tuple[tuple[str, int], ...] = ()
+    evacuated: tuple[str, ...] = ()
 
     def entry_route(self, host: str) -> EntryRoute:
         """Return the route of the request; its time-out is part of the deadline."""
@@ -125,7 +128,7 @@
             route.name,
             request.service,
             route.idempotent,
-            route.priority,
+            request.priority,
             route.target_latency_s,
             route.max_attempts,
             request.workspace,
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -9,7 +9,6 @@
 from lacewingpond.entry.header_names import HeaderNames
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.model.target_statement import TargetStatement
-from lacewingpond.entry.quota.admission import Admission
 from lacewingpond.entry.relay.headers import TARGET_HEADER, encode_target
 from lacewingpond.entry.relay.reach import Reach
 from lacewingpond.entry.relay.sender import RelaySender
@@ -17,7 +16,6 @@
 from lacewingpond.entry.requests.hedge import Attempt, Hedge
 from lacewingpond.entry.requests.outcome import (
     FINAL_REASONS,
-    IDLE_RETRY_AFTER_S,
     AttemptFailure,
     FailureKind,
     Outcome,
@@ -27,6 +25,7 @@
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
+from lacewingpond.entry.requests.target_choice import TargetChoice
 from lacewingpond.entry.targets.health import (
     BROKEN_EVIDENCE,
     ERROR_EVIDENCE,
@@ -53,10 +52,7 @@
 from lacewingpond.util.clock import Clock
 
 MAX_NOT_SENT_ATTEMPTS = 4  # unsent attempts after which the request is refused
-MAX_DENIED_TARGETS = 4  # targets at their limit after which only others are tried
 MIN_ATTEMPT_S = 0.05  # no target responds in less
-BUSY_RETRY_AFTER_S = 0.6  # a busy target completes a request in about this time
-BUSY_LOAD = 0.9  # requests per slot from which a service counts as busy
 QUARANTINE_RETRY_AFTER_S = 30.0  # half of the time that a quarantine lasts
 MAX_RELAYS = 2  # a second peer, for an idempotent request that the first one lost
 HEDGE_SCORE = 2.0  # of a target that one request alone shows to hang, or several
@@ -120,13 +116,11 @@
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
     __slots__ += ("_last_failure", "_waiting_count", "_error_response")
     __slots__ += (
-        "_tokens",
-        "_denied_count",
+        "_targets",
         "_earned",
         "_relays_left",
         "_relayed_count",
         "_waiting",
-        "_passed_over",
     )
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
@@ -139,9 +133,13 @@
         self._waiting_count = 0
         self._waiting: list[WaitingRequest] = []
         self._error_response: Response | None = None
-        self._tokens: dict[str, Admission] = {}
-        self._denied_count = 0
-        self._passed_over: dict[str, int] = {}
+        self._targets = TargetChoice(
+            request,
+            self._tried,
+            context.placer,
+            context.limiter,
+            context.clock,
+        )
         self._earned = False
         self._relayed_count = 0
         self._relays_left = 0 if request.is_relayed else MAX_RELAYS
@@ -167,7 +165,7 @@
         if not self._earned:
             self._earned = True
             self._context.retries.earn(self._request.service)
-        state = self._pick(self._is_retryable())
+        state = self._targets.pick(self._is_retryable())
         if state is not None:
             return self._hedged_attempt(state)
         return self._relayed_attempt() if self._reached_none() else None
@@ -232,7 +230,7 @@
             if self._is_quarantined():
                 return None
             relays = self._context.reach.lost and self._should_relay()
-            second = None if relays else self._pick_unlimited()
+            second = None if relays else self._targets.pick_unlimited()
             if (second is None and not relays) or not self._spend_retry():
                 return None
             self._may_have_run = True
@@ -284,35 +282,6 @@
             return Ok(self._error_response)
         return Err(self._final_refusal())
 
-    def _pick(self, retryable: bool) -> TargetState | None:
-        """Return an untried target that accepts a further request by its limit."""
-        service, placer = self._request.service, self._context.placer
-        limiter = self._context.limiter
-        while self._denied_count < MAX_DENIED_TARGETS:
-            limited = limiter.exhausted(service).keys()
-            state = placer.pick(service, self._unusable(), retryable, limited)
-            if state is None:
-                return None
-            self._passed_over = placer.passed_over(service, limited)
-            admission = limiter.admit(state.spec)
-            if admission.admitted:
-                self._tokens[state.spec.target_id] = admission
-                return state
-            self._denied_count += 1
-        return self._pick_unlimited(retryable)
-
-    def _pick_unlimited(self, retryable: bool = False) -> TargetState | None:
-        """Return an untried target that names no limit."""
-        service, placer = self._request.service, self._context.placer
-        limited = self._context.limiter.limited(service)
-        self._passed_over = placer.passed_over(service, limited)
-        return placer.pick(service, self._unusable(), retryable, limited)
-
-    def _unusable(self) -> set[str] | frozenset[str]:
-        """Return the ids of the targets that the request must not be sent to."""
-        excluded = self._request.excluded
-        return self._tried | excluded if excluded else self._tried
-
     def _is_quarantined(self) -> bool:
         return self._context.quarantine.is_quarantined(self._request.fingerprint)
 
@@ -322,7 +291,7 @@
         self._tried.add(target_id)
         request.targets.add(target_id)
         started = context.clock.now()
-        passed_over = self._passed_over
+        passed_over = self._targets.passed_over
         state.in_flight += 1
         why, reused = "cancelled", False
         try:
@@ -342,25 +311,13 @@
                 ms=round((ended - started) * 1000.0),
                 left_ms=round((request.deadline - ended) * 1000.0),
                 conn="kept" if reused else "new",
-                **self._limit_fields(state),
+                **self._targets.limit_fields(state),
                 **({"passed_over": passed_over} if passed_over else {}),
             )
         # Not after an exception: what ends the request logs its targets.
         request.targets.discard(target_id)
         return outcome
 
-    def _limit_fields(self, state: TargetState) -> dict[str, object]:
-        """Return what the log tells about the limit of an attempt's target."""
-        limit = self._context.limiter.limits.get(state.spec)
-        if limit is None or limit.rate is None:
-            return {}
-        token = self._tokens.get(state.spec.target_id)
-        return {
-            "limit": limit.rate,
-            "limit_age_s": round(self._context.clock.now() - limit.observed_at, 2),
-            "token_from": token.granted_by if token is not None else "",
-        }
-
     def _exchange(
         self, state: TargetState, started: float, hedge: Hedge | None
     ) -> tuple[Outcome, bool]:
@@ -489,7 +446,9 @@
         return self._not_run_failure("target-busy", detail)
 
     def _not_run_failure(self, reason: str, detail: str) -> AttemptFailure:
-        refusal = EntryRefusal.not_run(503, reason, detail, self._retry_after_s())
+        refusal = EntryRefusal.not_run(
+            503, reason, detail, self._targets.retry_after_s()
+        )
         return AttemptFailure(FailureKind.NOT_RUN, refusal)
 
     def _send_failure(
@@ -506,7 +465,7 @@
                     state.spec.target_id, waiting.sent_at
                 )
             self._log_unreached(state, error)
-            refusal = not_sent_refusal(reason, self._retry_after_s())
+            refusal = not_sent_refusal(reason, self._targets.retry_after_s())
             return AttemptFailure(FailureKind.NOT_SENT, refusal, final)
         self._sent_count += 1
         if reason is SendReason.BROKEN:
@@ -550,23 +509,6 @@
         # The cause of the delay may be over, so the evidence is as old as the request.
         self._context.reporter.record_failure(waiting.state, why, evidence, took_s)
 
-    def _limit_waits_s(self) -> list[float]:
-        """Return the times until targets with a limit accept a request, in seconds."""
-        exhausted = self._context.limiter.exhausted(self._request.service)
-        return list(exhausted.values())
-
-    def _retry_after_s(self) -> float:
-        """Return the retry time for the caller: short unless the service is busy.
-
-        If all targets are paused, it is the time until the first pause ends.
-        """
-        service, placer = self._request.service, self._context.placer
-        pauses_s = placer.pauses_s(service)
-        if pauses_s and placer.pick(service, (), False) is None:
-            return min(pauses_s)
-        load = placer.load(service)
-        return BUSY_RETRY_AFTER_S if load >= BUSY_LOAD else IDLE_RETRY_AFTER_S
-
     def _take_retry(self, outcome: Outcome) -> bool:
         """Return whether to try another target; a retry charges the retry budget.
 
@@ -634,19 +576,7 @@
 
     def _final_refusal(self) -> EntryRefusal:
         if self._last_failure is None:
-            waits_s = self._limit_waits_s()
-            pauses_s = self._context.placer.pauses_s(self._request.service)
-            if pauses_s:
-                detail = "The targets of the service have asked for a pause."
-                retry_after_s = min(waits_s + pauses_s)
-                return EntryRefusal.not_run(
-                    503, "targets-paused", detail, retry_after_s
-                )
-            if waits_s:
-                detail = "The targets of the service have reached their limits."
-                return EntryRefusal.not_run(503, "target-limits", detail, min(waits_s))
-            detail = "No target of the service accepts requests."
-            return EntryRefusal.not_run(503, "no-target", detail, self._retry_after_s())
+            return self._targets.no_target_refusal()
         refusal = self._last_failure.refusal
         if self._may_have_run and self._last_failure.kind is not FailureKind.UNKNOWN:
             return EntryRefusal.unknown(502, refusal.reason, refusal.detail)
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -306,6 +306,7 @@
             lambda: self._may_send(req, route, workspace, key),
             self._view.config_position,
             relayed,
+            priority=workspace.priority if workspace is not None else None,
         )
 
     def _deliver(
@@ -321,6 +322,7 @@
         config: ConfigPosition,
         is_relayed: bool,
         excluded: frozenset[str] = frozenset(),
+        priority: int | None = None,
     ) -> Result[Response, EntryRefusal]:
         """Read the body of a request and deliver it, if it may still be sent."""
         try:
@@ -351,6 +353,7 @@
             is_relayed=is_relayed,
             attempts_elsewhere=attempts_elsewhere(req.headers) if is_relayed else 0,
             excluded=excluded,
+            priority=priority,
         )
         if not may_send():
             return Err(
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -53,12 +53,16 @@
         The configuration by which it was routed.
     excluded : frozenset of str
         Ids of targets that accept no new requests, as the relaying VM knows.
+    priority : int
+        Priority class, that of the workspace before that of the route; 0 is the
+        highest.
     """
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
     __slots__ += ("headers", "body", "deadline", "is_disconnected")
     __slots__ += ("fingerprint", "received_at", "targets", "caller_headers")
     __slots__ += ("is_relayed", "attempts_elsewhere", "config", "excluded")
+    __slots__ += ("priority",)
     __slots__ += ("may_have_run", "_may_send")
 
     def __init__(
@@ -81,6 +85,7 @@
         is_relayed: bool = False,
         attempts_elsewhere: int = 0,
         excluded: frozenset[str] = frozenset(),
+        priority: int | None = None,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -102,6 +107,7 @@
         self.attempts_elsewhere = attempts_elsewhere
         self.config = config
         self.excluded = excluded
+        self.priority = route.priority if priority is None else priority
 
     def may_send(self) -> bool:
         """Return whether it may be sent; called just before the first byte is."""
--- a/lacewingpond/entry/settings.py
+++ b/lacewingpond/entry/settings.py
@@ -106,6 +106,9 @@
     quota_overage, quota_slack : float
         Requests that may be admitted above a workspace's quota in a window: as a
         ratio of the quota, and a number in addition.
+    warmup_overage, warmup_slack : float
+        Requests that a cold target may get in a second: as a multiple of the rate
+        that it tolerates, and a number in addition.
     """
 
     store_return: str = "2s"
@@ -117,6 +120,8 @@
     quota_window: str = "5s"
     quota_overage: float = 0.1
     quota_slack: float = 20.0
+    warmup_overage: float = 1.5
+    warmup_slack: float = 8.0
 
     def seconds(self, name: str) -> float:
         """Return the duration field `name` in seconds.
--- a/tests/entry/form_recorder.py
+++ b/tests/entry/form_recorder.py
@@ -10,7 +10,12 @@
 
 from lacewingpond.entry.member import Member
 from lacewingpond.entry.model.workspace import EntryWorkspace
-from lacewingpond.entry.peers.messages import OutcomeRow, PeerMessage, encode
+from lacewingpond.entry.peers.messages import (
+    LoadRow,
+    OutcomeRow,
+    PeerMessage,
+    encode,
+)
 from lacewingpond.entry.peers.protocol import CURRENT_VERSION, version_of
 from lacewingpond.entry.quota.rules import QuotaRules
 from lacewingpond.entry.relay.decision import RelayDecision
@@ -47,6 +52,7 @@
             for kind in KINDS
         },
         "OutcomeRow": _schema(OutcomeRow),
+        "LoadRow": _schema(LoadRow),
         "WatchEvent": _schema(WatchEvent),
         "RelayDecision": _schema(RelayDecision),
         "member": member.encode().decode(),
@@ -65,7 +71,8 @@
     if field.name == "events":
         return EVENTS
     if field.name == "rows":
-        return (example(OutcomeRow),)
+        kind = LoadRow if field.type == tuple[LoadRow, ...] else OutcomeRow
+        return (example(kind),)
     values = {int: 41 + index, float: 0.5 + index, bool: True, str: f"text-{index}"}
     return values.get(field.type, 2.5)
 
--- a/tests/entry/test_entry_compatibility.py
+++ b/tests/entry/test_entry_compatibility.py
@@ -29,6 +29,7 @@
 from lacewingpond.entry.peers.protocol import (
     BASE_VERSION,
     CURRENT_VERSION,
+    DECISIONS_VERSION,
     LIMITS_VERSION,
     STATEMENTS_VERSION,
     version_of,
@@ -44,6 +45,7 @@
     "2c7a3aa": BASE_VERSION,
     "ee9febd": LIMITS_VERSION,
     "a52f939": STATEMENTS_VERSION,
+    "d6532bd": DECISIONS_VERSION,
 }
 TYPES = {"int": int, "float": float, "bool": bool, "str": str, "float | None": object}
 
