Entry: balance requests across failure domains by measured loads

The load of the own domain, scaled to the fleet, is wrong when each domain has its own wave of demand, and a third of the requests leaves its domain while the fleet is idle. With [balance] enabled, one VM of each domain reports the load that its VMs put on all targets. The placer draws a domain by weights from these loads, then a target in it. Off by default.

--- /dev/null
+++ b/lacewingpond/entry/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Division of the requests of a service between failure domains."""
--- /dev/null
+++ b/lacewingpond/entry/balance/loads.py
@@ -0,0 +1,83 @@
+"""Requests in flight at the targets of a service, by failure domain."""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from lacewingpond.entry.balance.reports import DomainReports
+from lacewingpond.entry.fleet import Fleet
+from lacewingpond.entry.targets.state import TargetState
+
+
+class ServiceLoads(Struct, frozen=True):
+    """Requests in flight to the targets of one service, by their failure domain.
+
+    Parameters
+    ----------
+    slots : dict of str to int
+        Slots of the targets.
+    own : dict of str to float
+        Requests from the VMs of this failure domain.
+    others : dict of str to float
+        Requests from the VMs of all other failure domains.
+    """
+
+    slots: dict[str, int]
+    own: dict[str, float]
+    others: dict[str, float]
+
+    def per_slot(self) -> float:
+        """Return the requests in flight of the whole fleet per slot."""
+        slots = sum(self.slots.values())
+        in_flight = sum(self.own.values()) + sum(self.others.values())
+        return in_flight / slots if slots else 0.0
+
+
+def measured_loads(
+    service: str,
+    states: Iterable[TargetState],
+    fleet: Fleet,
+    reports: DomainReports,
+    now: float,
+) -> ServiceLoads:
+    """Return the loads of a service from own measurements and from reports.
+
+    A failure domain without a recent report of the service is taken to send, for each
+    of its VMs, as many requests as this domain, to its own targets if it has any.
+
+    Parameters
+    ----------
+    service : str
+        Service.
+    states : iterable of TargetState
+        Its targets.
+    fleet : Fleet
+        Number of VMs in each failure domain.
+    reports : DomainReports
+        Reports of the other failure domains.
+    now : float
+        Time in seconds.
+    """
+    slots: dict[str, int] = {}
+    own: dict[str, float] = {}
+    for state in states:
+        domain, n = state.spec.failure_domain, state.spec.slots
+        slots[domain] = slots.get(domain, 0) + n
+        own[domain] = own.get(domain, 0.0) + state.load(now) * n
+    others = dict.fromkeys(slots, 0.0)
+    sizes = fleet.domain_sizes()
+    own_size = max(sizes.get(fleet.failure_domain, 0), 1)
+    for domain, size in sizes.items():
+        if domain == fleet.failure_domain:
+            continue
+        reported = reports.loads(domain, service)
+        if reported is None:
+            sent = sum(own.values()) * size / own_size
+            sent_to = [domain] if domain in slots else list(slots)
+            total = sum(slots[each] for each in sent_to)
+            for each in sent_to:
+                others[each] += sent * slots[each] / total
+        else:
+            for each in reported.keys() & others.keys():
+                others[each] += reported[each]
+    return ServiceLoads(slots, own, others)
--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -8,6 +8,9 @@
 import gevent
 from msgspec import structs
 
+from lacewingpond.entry.balance.domain_balance import DomainBalance
+from lacewingpond.entry.balance.reporter import DomainReporter
+from lacewingpond.entry.balance.reports import DomainReports
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.follower import Follower
 from lacewingpond.entry.formats import Formats
@@ -112,6 +115,7 @@
     __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
     __slots__ += ("_statements", "_versions_logged")
+    __slots__ += ("_placer", "_balance", "_domain_reporter")
 
     def __init__(
         self,
@@ -198,10 +202,19 @@
         self._target_limiter = TargetLimiter(
             limits, table, self.view, self._fleet, self._channel, clock, rng
         )
+        reports = DomainReports(clock)
+        self._domain_reporter = DomainReporter(
+            table, self._fleet, reports, self._channel, clock, log
+        )
+        self._balance = DomainBalance(
+            cfg.balance, table, self._fleet, reports, clock, log
+        )
+        self._placer = EntryPlacer(table, statements, self._fleet, clock, rng)
+        self._apply_balance(cfg)
         context = DeliveryContext(
             names,
             table,
-            EntryPlacer(table, statements, self._fleet, clock, rng),
+            self._placer,
             self._reporter,
             self._overdue,
             self._client,
@@ -292,6 +305,7 @@
                 ("sweep", self._sweep),
                 ("reach", self._reach.run),
                 ("overdue", self._overdue.run),
+                ("domain-loads", self._domain_reporter.run),
             )
         ]
 
@@ -310,8 +324,14 @@
         self._limiter.rules = _quota_rules(cfg.bounds)
         self._statements.max_pause_s = cfg.targets.max_pause_s
         self.view.missing_grace_s = cfg.bounds.seconds("store_return")
+        self._apply_balance(cfg)
         self._divide_limits()
 
+    def _apply_balance(self, cfg: EntrySettings) -> None:
+        self._balance.cfg = cfg.balance
+        self._domain_reporter.enabled = cfg.balance.enabled
+        self._placer.balance = self._balance if cfg.balance.enabled else None
+
     def stop(self) -> int:
         """Drain, stop and return how many requests were cut off."""
         grace_s = self._cfg.bounds.seconds("stop_grace")
@@ -389,6 +409,7 @@
                 max_request_line_bytes=limits.head_bytes,
             )
         self._retries.keep_only(frozenset(cfg.services))
+        self._balance.keep_only(frozenset(cfg.services))
         self._overdue.latencies.keep_only(frozenset(r.name for r in cfg.routes))
         self._divide_limits()
 
--- a/lacewingpond/entry/fleet.py
+++ b/lacewingpond/entry/fleet.py
@@ -30,7 +30,7 @@
     """
 
     __slots__ = ("vm_id", "failure_domain", "_view", "_clock", "_rng", "_last_seen")
-    __slots__ += ("_ids", "_same_domain", "_other_domains", "_speaking")
+    __slots__ += ("_ids", "_same_domain", "_other_domains", "_speaking", "_sizes")
 
     def __init__(
         self,
@@ -50,6 +50,7 @@
         self._same_domain: list[str] = []
         self._other_domains: dict[str, list[str]] = {}
         self._speaking: dict[str, int] = {}
+        self._sizes: Counter[str] = Counter()
         view.on_members(self._update_members)
 
     @property
@@ -96,6 +97,17 @@
         """
         return self._that_speak(self._same_domain, version)
 
+    def domain_vms(self, version: int) -> list[str]:
+        """Return the ids of the peers in this VM's failure domain that speak `version`.
+
+        Later versions count as well.
+        """
+        return [self._ids[each] for each in self.domain_peers(version)]
+
+    def domain_sizes(self) -> Counter[str]:
+        """Return how many daemons run in each failure domain."""
+        return self._sizes
+
     def relays(self, version: int = BASE_VERSION) -> list[str]:
         """Return one address in each other failure domain, of a recently seen peer.
 
@@ -134,6 +146,7 @@
         self._ids = {member.address: vm_id for vm_id, member in members.items()}
         self._last_seen = {k: at for k, at in self._last_seen.items() if k in members}
         self._speaking = {m.address: m.version for m in members.values()}
+        self._sizes = Counter(m.failure_domain for m in members.values())
         self._same_domain = []
         self._other_domains = {}
         for vm_id, member in members.items():
--- a/lacewingpond/entry/settings.py
+++ b/lacewingpond/entry/settings.py
@@ -86,6 +86,29 @@
     path: str = "/metrics"
 
 
+class BalanceSettings(Struct, frozen=True):
+    """Balance of requests across failure domains.
+
+    Parameters
+    ----------
+    enabled : bool
+        Whether far targets get requests by the measured loads of all domains.
+    spill_from : float
+        Requests in flight per usable near slot from which requests spill to far
+        targets.
+    far_share : float
+        Share of the requests that goes to far targets in any case.
+    """
+
+    enabled: bool = False
+    spill_from: float = 0.6
+    far_share: float = 0.05
+
+
+MAX_SPILL_FROM = 2.0  # requests per slot; targets reject requests long before
+MIN_FAR_SHARE, MAX_FAR_SHARE = 0.001, 0.5
+
+
 class BoundSettings(Struct, frozen=True):
     """Bounds that the platform's users set; durations are texts such as ``1500ms``.
 
@@ -153,6 +176,7 @@
     bounds: BoundSettings = field(default_factory=BoundSettings)
     log: LogSettings = field(default_factory=LogSettings)
     metrics: MetricsSettings = field(default_factory=MetricsSettings)
+    balance: BalanceSettings = field(default_factory=BalanceSettings)
 
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, tuple[Finding, ...]]:
@@ -192,6 +216,7 @@
         _check_addresses(cfg, place, findings)
         _check_durations(cfg, place, findings)
         _check_clients(cfg.clients, place, findings)
+        _check_balance(cfg.balance, place, findings)
         if cfg.log.level not in LOG_LEVELS:
             choices = ", ".join(LOG_LEVELS)
             findings.append(Finding(f"{place}.log.level", f"must be one of {choices}"))
@@ -229,6 +254,18 @@
             findings.append(Finding(f"{place}.clients.{name}", "must be at least 1"))
 
 
+def _check_balance(
+    balance: BalanceSettings, place: str, findings: list[Finding]
+) -> None:
+    # Written so that "nan" is out of range.
+    if not 0.0 < balance.spill_from <= MAX_SPILL_FROM:
+        text = f"must be above 0 and at most {MAX_SPILL_FROM:g}"
+        findings.append(Finding(f"{place}.balance.spill_from", text))
+    if not MIN_FAR_SHARE <= balance.far_share <= MAX_FAR_SHARE:
+        text = f"must be from {MIN_FAR_SHARE:g} to {MAX_FAR_SHARE:g}"
+        findings.append(Finding(f"{place}.balance.far_share", text))
+
+
 def _check_durations(cfg: EntrySettings, place: str, findings: list[Finding]) -> None:
     for name in DURATION_FIELDS:
         try:
--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Collection
 
+from lacewingpond.entry.balance.domain_balance import DomainBalance
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.targets.eligibility import (
     TRIALS,
@@ -58,9 +59,14 @@
         Time source.
     rng : random.Random
         Draws targets.
+
+    Attributes
+    ----------
+    balance : DomainBalance or None
+        Weighs the failure domains; if None, near targets have a higher weight.
     """
 
-    __slots__ = ("_table", "_statements", "_fleet", "_clock", "_rng")
+    __slots__ = ("balance", "_table", "_statements", "_fleet", "_clock", "_rng")
 
     def __init__(
         self,
@@ -75,6 +81,7 @@
         self._fleet = fleet
         self._clock = clock
         self._rng = rng
+        self.balance: DomainBalance | None = None
 
     def pick(
         self,
@@ -111,6 +118,8 @@
         ]
         if not usable:
             return None
+        if self.balance is not None:
+            usable = self._of_one_domain(self.balance, service, usable, states)
         domain = self._fleet.failure_domain
         preference = self._domain_preference(usable, states, now)
         weights = [
@@ -173,9 +182,12 @@
     def load(self, service: str) -> float:
         """Return the estimated requests in flight of the whole fleet per slot.
 
-        Only peers in this failure domain report their loads. The requests that arrive
-        at the other VMs are similar, so the known load is scaled to the fleet size.
+        Without `balance` only peers in this failure domain report their loads. The
+        requests that arrive at the other VMs are similar, so the known load is scaled
+        to the fleet size.
         """
+        if self.balance is not None:
+            return self.balance.load(service)
         now = self._clock.now()
         ready = self._table.ready(service)
         if not ready:
@@ -203,6 +215,36 @@
         needed = math.ceil(load / MAX_REMAINING_LOAD)
         return min(count - needed, int(count * MAX_CONFIRMED_RATIO))
 
+    def _of_one_domain(
+        self,
+        balance: DomainBalance,
+        service: str,
+        usable: list[TargetState],
+        states: dict[TargetState, Eligibility],
+    ) -> list[TargetState]:
+        """Draw a failure domain, and return the usable targets in it.
+
+        An ejected target is drawn for a trial by its part of all usable slots. The
+        loads that this VM knows are comparable within one domain only.
+        """
+        sound = [s for s in usable if states[s] is not Eligibility.EJECTED]
+        if 0 < len(sound) < len(usable):
+            slots = [state.spec.slots for state in usable]
+            first = self._rng.choices(usable, slots)[0]
+            if states[first] is Eligibility.EJECTED:
+                return [first]
+        domains: dict[str, list[TargetState]] = {}
+        for state in sound or usable:
+            domains.setdefault(state.spec.failure_domain, []).append(state)
+        if len(domains) == 1:
+            return sound or usable
+        eligible = [s for s, e in states.items() if e is Eligibility.ELIGIBLE]
+        weights = balance.weights(service, eligible if sound else usable)
+        parts = [weights.get(domain, 0.0) for domain in domains]
+        if not any(parts):
+            parts = [float(len(group)) for group in domains.values()]
+        return self._rng.choices(list(domains.values()), parts)[0]
+
     def _domain_preference(
         self,
         usable: list[TargetState],
