--- a/lacewingpond/entry/balance/reporter.py
+++ b/lacewingpond/entry/balance/reporter.py
@@ -18,10 +18,11 @@
 from lacewingpond.util.rendezvous import ranked
 
 REPORT_INTERVAL_S = 0.5
-# With more than five other failure domains reports are sent less often, then with
-# fewer rows. Each VM receives one from each domain; all control may take 9,000 bytes/s.
+# Each VM receives a report from each other domain. With more than six of them reports
+# are sent less often; all control may take 9,000 bytes/s.
 MAX_INTERVAL_S = 1.0
 MAX_RECEIVED_BYTES_PER_S = 4_000
+PREFERRED_REPORT_BYTES = 300  # three services and three domains
 
 
 class DomainReporter:
@@ -123,7 +124,7 @@
 
 def interval_s(other_domains: int) -> float:
     """Return the seconds between two reports, given the number of other domains."""
-    needed_s = other_domains * MAX_REPORT_BYTES / MAX_RECEIVED_BYTES_PER_S
+    needed_s = other_domains * PREFERRED_REPORT_BYTES / MAX_RECEIVED_BYTES_PER_S
     return min(max(needed_s, REPORT_INTERVAL_S), MAX_INTERVAL_S)
 
 
