Hedge slow idempotent requests within a limit on extra work

Cause: a request at a slow target waits although idle targets could serve it; a second attempt started only where a target seems to hang.

Change: entry/hedging/ holds options ([hedging] max_extra, percentile), policy and budgets; off by default. Attempts beside an overdue one move from delivery.py to second_attempts.py unchanged, and hedges are added there. Lines hedge (started, won, lost) and hedging (counts every 10 s), both in the metrics. A response that supersedes a hedged attempt is no proof that its target hangs.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -13,6 +13,7 @@
 from lacewingpond.entry.formats import Formats
 from lacewingpond.entry.freshness import MAX_PROOF_AGE_RATIO, Freshness
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.hedging.hedging import Hedging
 from lacewingpond.entry.hold_over import holds_over
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.limits.named_limits import NamedLimits
@@ -111,7 +112,7 @@
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
     __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
-    __slots__ += ("_statements", "_versions_logged")
+    __slots__ += ("_statements", "_versions_logged", "_hedging")
 
     def __init__(
         self,
@@ -177,6 +178,7 @@
         self._reporter.verify = self._reach.verify
         self._overdue = OverdueRequests(self._reporter, clock)
         self._retries = RetryBudget.from_options(RetryOptions())
+        self._hedging = Hedging(cfg.hedging, self._retries)
         limiter = self._limiter = QuotaLimiter(
             _quota_rules(bounds),
             self.view,
@@ -226,6 +228,7 @@
             ),
             clock,
             log,
+            hedging=self._hedging,
         )
         pipeline = self._pipeline = EntryPipeline(
             names,
@@ -309,6 +312,7 @@
         self._freshness.max_age_s = _max_proof_age_s(cfg.bounds)
         self._limiter.rules = _quota_rules(cfg.bounds)
         self._statements.max_pause_s = cfg.targets.max_pause_s
+        self._hedging.set_options(cfg.hedging)
         self.view.missing_grace_s = cfg.bounds.seconds("store_return")
         self._divide_limits()
 
@@ -371,6 +375,7 @@
             self.view.drop_missing()
             self._client.sweep()
             self._peer_client.sweep()
+            self._hedging.report(self._cfg.vm.id, self._log, self._clock.now())
 
     def _apply_config(self, cfg: EntryConfig) -> None:
         limits = cfg.limits
@@ -389,6 +394,7 @@
                 max_request_line_bytes=limits.head_bytes,
             )
         self._retries.keep_only(frozenset(cfg.services))
+        self._hedging.apply_config(cfg)
         self._overdue.latencies.keep_only(frozenset(r.name for r in cfg.routes))
         self._divide_limits()
 
--- /dev/null
+++ b/lacewingpond/entry/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second attempts for slow idempotent requests, within a limit on extra work."""
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -3,28 +3,32 @@
 `lacewingpond.proxy.delivery` has that of the standalone daemon.
 """
 
-from msgspec import Struct
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.hedging.hedging import Hedging
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.model.target_statement import TargetStatement
 from lacewingpond.entry.relay.headers import TARGET_HEADER, encode_target
 from lacewingpond.entry.relay.reach import Reach
 from lacewingpond.entry.relay.sender import RelaySender
 from lacewingpond.entry.requests.forwarded_body import read_response
-from lacewingpond.entry.requests.hedge import Attempt, Hedge
+from lacewingpond.entry.requests.hedge import Hedge
 from lacewingpond.entry.requests.outcome import (
     FINAL_REASONS,
+    FIRST_SERVER_ERROR,
     AttemptFailure,
     FailureKind,
     Outcome,
+    ends_request,
     no_response_refusal,
     not_sent_refusal,
 )
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
+from lacewingpond.entry.requests.second_attempts import SecondAttempts
 from lacewingpond.entry.requests.target_choice import TargetChoice
 from lacewingpond.entry.targets.health import (
     BROKEN_EVIDENCE,
@@ -55,10 +59,8 @@
 MIN_ATTEMPT_S = 0.05  # no target responds in less
 QUARANTINE_RETRY_AFTER_S = 30.0  # half of the time that a quarantine lasts
 MAX_RELAYS = 2  # a second peer, for an idempotent request that the first one lost
-HEDGE_SCORE = 2.0  # of a target that one request alone shows to hang, or several
 MISDIRECTED = 421
 GATEWAY_TIMEOUT = 504
-FIRST_SERVER_ERROR = 500
 
 NO_EVIDENCE_REASONS = frozenset(
     {
@@ -93,6 +95,7 @@
     relay: RelaySender
     clock: Clock
     log: DecisionLog
+    hedging: Hedging = field(default_factory=Hedging.off)
 
 
 class EntryDelivery:
@@ -101,9 +104,8 @@
     A non-idempotent request is sent to another target only if it is proved that no
     earlier target ran it: no byte was sent, or the target responded that it did not.
 
-    A target has all the time of the request. If its response is overdue and it seems
-    to hang, an idempotent request is sent to another target as well, and the first
-    response is returned.
+    A target has all the time of the request. An idempotent request whose response is
+    overdue may be sent to another target as well; the first response is returned.
 
     Parameters
     ----------
@@ -121,6 +123,7 @@
         "_relays_left",
         "_relayed_count",
         "_waiting",
+        "_second_attempts",
     )
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
@@ -140,6 +143,7 @@
             context.limiter,
             context.clock,
         )
+        self._second_attempts = SecondAttempts(self, context, request, self._targets)
         self._earned = False
         self._relayed_count = 0
         self._relays_left = 0 if request.is_relayed else MAX_RELAYS
@@ -152,25 +156,26 @@
             outcome = self._next_attempt()
             if outcome is None:
                 return self._give_up()
-            if outcome.is_ok() and _ends_request(outcome):
+            if outcome.is_ok() and ends_request(outcome):
                 return outcome
-            self._record(outcome)
+            self.record(outcome)
             if not self._take_retry(outcome) or self._is_quarantined():
                 return self._give_up()
 
     def _next_attempt(self) -> Outcome | None:
         """Return the outcome of a relayed or a direct attempt, None without target."""
-        if self._should_relay():
-            return self._relayed_attempt()
+        if self.should_relay():
+            return self.relayed_attempt()
         if not self._earned:
             self._earned = True
             self._context.retries.earn(self._request.service)
+            self._context.hedging.earn(self._request.service, self._request.route)
         state = self._targets.pick(self._is_retryable())
         if state is not None:
-            return self._hedged_attempt(state)
-        return self._relayed_attempt() if self._reached_none() else None
+            return self._second_attempts.attempt(state)
+        return self.relayed_attempt() if self._reached_none() else None
 
-    def _should_relay(self) -> bool:
+    def should_relay(self) -> bool:
         """Return whether another VM should deliver the request.
 
         It should if this VM reaches no target, or opened no connection to several.
@@ -190,10 +195,10 @@
         """Return the number of targets that got no byte of the request."""
         return len(self._tried) - self._sent_count - self._waiting_count
 
-    def _relayed_attempt(self) -> Outcome:
+    def relayed_attempt(self) -> Outcome:
         """Return the outcome of an attempt through another VM."""
         self._relays_left -= 1
-        attempts = self._attempt_count()
+        attempts = self.attempt_count()
         outcome = self._context.relay.send(self._request, attempts)
         if outcome.is_ok() or outcome.err_value.kind is FailureKind.UNKNOWN:
             self._relayed_count += 1
@@ -201,74 +206,24 @@
             self._relays_left = 0
         return outcome
 
-    def _hedged_attempt(self, state: TargetState) -> Outcome:
-        """Return the outcome of an attempt and, if it was overdue, of its hedge.
-
-        Of the two it is the one that ends the request, if there is one.
-        """
-        if not self._request.route.idempotent:
-            return self._attempt(state, None)
-        hedge = self._hedge(state)
-        try:
-            outcome = self._attempt(state, hedge)
-            hedged = None if _ends_request(outcome) else hedge.take()
-        finally:
-            hedge.cancel()
-        return outcome if hedged is None else hedged
-
-    def _hedge(self, state: TargetState) -> Hedge:
-        """Return the hedge of an attempt at `state`; it starts when that is overdue."""
-        request = self._request
-
-        def prepare() -> Attempt | None:
-            if not self._seems_to_hang(state):
-                return None
-            if not (request.body.can_send and self._has_time() and self._can_retry()):
-                return None
-            if self._others_would_fail():
-                return None
-            if self._is_quarantined():
-                return None
-            relays = self._context.reach.lost and self._should_relay()
-            second = None if relays else self._targets.pick_unlimited()
-            if (second is None and not relays) or not self._spend_retry():
-                return None
-            self._may_have_run = True
-            return lambda: self._second_attempt(second)
-
-        def log_error(exc: Exception) -> None:
-            self._context.log.decision("hedge", request.request_id, repr(exc))
-
-        return Hedge(prepare, log_error)
-
-    def _second_attempt(self, state: TargetState | None) -> Outcome | None:
-        """Return the outcome of an attempt beside another, if it ends the request.
-
-        One that could not be sent does not: the other may be at work. It costs no
-        retry. Without `state` the attempt is relayed, and only a response ends the
-        request: a refusal of another VM says nothing of the first attempt.
-        """
-        if state is None:
-            outcome = self._relayed_attempt()
-        else:
-            outcome = self._attempt(state, None)
-        sent = outcome.is_ok() or outcome.err_value.kind is not FailureKind.NOT_SENT
-        may_end = outcome.is_ok() or state is not None
-        if sent and may_end and _ends_request(outcome):
-            return outcome
-        if not sent:
-            self._context.retries.refund(self._request.service)
-        self._record(outcome)
-        return None
-
-    def _others_would_fail(self) -> bool:
-        """Return whether a further target could not be sent the request either."""
+    def may_try_beside(self) -> bool:
+        """Return whether another target may get the request beside one at work."""
+        if not (self._request.body.can_send and self._has_time() and self._can_retry()):
+            return False
         failure = self._last_failure
         if failure is not None and failure.final:
-            return True
-        return self._unsent_count() >= MAX_NOT_SENT_ATTEMPTS
+            return False
+        if self._unsent_count() >= MAX_NOT_SENT_ATTEMPTS:
+            return False
+        return not self._is_quarantined()
+
+    def begin_beside(self) -> bool:
+        """Take a retry for an attempt beside one at work; return False without one."""
+        begins = self._spend_retry()
+        self._may_have_run |= begins
+        return begins
 
-    def _record(self, outcome: Outcome) -> None:
+    def record(self, outcome: Outcome) -> None:
         """Keep what an attempt that does not end the request leaves to respond with."""
         if outcome.is_ok():
             self._error_response = outcome.ok_value
@@ -285,7 +240,8 @@
     def _is_quarantined(self) -> bool:
         return self._context.quarantine.is_quarantined(self._request.fingerprint)
 
-    def _attempt(self, state: TargetState, hedge: Hedge | None) -> Outcome:
+    def attempt(self, state: TargetState, hedge: Hedge | None) -> Outcome:
+        """Return the outcome of one attempt at `state`; polls `hedge` once overdue."""
         context, request = self._context, self._request
         target_id = state.spec.target_id
         self._tried.add(target_id)
@@ -338,12 +294,7 @@
         target_request = self._request.for_target(
             self._context.names.expected_target, state.spec.target_id
         )
-        if hedge is not None:
-            target_request.on_overdue = hedge.poll
-            target_request.overdue_at = self._overdue_at(waiting)
-        elif target_request.idempotent:
-            # A second attempt on a connection that seems silent goes on as well.
-            target_request.on_overdue = _never
+        self._second_attempts.watch(target_request, waiting, hedge)
         health_status = state.health.status(started)
         on_trial = health_status is HealthStatus.EJECTED
         deadline = self._request.deadline
@@ -385,10 +336,10 @@
     def _handle_response(
         self, waiting: WaitingRequest, response: TargetResponse, on_trial: bool
     ) -> Outcome:
-        names, overdue = self._context.names, self._context.overdue
+        names = self._context.names
         state, started = waiting.state, waiting.sent_at
         if response.status != GATEWAY_TIMEOUT:
-            overdue.respond(waiting)
+            self._context.overdue.respond(waiting)
         if response.status == MISDIRECTED:
             return Err(self._misdirected_failure(state))
         if response.headers.get(names.not_run):
@@ -421,8 +372,7 @@
             self._context.reporter.record_failure(state, why, ERROR_EVIDENCE)
         else:
             waiting.latency.observe(self._context.clock.now() - started)
-            for other in self._waiting:
-                overdue.supersede(other, waiting)
+            self._second_attempts.supersede(self._waiting, waiting)
             self._context.reporter.record_success(state, on_trial)
         self._context.quarantine.clear_crashes(self._request.fingerprint)
         return Ok(forwarded)
@@ -442,6 +392,8 @@
         return self._not_run_failure("misdirected", detail)
 
     def _busy_failure(self) -> AttemptFailure:
+        now, service = self._context.clock.now(), self._request.service
+        self._context.hedging.policy.record_rejection(service, now)
         detail = "The target accepts no more requests now."
         return self._not_run_failure("target-busy", detail)
 
@@ -531,37 +483,22 @@
     def _may_try_unsent(self) -> bool:
         """Return whether to go on after an attempt of which no byte was sent."""
         limit = 1 if self._context.reach.lost else MAX_NOT_SENT_ATTEMPTS
-        return self._should_relay() or self._unsent_count() < limit
+        return self.should_relay() or self._unsent_count() < limit
 
     def _is_retryable(self) -> bool:
         """Return whether the request can be retried if the next target fails."""
         request = self._request
         if not request.route.idempotent or not request.body.can_send:
             return False
-        attempts = self._attempt_count() + 1
+        attempts = self.attempt_count() + 1
         if attempts >= request.route.max_attempts or not self._has_time():
             return False
         return self._context.retries.can_spend(request.service)
 
-    def _overdue_at(self, waiting: WaitingRequest) -> float:
-        """Return the time from which the response to an attempt is overdue."""
-        half_s = (self._request.deadline - waiting.sent_at) / 2
-        return min(waiting.time_to_level(0), waiting.sent_at + half_s)
-
-    def _seems_to_hang(self, state: TargetState) -> bool:
-        """Return whether another target would serve an overdue request sooner.
-
-        At a target that works it would not, because a request that is slow there would
-        be slow on other targets too.
-        """
-        now = self._context.clock.now()
-        ejected = state.health.status(now) is HealthStatus.EJECTED
-        return ejected or state.health.score >= HEDGE_SCORE
-
     def _has_time(self) -> bool:
         return self._context.clock.now() + MIN_ATTEMPT_S < self._request.deadline
 
-    def _attempt_count(self) -> int:
+    def attempt_count(self) -> int:
         """Return the number of targets that may have got the request, on any VM."""
         here = self._sent_count + self._waiting_count
         return here + self._relayed_count + self._request.attempts_elsewhere
@@ -570,7 +507,7 @@
         return self._can_retry() and self._context.retries.spend(self._request.service)
 
     def _can_retry(self) -> bool:
-        if self._attempt_count() >= self._request.route.max_attempts:
+        if self.attempt_count() >= self._request.route.max_attempts:
             return False
         return self._context.retries.can_spend(self._request.service)
 
@@ -583,18 +520,6 @@
         return refusal
 
 
-def _ends_request(outcome: Outcome) -> bool:
-    """Return whether no other attempt can give the caller a better response."""
-    if outcome.is_err():
-        return outcome.err_value.final
-    response = outcome.ok_value
-    return response.status < FIRST_SERVER_ERROR or not isinstance(response.body, bytes)
-
-
-def _never() -> bool:
-    return False
-
-
 def _unknown_failure(refusal: EntryRefusal) -> AttemptFailure:
     return AttemptFailure(FailureKind.UNKNOWN, refusal)
 
--- a/lacewingpond/entry/requests/outcome.py
+++ b/lacewingpond/entry/requests/outcome.py
@@ -11,6 +11,7 @@
 
 # While targets refuse requests although slots are free, other targets may accept them.
 IDLE_RETRY_AFTER_S = 0.15
+FIRST_SERVER_ERROR = 500
 FINAL_REASONS = frozenset(
     {
         SendReason.CALLER_DISCONNECTED,
@@ -86,3 +87,11 @@
     )
     detail = "The request reached a target, which did not respond."
     return EntryRefusal.unknown(status, f"unanswered-{reason.value}", detail)
+
+
+def ends_request(outcome: Outcome) -> bool:
+    """Return whether no other attempt can give the caller a better response."""
+    if outcome.is_err():
+        return outcome.err_value.final
+    response = outcome.ok_value
+    return response.status < FIRST_SERVER_ERROR or not isinstance(response.body, bytes)
--- a/lacewingpond/entry/requests/target_choice.py
+++ b/lacewingpond/entry/requests/target_choice.py
@@ -73,10 +73,12 @@
             self._denied_count += 1
         return self.pick_unlimited(retryable)
 
-    def pick_unlimited(self, retryable: bool = False) -> TargetState | None:
-        """Return an untried target that names no limit."""
+    def pick_unlimited(
+        self, retryable: bool = False, unfit: Collection[str] = ()
+    ) -> TargetState | None:
+        """Return an untried target that names no limit and is not among `unfit`."""
         limited = self._limiter.limited(self._request.service)
-        return self._pick_except(limited, retryable)
+        return self._pick_except(limited.union(unfit), retryable)
 
     def limit_fields(self, state: TargetState) -> dict[str, object]:
         """Return what the log tells about the limit of an attempt's target."""
--- a/lacewingpond/entry/settings.py
+++ b/lacewingpond/entry/settings.py
@@ -9,6 +9,7 @@
 from msgspec import Struct, field
 from result import Err, Ok, Result
 
+from lacewingpond.entry.hedging.options import HedgingOptions, check_hedging
 from lacewingpond.util.address import parse_address
 from lacewingpond.util.convert import convert_struct
 from lacewingpond.util.duration import parse_duration
@@ -153,6 +154,7 @@
     bounds: BoundSettings = field(default_factory=BoundSettings)
     log: LogSettings = field(default_factory=LogSettings)
     metrics: MetricsSettings = field(default_factory=MetricsSettings)
+    hedging: HedgingOptions = field(default_factory=HedgingOptions)
 
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, tuple[Finding, ...]]:
@@ -192,6 +194,7 @@
         _check_addresses(cfg, place, findings)
         _check_durations(cfg, place, findings)
         _check_clients(cfg.clients, place, findings)
+        check_hedging(cfg.hedging, place, findings)
         if cfg.log.level not in LOG_LEVELS:
             choices = ", ".join(LOG_LEVELS)
             findings.append(Finding(f"{place}.log.level", f"must be one of {choices}"))
--- a/lacewingpond/retries/budget.py
+++ b/lacewingpond/retries/budget.py
@@ -51,6 +51,16 @@
         """Return whether a retry may be made now."""
         return self._balances.get(service, 0.0) >= 1.0
 
+    def can_spend_spare(self, service: str) -> bool:
+        """Return whether a retry may be taken so that half of the reserve is left.
+
+        Half of a reserve below two retries is less than one whole retry. Only a full
+        balance has one to spare then: what is earned beyond it would be lost.
+        """
+        reserve = self._options.reserve
+        enough = reserve / 2 + 1.0 if reserve >= 2.0 else reserve
+        return self.can_spend(service) and self._balances[service] >= enough
+
     def spend(self, service: str) -> bool:
         """Take one retry from the balance; return False if there is none."""
         if not self.can_spend(service):
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -13,12 +13,10 @@
 from lacewingpond.targets.http_connection import TargetHttpConnection
 from lacewingpond.targets.keep_alive import REUSE_RATIO, idle_timeout_s
 from lacewingpond.targets.options import TargetOptions
-from lacewingpond.targets.request import TargetRequest
+from lacewingpond.targets.request import OVERDUE_CHECK_S, TargetRequest
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.sockets import SocketState, socket_state
 
-OVERDUE_CHECK_S = 0.1  # delay of a response that supersedes an overdue one
-
 
 class TargetConnection:
     """A connection to a target; it carries one exchange at a time.
@@ -68,6 +66,7 @@
         "_gives_up_silent",
         "_on_overdue",
         "_overdue_at",
+        "_overdue_check_s",
     )
 
     def __init__(
@@ -96,6 +95,7 @@
         self._gives_up_silent = False
         self._on_overdue: Callable[[], bool] | None = None
         self._overdue_at = math.inf
+        self._overdue_check_s = OVERDUE_CHECK_S
 
     @property
     def reused(self) -> bool:
@@ -141,6 +141,7 @@
         self._gives_up_silent = req.idempotent and req.on_overdue is None
         self._on_overdue = req.on_overdue
         self._overdue_at = req.overdue_at
+        self._overdue_check_s = req.overdue_check_s
         self._is_disconnected = req.is_disconnected if req.idempotent else None
         self._method = req.method
         self._expected_id = req.headers.get(self._options.answer_id_header)
@@ -263,7 +264,7 @@
 
     def _check_interval(self, now: float, started: float) -> float:
         if self._on_overdue is not None and self._is_overdue(now, started):
-            return OVERDUE_CHECK_S
+            return self._overdue_check_s
         # The interval grows with the wait, since thousands of streams may be idle.
         interval_s = min(now - started, self._options.caller_check_max_s)
         interval_s = max(self._options.caller_check_s, interval_s)
--- a/lacewingpond/targets/request.py
+++ b/lacewingpond/targets/request.py
@@ -9,6 +9,8 @@
 from lacewingpond.http.request import Request
 from lacewingpond.routing.forwarded_headers import headers_to_target
 
+OVERDUE_CHECK_S = 0.1  # delay of a response that supersedes an overdue one
+
 
 class TargetRequest(Struct):
     """One request to one target.
@@ -35,6 +37,8 @@
         None, an idempotent request on a silent connection is given up.
     overdue_at : float
         Time from which the response is overdue, in monotonic seconds.
+    overdue_check_s : float
+        Longest interval of the calls of `on_overdue`, in seconds.
     """
 
     method: str
@@ -47,6 +51,7 @@
     may_send: Callable[[], bool] | None = None
     on_overdue: Callable[[], bool] | None = None
     overdue_at: float = math.inf
+    overdue_check_s: float = OVERDUE_CHECK_S
 
     @classmethod
     def from_request(cls, req: Request, idempotent: bool) -> "TargetRequest":
--- a/lacewingpond/telemetry/decision_metrics.py
+++ b/lacewingpond/telemetry/decision_metrics.py
@@ -9,7 +9,7 @@
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
-EVENTS_WITH_REASON = frozenset({"attempt", "refuse"})
+EVENTS_WITH_REASON = frozenset({"attempt", "hedge", "refuse"})
 """Events whose reasons come from a short list, so that each gets its own series."""
 MAX_SERIES = 200  # bounds the page if free text is logged as a reason
 MAX_ATTEMPT_MS = 600_000  # no client waits longer
@@ -34,7 +34,7 @@
     """
 
     __slots__ = ("_log", "_path", "_clock", "_counts", "_attempts", "_limited")
-    __slots__ += ("_leaving", "_paused_until", "_versions", "_era")
+    __slots__ += ("_leaving", "_paused_until", "_versions", "_era", "_hedging")
 
     def __init__(self, log: DecisionLog, path: str, clock: Clock) -> None:
         self._log = log
@@ -43,6 +43,7 @@
         self._leaving: set[str] = set()
         self._versions: dict[str, object] = {}
         self._era: str | None = None
+        self._hedging: dict[str, object] = {}
         self._paused_until: dict[str, float] = {}
         self._counts: Counter[tuple[str, str]] = Counter()
         self._limited: set[str] = set()
@@ -72,6 +73,8 @@
             (self._limited.add if why == "named" else self._limited.discard)(which)
         elif what == "versions":
             self._versions = dict(fields)
+        elif what == "hedging":
+            self._hedging = dict(fields)
         elif what == "era":
             self._era = which
         elif what == "leaving":
@@ -108,6 +111,10 @@
             f'lacewingpond_fleet_versions{{version="{version}"}} {count}'
             for version, count in self._versions.items()
         ]
+        lines += [
+            f'lacewingpond_hedging_total{{count="{name}"}} {count}'
+            for name, count in self._hedging.items()
+        ]
         total = self._attempts.get_total_count()
         lines.append(f"lacewingpond_attempt_milliseconds_count {total}")
         return "\n".join(lines) + "\n"
