--- a/lacewingpond/entry/requests/second_attempts.py
+++ b/lacewingpond/entry/requests/second_attempts.py
@@ -96,8 +96,8 @@
     def supersede(self, others: list[WaitingRequest], winner: WaitingRequest) -> None:
         """Record that `winner` got a response before all `others` of the request.
 
-        A hedged attempt may only have been slow: a shorter wait elsewhere does not show
-        that its target hangs.
+        A hedged attempt may only have been slow: a shorter wait elsewhere shows that
+        its target hangs only if a second attempt would have started anyway.
         """
         is_hedge = winner.state.spec.target_id == self._hedge_target
         for other in others:
--- a/tests/telemetry/test_telemetry_decision_metrics.py
+++ b/tests/telemetry/test_telemetry_decision_metrics.py
@@ -61,6 +61,15 @@
     assert "lacewingpond_store_era 7" in metrics.text().splitlines()
 
 
+# Operators could not see how many requests were hedged, nor why others were not.
+def test_hedges_are_counted_by_reason_and_by_refusal(metrics):
+    metrics.decision("hedge", "id-1", "started", target="t1")
+    metrics.decision("hedging", "vm-1", "counts", requests=20, refused_load=3)
+    lines = metrics.text().splitlines()
+    assert 'lacewingpond_decisions_total{what="hedge",why="started"} 1' in lines
+    assert 'lacewingpond_hedging_total{count="refused_load"} 3' in lines
+
+
 def test_attempt_latencies_are_in_milliseconds(metrics):
     for latency_ms in range(1, 101):
         metrics.decision("attempt", "id-1", "200", ms=latency_ms)
