Count the wait of an attempt that lost to a hedge as a latency of its route

Cause: only the latency of the hedge was observed, so the percentile fell with each hedge; requests were hedged ever earlier, and waits counted as evidence against sound targets sooner. Pauses of a streamed response were polled every 0.02 s with hedging on.

Change: the wait is observed unless the target seems to hang; streams are polled every 0.1 s as before.

--- a/lacewingpond/entry/requests/second_attempts.py
+++ b/lacewingpond/entry/requests/second_attempts.py
@@ -97,12 +97,16 @@
         """Record that `winner` got a response before all `others` of the request.
 
         A hedged attempt may only have been slow: a shorter wait elsewhere shows that
-        its target hangs only if a second attempt would have started anyway.
+        its target hangs only if a second attempt would have started anyway. Otherwise
+        its wait counts as a latency, which it is at least: from the latencies of hedges
+        alone the percentile would fall, and requests would be hedged ever earlier.
         """
         is_hedge = winner.state.spec.target_id == self._hedge_target
         for other in others:
             if not is_hedge or self._seems_to_hang(other.state):
                 self._context.overdue.supersede(other, winner)
+            elif other is not winner:
+                other.latency.observe(self._context.clock.now() - other.sent_at)
 
     def _prepare(self, state: TargetState) -> Attempt | None:
         """Return an attempt beside an overdue one, or None if there may be none now."""
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -153,6 +153,7 @@
         self.sent_at = self._clock.now()
         response = self._http.getresponse()
         self._gives_up_silent = False
+        self._overdue_check_s = OVERDUE_CHECK_S  # pauses of a stream may be long
         self.idle_timeout_s = idle_timeout_s(response.headers.get("Keep-Alive"))
         self.last_active_at = self._clock.now()
         return response
--- a/tests/entry/test_entry_hedging_stack.py
+++ b/tests/entry/test_entry_hedging_stack.py
@@ -90,6 +90,22 @@
     assert stack.table.get("t0").health.score < EJECT_SCORE
 
 
+# Only the short latencies of hedges were counted, so that requests are hedged ever
+# earlier and more waits count as evidence against sound targets.
+def test_wait_of_the_attempt_that_loses_counts_as_a_latency_of_the_route(serve):
+    observed_s = []
+
+    class Recorded(RouteLatency):
+        def observe(self, latency_s):
+            observed_s.append(latency_s)
+
+    stack = serve(after(LATE_S, first), signed)
+    stack.overdue.latencies._routes["r"] = Recorded(OBJECTIVE_S)
+    assert stack.call("GET")[2] == b"done"
+    assert len(observed_s) == 2
+    assert max(observed_s) >= HEDGED_S
+
+
 # The hedge goes on at its target after the first attempt has served the caller.
 def test_hedge_that_loses_is_cancelled_and_its_connection_closed(serve):
     stack = serve(after(HEDGED_S + 0.3, first), after(5.0))
