--- a/tests/entry/test_entry_daemon.py
+++ b/tests/entry/test_entry_daemon.py
@@ -125,6 +125,18 @@
     assert ready_status(daemon) == 503
 
 
+# Neither settings nor configuration reached hedging: it stayed off, or knew no classes.
+def test_hedging_follows_settings_and_configuration(daemon, store):
+    hedging = daemon._pipeline._context.hedging
+    assert not hedging.enabled
+    with caller_server(signed) as target:
+        configure(daemon, store, target)
+    assert hedging.policy.classes == {"svc": frozenset({0})}
+    changed = {**SETTINGS, "hedging": {"max_extra": 0.1}}
+    daemon.apply_settings(check_entry_settings(changed, "settings").unwrap())
+    assert hedging.enabled
+
+
 class HoldingLog(RecordingDecisionLog):
     """A log that holds a clock as a line is written."""
 
