Send nothing to targets of evacuated failure domains

Change: StoreView keeps the evacuations, with the grace period of missing entries. The eligibility EVACUATED excludes the targets for all choices of the placer; links are probed without them, idle connections to them are closed, and relay decisions name the domains. A service that has targets in evacuated domains only is refused with domain-evacuated, not run.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -111,7 +111,7 @@
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
     __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
-    __slots__ += ("_statements", "_versions_logged")
+    __slots__ += ("_statements", "_table", "_versions_logged")
 
     def __init__(
         self,
@@ -134,6 +134,7 @@
         self.view = StoreView(
             cache, formats, clock, log, bounds.seconds("store_return")
         )
+        self.view.evacuations.proof_age_s = lambda: freshness.age_s
         self._fleet = Fleet(vm.id, vm.failure_domain, self.view, clock, rng)
         self._channel = DatagramChannel(host, port, clock, rng, log)
         self.follower = Follower(
@@ -165,7 +166,7 @@
         self._client = TargetClient.from_options(
             _target_options(names), clock, rng, log
         )
-        table = TargetTable(self.view, self._client, clock)
+        table = self._table = TargetTable(self.view, self._client, clock)
         self._reach = Reach(
             table, self._client, self._fleet, self._channel, clock, rng, log
         )
@@ -369,6 +370,7 @@
         while True:
             self._clock.sleep(SWEEP_INTERVAL_S)
             self.view.drop_missing()
+            self._table.close_evacuated()
             self._client.sweep()
             self._peer_client.sweep()
 
--- /dev/null
+++ b/lacewingpond/entry/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Failure domains that operators have evacuated: their targets get no requests."""
--- a/lacewingpond/entry/formats.py
+++ b/lacewingpond/entry/formats.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from msgspec import Struct
-from result import Result
+from result import Ok, Result
 
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.model.entry_target import EntryTarget
@@ -11,6 +11,10 @@
 from lacewingpond.http.headers import Headers
 
 
+def _accept(value: bytes) -> Result[None, str]:
+    return Ok(None)
+
+
 class Formats(Struct, frozen=True):
     """Keys in the store and decoders of their values.
 
@@ -28,6 +32,11 @@
         Returns whether two values of a key are equivalent for the daemon.
     decode_statement : callable
         Decodes what a response says of its target, from its status and headers.
+    evacuations_prefix : str
+        Prefix of the evacuation keys; the failure domain follows. Empty if the platform
+        has none.
+    decode_evacuation : callable
+        Checks the value of an evacuation key.
     """
 
     config_key: str
@@ -37,3 +46,5 @@
     decode_instance: Callable[[str, bytes], Result[EntryTarget, str]]
     is_same: Callable[[str, bytes, bytes], bool]
     decode_statement: Callable[[int, Headers], TargetStatement]
+    evacuations_prefix: str = ""
+    decode_evacuation: Callable[[bytes], Result[None, str]] = _accept
--- a/lacewingpond/entry/hold_over.py
+++ b/lacewingpond/entry/hold_over.py
@@ -16,7 +16,8 @@
       that says otherwise.
     - A daemon that has left holds against its entry.
 
-    All else is taken from the copy.
+    All else is taken from the copy, also evacuations: one that was withdrawn holds
+    again until its key is deleted again.
     """
 
     def decide(key: str, known: bytes, removed: bool, copied: bytes | None) -> bool:
--- a/lacewingpond/entry/relay/decision.py
+++ b/lacewingpond/entry/relay/decision.py
@@ -2,7 +2,7 @@
 
 import base64
 import binascii
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from msgspec import Struct
@@ -84,12 +84,18 @@
         )
 
     def excludes(self, target: EntryTarget) -> bool:
-        """Return whether a target accepts no new requests, as the deciding VM knows."""
+        """Return whether a target must get no requests, as the deciding VM knows."""
+        if target.failure_domain in self.evacuated:
+            return True
         return any(
             target.target_id == target_id and target.incarnation <= incarnation
             for target_id, incarnation in self.leaving
         )
 
+    def excluded(self, targets: Iterable[EntryTarget]) -> frozenset[str]:
+        """Return the ids of those among `targets` that `excludes` is true for."""
+        return frozenset(t.target_id for t in targets if self.excludes(t))
+
     def encode(self) -> str:
         """Return the value of the header."""
         return base64.b64encode(msgspec.msgpack.encode(self)).decode("ascii")
@@ -134,6 +140,7 @@
             request.workspace,
             left_s if is_bounded else None,
             tuple((t.target_id, t.incarnation) for t in leaving[:MAX_LEAVING]),
+            tuple(sorted(table.evacuations.domains)),
         )
 
     return decide
--- a/lacewingpond/entry/relay/reach.py
+++ b/lacewingpond/entry/relay/reach.py
@@ -191,8 +191,16 @@
         self._announce("regained")
 
     def _draw_targets(self, count: int) -> list[TargetState]:
-        """Return random targets, those that have not just failed first."""
-        states = [state for state in self._table.all() if not state.spec.draining]
+        """Return random targets, those that have not just failed first.
+
+        None is in an evacuated failure domain.
+        """
+        is_evacuated = self._table.evacuations.covers
+        states = [
+            state
+            for state in self._table.all()
+            if not state.spec.draining and not is_evacuated(state.spec)
+        ]
         self._rng.shuffle(states)
         states.sort(key=lambda state: state.spec.target_id in self._failures)
         return states[:count]
--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -67,6 +67,7 @@
         "no-path",
         "no-target",
         "targets-paused",
+        "domain-evacuated",
         "bad-decision",
         NO_ROUTE,
     }
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -211,11 +211,7 @@
             return deadline
         valid_s = float("inf") if decision.valid_s is None else decision.valid_s
         valid_until = self._clock.boot() + valid_s
-        excluded = [
-            state.spec.target_id
-            for state in self._context.table.ready(decision.service)
-            if decision.excludes(state.spec)
-        ]
+        ready = self._context.table.ready(decision.service)
         return self._deliver(
             req,
             request_id,
@@ -227,7 +223,8 @@
             lambda: self._may_carry(decision, key, valid_until),
             decision.config,
             is_relayed=True,
-            excluded=frozenset(excluded),
+            excluded=decision.excluded(state.spec for state in ready),
+            evacuated=frozenset(decision.evacuated),
         )
 
     def _may_carry(
@@ -322,6 +319,7 @@
         config: ConfigPosition,
         is_relayed: bool,
         excluded: frozenset[str] = frozenset(),
+        evacuated: frozenset[str] = frozenset(),
         priority: int | None = None,
     ) -> Result[Response, EntryRefusal]:
         """Read the body of a request and deliver it, if it may still be sent."""
@@ -353,6 +351,7 @@
             is_relayed=is_relayed,
             attempts_elsewhere=attempts_elsewhere(req.headers) if is_relayed else 0,
             excluded=excluded,
+            evacuated=evacuated,
             priority=priority,
         )
         if not may_send():
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -53,6 +53,8 @@
         The configuration by which it was routed.
     excluded : frozenset of str
         Ids of targets that accept no new requests, as the relaying VM knows.
+    evacuated : frozenset of str
+        Evacuated failure domains, as the relaying VM knows.
     priority : int
         Priority class, that of the workspace before that of the route; 0 is the
         highest.
@@ -62,7 +64,7 @@
     __slots__ += ("headers", "body", "deadline", "is_disconnected")
     __slots__ += ("fingerprint", "received_at", "targets", "caller_headers")
     __slots__ += ("is_relayed", "attempts_elsewhere", "config", "excluded")
-    __slots__ += ("priority",)
+    __slots__ += ("evacuated", "priority")
     __slots__ += ("may_have_run", "_may_send")
 
     def __init__(
@@ -86,6 +88,7 @@
         attempts_elsewhere: int = 0,
         excluded: frozenset[str] = frozenset(),
         priority: int | None = None,
+        evacuated: frozenset[str] = frozenset(),
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -107,6 +110,7 @@
         self.attempts_elsewhere = attempts_elsewhere
         self.config = config
         self.excluded = excluded
+        self.evacuated = evacuated
         self.priority = route.priority if priority is None else priority
 
     def may_send(self) -> bool:
--- a/lacewingpond/entry/requests/target_choice.py
+++ b/lacewingpond/entry/requests/target_choice.py
@@ -13,6 +13,7 @@
 
 MAX_DENIED_TARGETS = 4  # targets at their limit after which only others are tried
 BUSY_RETRY_AFTER_S = 0.6  # a busy target completes a request in about this time
+EVACUATED_RETRY_AFTER_S = 1.0  # evacuations last for longer; a retry costs little
 BUSY_LOAD = 0.9  # requests per slot from which a service counts as busy
 
 
@@ -105,6 +106,11 @@
     def no_target_refusal(self) -> EntryRefusal:
         """Return the refusal of a request for which there was no target at all."""
         service = self._request.service
+        if self._placer.is_evacuated(service, self._request.evacuated):
+            detail = "The failure domains of the service's targets are evacuated."
+            return EntryRefusal.not_run(
+                503, "domain-evacuated", detail, EVACUATED_RETRY_AFTER_S
+            )
         waits_s = list(self._limiter.exhausted(service).values())
         pauses_s = self._placer.pauses_s(service)
         if pauses_s:
--- a/lacewingpond/entry/store_view.py
+++ b/lacewingpond/entry/store_view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lacewingpond.entry.evacuation.evacuations import Evacuations
 from lacewingpond.entry.formats import Formats
 from lacewingpond.entry.member import Member, decode_member
 from lacewingpond.entry.model.config_position import ConfigPosition
@@ -43,6 +44,8 @@
         Targets by id, including draining ones.
     members : dict of str to Member
         Daemons by VM id, including this one.
+    evacuations : Evacuations
+        Failure domains whose targets get no requests.
     """
 
     __slots__ = ("config", "targets", "members", "_formats", "_clock", "_cache")
@@ -55,7 +58,7 @@
         "_missing_members",
         "_on_config",
     )
-    __slots__ += ("_on_targets", "_on_members")
+    __slots__ += ("_on_targets", "_on_members", "evacuations", "_on_evacuations")
 
     def __init__(
         self,
@@ -81,6 +84,8 @@
         self._on_config: list[Callable[[EntryConfig], None]] = []
         self._on_targets: list[Callable[[], None]] = []
         self._on_members: list[Callable[[], None]] = []
+        self.evacuations = Evacuations(formats, clock, log)
+        self._on_evacuations: list[Callable[[], None]] = []
         cache.on_change(self._apply)
 
     @property
@@ -102,6 +107,10 @@
         """Call `listener` after each change of the members."""
         self._on_members.append(listener)
 
+    def on_evacuations(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of the evacuated failure domains."""
+        self._on_evacuations.append(listener)
+
     def record_store_failure(self) -> None:
         """Record that a call to the store failed now."""
         self._store_failed_at = self._clock.now()
@@ -116,7 +125,7 @@
         return vm_id in self.members and vm_id not in self._missing_members
 
     def drop_missing(self) -> None:
-        """Drop targets and members whose grace period has ended; call periodically."""
+        """Drop missing entries whose grace period has ended; call periodically."""
         now = self._clock.now()
         targets = _pop_expired(self._missing_targets, now)
         for target_id in targets:
@@ -128,10 +137,13 @@
             self._drop_member(vm_id, "missing from the store since an outage")
         if members:
             self._notify(self._on_members)
+        if self.evacuations.drop_missing():
+            self._notify(self._on_evacuations)
 
     def _apply(self, events: tuple[WatchEvent, ...]) -> None:
         targets_changed = members_changed = False
         formats = self._formats
+        evacuation_events: list[WatchEvent] = []
         for event in events:
             if event.key == formats.config_key:
                 self._apply_config(event)
@@ -141,6 +153,13 @@
             elif event.key.startswith(formats.members_prefix):
                 self._apply_member(event, event.key[len(formats.members_prefix) :])
                 members_changed = True
+            elif (prefix := formats.evacuations_prefix) and event.key.startswith(
+                prefix
+            ):
+                evacuation_events.append(event)
+        # Before the listeners of targets, so that these find a new one evacuated.
+        if self._apply_evacuations(evacuation_events):
+            self._notify(self._on_evacuations)
         if targets_changed:
             self._notify(self._on_targets)
         if members_changed:
@@ -184,6 +203,22 @@
             self._log.decision("target", target_id, why, service=target.service)
         self.targets[target_id] = target
 
+    def _apply_evacuations(self, events: list[WatchEvent]) -> bool:
+        """Apply changes of evacuations, and those of the known failure domains."""
+        if not events:
+            return self.evacuations.update_domains(self._known_domains)
+        stable = self._is_store_stable(self._clock.now())
+        return self.evacuations.apply(
+            events,
+            self._cache.position.era,
+            self._known_domains(),
+            0.0 if stable else self.missing_grace_s,
+        )
+
+    def _known_domains(self) -> set[str]:
+        entries = (*self.targets.values(), *self.members.values())
+        return {entry.failure_domain for entry in entries}
+
     def _remove_target(self, target_id: str) -> None:
         now = self._clock.now()
         known = self.targets.get(target_id)
--- a/lacewingpond/entry/targets/eligibility.py
+++ b/lacewingpond/entry/targets/eligibility.py
@@ -3,6 +3,7 @@
 | state of the target | requests that it gets |
 | --- | --- |
 | leaving | none, until its next incarnation |
+| evacuated | none, until the evacuation of its failure domain ends |
 | paused | none, until the pause ends |
 | limited | none, until a token is available |
 | unreachable | only while all others are unreachable too |
@@ -24,11 +25,17 @@
     UNREACHABLE = 2
     LIMITED = 3
     PAUSED = 4
-    LEAVING = 5
+    EVACUATED = 5
+    LEAVING = 6
 
 
 def eligibility(
-    leaving: bool, paused: bool, limited: bool, unreachable: bool, ejected: bool
+    leaving: bool,
+    evacuated: bool,
+    paused: bool,
+    limited: bool,
+    unreachable: bool,
+    ejected: bool,
 ) -> Eligibility:
     """Return the strictest state of a target.
 
@@ -36,6 +43,8 @@
     ----------
     leaving : bool
         Whether the target has said that it accepts no new requests.
+    evacuated : bool
+        Whether its failure domain is evacuated.
     paused : bool
         Whether it has asked this VM for a pause that has not ended.
     limited : bool
@@ -47,6 +56,7 @@
     """
     states = (
         (leaving, Eligibility.LEAVING),
+        (evacuated, Eligibility.EVACUATED),
         (paused, Eligibility.PAUSED),
         (limited, Eligibility.LIMITED),
         (unreachable, Eligibility.UNREACHABLE),
--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -142,19 +142,35 @@
         """Return how long the paused targets of a service want no requests yet."""
         pauses = [
             self._statements.pause_left_s(state.spec)
-            for state in self._table.ready(service)
+            for state in self._table.remaining(service)
             if not self._statements.is_leaving(state.spec)
         ]
         return [pause_s for pause_s in pauses if pause_s > 0.0]
 
+    def is_evacuated(self, service: str, domains: Collection[str] = ()) -> bool:
+        """Return whether a service has targets, but only in evacuated domains.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        domains : collection of str
+            Further failure domains that count as evacuated.
+        """
+        return bool(self._table.ready(service)) and all(
+            state.spec.failure_domain in domains
+            for state in self._table.remaining(service)
+        )
+
     def _states(
         self, service: str, limited: Collection[str], now: float
     ) -> dict[TargetState, Eligibility]:
         statements = self._statements
         ready = self._table.ready(service)
+        covers = self._table.evacuations.covers
         open_ = [
             state
-            for state in ready
+            for state in self._table.remaining(service)
             if not statements.is_leaving(state.spec)
             and not statements.pause_left_s(state.spec)
         ]
@@ -162,6 +178,7 @@
         return {
             state: eligibility(
                 leaving=statements.is_leaving(state.spec),
+                evacuated=covers(state.spec),
                 paused=statements.pause_left_s(state.spec) > 0.0,
                 limited=state.spec.target_id in limited,
                 unreachable=not state.is_reachable(now),
@@ -177,7 +194,7 @@
         at the other VMs are similar, so the known load is scaled to the fleet size.
         """
         now = self._clock.now()
-        ready = self._table.ready(service)
+        ready = self._table.remaining(service)
         if not ready:
             return 0.0
         known = sum(state.load(now) for state in ready) / len(ready)
@@ -199,7 +216,7 @@
 
     def _spare_targets(self, service: str, count: int) -> int:
         """Return how many of `count` targets can be left out at the current load."""
-        load = self.load(service) * len(self._table.ready(service))
+        load = self.load(service) * len(self._table.remaining(service))
         needed = math.ceil(load / MAX_REMAINING_LOAD)
         return min(count - needed, int(count * MAX_CONFIRMED_RATIO))
 
--- a/lacewingpond/entry/targets/table.py
+++ b/lacewingpond/entry/targets/table.py
@@ -1,5 +1,6 @@
 """The targets of all services, updated from the view of this VM."""
 
+from lacewingpond.entry.evacuation.evacuations import Evacuations
 from lacewingpond.entry.model.entry_target import EntryTarget
 from lacewingpond.entry.store_view import StoreView
 from lacewingpond.entry.targets.state import TargetState
@@ -15,7 +16,7 @@
     view : StoreView
         Source of the target entries.
     client : TargetClient
-        Closes connections to removed targets.
+        Closes connections to removed and evacuated targets.
     clock : Clock
         Time source of new states.
     """
@@ -30,6 +31,7 @@
         self._services: dict[str, tuple[TargetState, ...]] = {}
         self._draining: dict[str, list[TargetState]] = {}
         view.on_targets(self._update)
+        view.on_evacuations(self.close_evacuated)
 
     def get(self, target_id: str) -> TargetState | None:
         """Return the state of a target, or None if it is unknown."""
@@ -39,6 +41,33 @@
         """Return the targets of a service that are not draining, healthy or not."""
         return self._services.get(service, ())
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """Failure domains whose targets get no requests."""
+        return self._view.evacuations
+
+    def remaining(self, service: str) -> tuple[TargetState, ...]:
+        """Return the targets that `ready` returns, without those of evacuated domains.
+
+        The tuple is the same one while no domain is evacuated.
+        """
+        ready, evacuations = self.ready(service), self._view.evacuations
+        if not evacuations:
+            return ready
+        return tuple(state for state in ready if not evacuations.covers(state.spec))
+
+    def close_evacuated(self) -> None:
+        """Close the idle connections to evacuated targets; call periodically.
+
+        Connections become idle there as their running requests finish.
+        """
+        evacuations = self._view.evacuations
+        if not evacuations:
+            return
+        for state in self._states.values():
+            if evacuations.covers(state.spec):
+                self._client.close_idle(state.spec.address)
+
     def draining(self, service: str) -> list[TargetState]:
         """Return the targets of a service that are draining."""
         return self._draining.get(service, [])
--- a/lacewingpond/platform/formats.py
+++ b/lacewingpond/platform/formats.py
@@ -4,9 +4,11 @@
 
 from lacewingpond.entry.formats import Formats
 from lacewingpond.platform.config_document import decode_config
+from lacewingpond.platform.evacuation_value import decode_evacuation
 from lacewingpond.platform.instance_entry import decode_instance
 from lacewingpond.platform.names import (
     CONFIG_KEY,
+    EVACUATIONS_PREFIX,
     LEAVING_HEADER,
     LIMIT_HEADER,
     MEMBERS_PREFIX,
@@ -38,4 +40,6 @@
     decode_instance=decode_instance,
     is_same=is_same,
     decode_statement=StatementDecoder(LIMIT_HEADER, LEAVING_HEADER).decode,
+    evacuations_prefix=EVACUATIONS_PREFIX,
+    decode_evacuation=decode_evacuation,
 )
--- a/lacewingpond/telemetry/decision_metrics.py
+++ b/lacewingpond/telemetry/decision_metrics.py
@@ -34,7 +34,7 @@
     """
 
     __slots__ = ("_log", "_path", "_clock", "_counts", "_attempts", "_limited")
-    __slots__ += ("_leaving", "_paused_until", "_versions", "_era")
+    __slots__ += ("_leaving", "_paused_until", "_versions", "_era", "_evacuated")
 
     def __init__(self, log: DecisionLog, path: str, clock: Clock) -> None:
         self._log = log
@@ -43,6 +43,7 @@
         self._leaving: set[str] = set()
         self._versions: dict[str, object] = {}
         self._era: str | None = None
+        self._evacuated = 0
         self._paused_until: dict[str, float] = {}
         self._counts: Counter[tuple[str, str]] = Counter()
         self._limited: set[str] = set()
@@ -74,6 +75,8 @@
             self._versions = dict(fields)
         elif what == "era":
             self._era = which
+        elif what == "evacuation":
+            self._evacuated = int(str(fields.get("evacuated", 0)))
         elif what == "leaving":
             self._leaving.add(which)
         elif what == "pause":
@@ -102,6 +105,7 @@
         lines.append(f"lacewingpond_limited_targets {len(self._limited)}")
         lines.append(f"lacewingpond_leaving_targets {len(self._leaving)}")
         lines.append(f"lacewingpond_paused_targets {len(self._paused_until)}")
+        lines.append(f"lacewingpond_evacuated_domains {self._evacuated}")
         if self._era is not None:
             lines.append(f"lacewingpond_store_era {self._era}")
         lines += [
--- a/tests/entry/entry_helper.py
+++ b/tests/entry/entry_helper.py
@@ -21,6 +21,7 @@
 from lacewingpond.entry.store_cache import StoreCache
 from lacewingpond.entry.store_view import StoreView
 from lacewingpond.entry.targets.statements import TargetStatements
+from lacewingpond.platform.evacuation_value import decode_evacuation
 from lacewingpond.platform.target_statement import StatementDecoder
 from lacewingpond.store.base import StoreError, StoreFailure, StorePosition
 from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
@@ -55,6 +56,8 @@
     decode_instance=decode_instance,
     is_same=lambda key, old, new: old == new,
     decode_statement=StatementDecoder(LIMIT_HEADER, LEAVING_HEADER).decode,
+    evacuations_prefix="evacuate/",
+    decode_evacuation=decode_evacuation,
 )
 
 
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -99,6 +99,7 @@
         load=placer.load,
         passed_over=placer.passed_over,
         pauses_s=placer.pauses_s,
+        is_evacuated=placer.is_evacuated,
     )
 
 
--- a/tests/entry/test_entry_eligibility.py
+++ b/tests/entry/test_entry_eligibility.py
@@ -10,11 +10,12 @@
     eligibility,
 )
 
-STATES = ("leaving", "paused", "limited", "unreachable", "ejected")
+STATES = ("leaving", "evacuated", "paused", "limited", "unreachable", "ejected")
 ELIGIBLE, EJECTED = Eligibility.ELIGIBLE, Eligibility.EJECTED
 UNREACHABLE, LIMITED = Eligibility.UNREACHABLE, Eligibility.LIMITED
 PAUSED, LEAVING = Eligibility.PAUSED, Eligibility.LEAVING
-NEVER = (LIMITED, PAUSED, LEAVING)
+EVACUATED = Eligibility.EVACUATED
+NEVER = (LIMITED, PAUSED, EVACUATED, LEAVING)
 
 
 @pytest.mark.parametrize(
--- a/tests/entry/test_entry_relay.py
+++ b/tests/entry/test_entry_relay.py
@@ -244,7 +244,7 @@
 
 # Guards against probes on each report, which cost more connections than the requests.
 def test_links_are_not_probed_again_after_a_later_response_or_probe(clock):
-    client, table = CountingClient(), SimpleNamespace(all=targets_of(4))
+    client, table = CountingClient(), table_of(targets_of(4))
     channel = SimpleNamespace(register=lambda kind, handler: None)
     reach = Reach(
         table, client, None, channel, clock, random.Random(1), RecordingDecisionLog()
@@ -267,6 +267,24 @@
     assert client.opened == 6
 
 
+def table_of(all_targets, evacuated=()):
+    covers = SimpleNamespace(covers=lambda spec: spec.failure_domain in evacuated)
+    return SimpleNamespace(all=all_targets, evacuations=covers)
+
+
+# Guards against connections to an evacuated domain, and against a VM that takes the
+# want of other targets for links that are down.
+def test_evacuated_targets_are_not_probed_and_links_count_as_reached(clock):
+    client, table = CountingClient(), table_of(targets_of(4), {"zone-a"})
+    channel = SimpleNamespace(register=lambda kind, handler: None)
+    reach = Reach(
+        table, client, None, channel, clock, random.Random(1), RecordingDecisionLog()
+    )
+    assert reach.verify()
+    assert client.opened == 0
+    assert not reach.lost
+
+
 def targets_of(count):
     states = [
         SimpleNamespace(spec=entry_target(f"t{n}"), target=None) for n in range(count)
