--- a/lacewingpond/entry/settings.py
+++ b/lacewingpond/entry/settings.py
@@ -99,6 +99,9 @@
         Whether a withdrawn key must also stop working on VMs that are cut off.
     revoke : str
         How long a withdrawn key may still work.
+    evacuate : str
+        Time from an operators' request to evacuate a failure domain until no request
+        reaches its targets. The daemon always applies such a request at once.
     retry_ratio, retry_burst : float
         Retries of the whole fleet: per request of a service, and in addition.
     quota_window : str
@@ -115,6 +118,7 @@
     stop_grace: str = "6s"
     strict_revoke: bool = True
     revoke: str = "5000ms"
+    evacuate: str = "5000ms"
     retry_ratio: float = 0.2
     retry_burst: float = 60.0
     quota_window: str = "5s"
@@ -138,6 +142,7 @@
     "store_return",
     "stop_grace",
     "revoke",
+    "evacuate",
     "quota_window",
 )
 
