Tell operators when an evacuated domain is empty

Cause: idle connections were closed, but operators could not see from the logs whether a VM still had requests or connections in the domain.

Change: each VM logs "evacuation ZONE empty" once it has neither.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -8,6 +8,7 @@
 import gevent
 from msgspec import structs
 
+from lacewingpond.entry.evacuation.emptying import Emptying
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.follower import Follower
 from lacewingpond.entry.formats import Formats
@@ -111,7 +112,7 @@
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
     __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
-    __slots__ += ("_statements", "_table", "_versions_logged")
+    __slots__ += ("_statements", "_emptying", "_versions_logged")
 
     def __init__(
         self,
@@ -166,7 +167,8 @@
         self._client = TargetClient.from_options(
             _target_options(names), clock, rng, log
         )
-        table = self._table = TargetTable(self.view, self._client, clock)
+        table = TargetTable(self.view, self._client, clock)
+        self._emptying = Emptying(table, self._client, log)
         self._reach = Reach(
             table, self._client, self._fleet, self._channel, clock, rng, log
         )
@@ -370,7 +372,7 @@
         while True:
             self._clock.sleep(SWEEP_INTERVAL_S)
             self.view.drop_missing()
-            self._table.close_evacuated()
+            self._emptying.sweep()
             self._client.sweep()
             self._peer_client.sweep()
 
--- a/lacewingpond/entry/evacuation/evacuations.py
+++ b/lacewingpond/entry/evacuation/evacuations.py
@@ -1,6 +1,6 @@
 """The evacuated failure domains, as the store and peers have told this VM."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, KeysView
 
 from lacewingpond.entry.evacuation.evacuation import Evacuation
 from lacewingpond.entry.formats import Formats
@@ -55,7 +55,7 @@
         return len(self._in_force)
 
     @property
-    def domains(self) -> Collection[str]:
+    def domains(self) -> KeysView[str]:
         """Names of the evacuated domains."""
         return self._in_force.keys()
 
--- a/tests/entry/test_entry_evacuation.py
+++ b/tests/entry/test_entry_evacuation.py
@@ -1,5 +1,7 @@
 """Tests of evacuated failure domains on one VM, and through a carrier."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 from entry_helper import MISSING_GRACE_S, Network, Vm, at, config, entry_target, route
@@ -8,6 +10,7 @@
 from stack_helper import Stack, running, signed
 from test_entry_daemon import SETTINGS
 
+from lacewingpond.entry.evacuation.emptying import Emptying
 from lacewingpond.entry.settings import check_entry_settings
 from lacewingpond.entry.targets.health import BROKEN_EVIDENCE
 from lacewingpond.platform.formats import FORMATS as PLATFORM_FORMATS
@@ -53,6 +56,23 @@
     assert ended == ["zone-a"]
 
 
+# Guards against a domain that is told to be empty while a request runs there.
+def test_domain_is_empty_once_requests_and_connections_have_ended(picker):
+    left = {"127.0.0.9:9000": 1}
+    client = SimpleNamespace(connections=lambda target: left.get(target.address, 0))
+    emptying = Emptying(picker.table, client, picker.vm.log)
+    put(picker.vm, ("evacuate/zone-a", b"{}"))
+    emptying.sweep()
+    left.clear()
+    picker.table.get("zone-a-1").in_flight = 1
+    emptying.sweep()
+    assert ("zone-a", "empty") not in lines(picker.vm, "evacuation")
+    picker.table.get("zone-a-1").in_flight = 0
+    emptying.sweep()
+    emptying.sweep()
+    assert lines(picker.vm, "evacuation") == [("zone-a", "begin"), ("zone-a", "empty")]
+
+
 # Guards against connections that stay open as running requests end after the begin.
 def test_connections_that_become_idle_later_are_closed(picker):
     put(picker.vm, ("evacuate/zone-a", b"{}"))
