--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -11,6 +11,7 @@
 from lacewingpond.entry.balance.domain_balance import DomainBalance
 from lacewingpond.entry.balance.reporter import DomainReporter
 from lacewingpond.entry.balance.reports import DomainReports
+from lacewingpond.entry.evacuation.emptying import Emptying
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.follower import Follower
 from lacewingpond.entry.formats import Formats
@@ -116,7 +117,7 @@
     __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
     __slots__ += ("_statements", "_versions_logged", "_hedging")
-    __slots__ += ("_placer", "_balance", "_domain_reporter")
+    __slots__ += ("_placer", "_balance", "_domain_reporter", "_emptying")
 
     def __init__(
         self,
@@ -139,6 +140,7 @@
         self.view = StoreView(
             cache, formats, clock, log, bounds.seconds("store_return")
         )
+        self.view.evacuations.proof_age_s = lambda: freshness.age_s
         self._fleet = Fleet(vm.id, vm.failure_domain, self.view, clock, rng)
         self._channel = DatagramChannel(host, port, clock, rng, log)
         self.follower = Follower(
@@ -171,6 +173,7 @@
             _target_options(names), clock, rng, log
         )
         table = TargetTable(self.view, self._client, clock)
+        self._emptying = Emptying(table, self._client, log)
         self._reach = Reach(
             table, self._client, self._fleet, self._channel, clock, rng, log
         )
@@ -393,6 +396,7 @@
         while True:
             self._clock.sleep(SWEEP_INTERVAL_S)
             self.view.drop_missing()
+            self._emptying.sweep()
             self._client.sweep()
             self._peer_client.sweep()
             self._hedging.report(self._cfg.vm.id, self._log, self._clock.now())
