Decode warm-ups, and take a later warm-up of a known start into account

The configuration states how long a target stays cold and how many requests a second it tolerates; a health response states what is left. Entries whose warm-up is greater than in the last known one were dropped as equivalent, and a known incarnation kept its first warm-up. The cache now keeps the newest value for the comparison, and the end of a warm-up is a change, for VMs that get only changes. The former test took the end of a warm-up for equivalent; its replacements check a falling, an ended and a later one.

--- a/lacewingpond/entry/formats.py
+++ b/lacewingpond/entry/formats.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from msgspec import Struct
-from result import Result
+from result import Err, Result
 
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.model.entry_target import EntryTarget
@@ -11,6 +11,10 @@
 from lacewingpond.http.headers import Headers
 
 
+def _no_warmup(headers: Headers) -> Result[float, str]:
+    return Err("the platform states no warm-up")
+
+
 class Formats(Struct, frozen=True):
     """Keys in the store and decoders of their values.
 
@@ -28,6 +32,9 @@
         Returns whether two values of a key are equivalent for the daemon.
     decode_statement : callable
         Decodes what a response says of its target, from its status and headers.
+    decode_warmup : callable
+        Decodes from the headers of a health response for how long its target stays
+        cold, in seconds, or returns why they don't tell it.
     """
 
     config_key: str
@@ -37,3 +44,4 @@
     decode_instance: Callable[[str, bytes], Result[EntryTarget, str]]
     is_same: Callable[[str, bytes, bytes], bool]
     decode_statement: Callable[[int, Headers], TargetStatement]
+    decode_warmup: Callable[[Headers], Result[float, str]] = _no_warmup
--- a/lacewingpond/entry/store_cache.py
+++ b/lacewingpond/entry/store_cache.py
@@ -215,6 +215,9 @@
             return False
         is_changed = known is None or not self._is_equivalent(event, known)
         if not is_changed and event.key not in self._held_over:
+            # The next value is compared with the newest one. The revision stays, so
+            # that peers are not sent a value that is equivalent to theirs.
+            self._events[event.key] = WatchEvent(event.key, event.value, known.revision)
             return False
         self._held_over.discard(event.key)
         if known is not None and known.value is None:
--- a/lacewingpond/entry/targets/state.py
+++ b/lacewingpond/entry/targets/state.py
@@ -3,6 +3,7 @@
 from lacewingpond.config.model import Target
 from lacewingpond.entry.model.entry_target import EntryTarget
 from lacewingpond.entry.targets.health import EntryTargetHealth
+from lacewingpond.entry.targets.warmup import Warmup
 
 LOAD_MAX_AGE_S = 2.5  # twice the interval of reports in the largest failure domain
 CONNECT_BACKOFF_S = 0.5  # after the first failed connection attempt
@@ -20,13 +21,15 @@
         The target in the form that `TargetClient` takes.
     health : EntryTargetHealth
         Its health, from the outcomes that the fleet reports.
+    warmup : Warmup
+        Until when it is cold.
     in_flight : int
         Number of requests of this VM that it is processing.
     last_used_at : float
         Time at which it is known to have had a request of any VM.
     """
 
-    __slots__ = ("spec", "target", "health", "in_flight", "last_used_at", "_warm_at")
+    __slots__ = ("spec", "target", "health", "in_flight", "last_used_at", "warmup")
     __slots__ += ("_peer_loads", "_unreachable_until", "_backoff_s")
     __slots__ += ("_known_load", "_expire_at")
 
@@ -39,7 +42,7 @@
         self._expire_at = float("inf")
         self._unreachable_until = float("-inf")
         self._backoff_s = CONNECT_BACKOFF_S
-        self._warm_at = now + spec.warmup_left_s
+        self.warmup = Warmup(now + spec.warmup_left_s)
         self.spec = spec
         self.target = Target(
             spec.target_id,
@@ -58,8 +61,14 @@
         )
 
     def is_warm(self, now: float) -> bool:
-        """Return whether the slow time after its start is over."""
-        return now >= self._warm_at
+        """Return whether it is not cold."""
+        return not self.warmup.left_s(now)
+
+    def update_spec(self, spec: EntryTarget, now: float) -> None:
+        """Take over a changed entry of the same incarnation."""
+        if spec is not self.spec:
+            self.warmup.extend(now + spec.warmup_left_s)
+        self.spec = spec
 
     def is_reachable(self, now: float) -> bool:
         """Return whether this VM may try to connect to the target."""
--- a/lacewingpond/entry/targets/table.py
+++ b/lacewingpond/entry/targets/table.py
@@ -47,6 +47,27 @@
         """Return the states of all targets, including draining ones."""
         return list(self._states.values())
 
+    def assume_cold(self, failure_domain: str) -> list[TargetState]:
+        """Assume that the targets of a failure domain have turned cold by now.
+
+        Only targets of services that limit the requests to cold ones are concerned;
+        their states are returned.
+        """
+        cfg, now = self._view.config, self._clock.now()
+        assumed: list[TargetState] = []
+        if cfg is None:
+            return assumed
+        for state in self._states.values():
+            service = cfg.services.get(state.spec.service)
+            if (
+                state.spec.failure_domain == failure_domain
+                and service is not None
+                and service.warmup_rate > 0.0
+            ):
+                state.warmup.assume(now + service.warmup_s)
+                assumed.append(state)
+        return assumed
+
     def _update(self) -> None:
         targets = self._view.targets
         for target_id in self._states.keys() - targets.keys():
@@ -67,5 +88,5 @@
             state = TargetState(spec, self._clock.now())
             self._states[target_id] = state
         else:
-            state.spec = spec
+            state.update_spec(spec, self._clock.now())
         return state
--- a/lacewingpond/platform/formats.py
+++ b/lacewingpond/platform/formats.py
@@ -11,8 +11,10 @@
     LIMIT_HEADER,
     MEMBERS_PREFIX,
     TARGETS_PREFIX,
+    WARMUP_HEADER,
 )
 from lacewingpond.platform.target_statement import StatementDecoder
+from lacewingpond.platform.warmup_header import WarmupDecoder
 
 
 def is_same(key: str, old: bytes, new: bytes) -> bool:
@@ -25,7 +27,12 @@
     decoded = [decode_instance(key, value) for value in (old, new)]
     if any(each.is_err() for each in decoded):
         return old == new
-    # The remaining warm-up is counted down locally from the first value.
+    # The remaining warm-up is counted down locally from the first value. Its end is a
+    # change, because VMs that get only changes would otherwise compare the next
+    # warm-up of the same start with the first one.
+    before, after = (each.ok_value.warmup_left_s for each in decoded)
+    if after > before or (after == 0.0 < before):
+        return False
     first, second = (replace(each.ok_value, warmup_left_s=0.0) for each in decoded)
     return first == second
 
@@ -38,4 +45,5 @@
     decode_instance=decode_instance,
     is_same=is_same,
     decode_statement=StatementDecoder(LIMIT_HEADER, LEAVING_HEADER).decode,
+    decode_warmup=WarmupDecoder(WARMUP_HEADER).decode,
 )
--- a/lacewingpond/platform/names.py
+++ b/lacewingpond/platform/names.py
@@ -16,6 +16,7 @@
 )
 LIMIT_HEADER = "Server-Limit"  # a rate, not a number of concurrent requests
 LEAVING_HEADER = "Server-Leaving"
+WARMUP_HEADER = "X-Lacewingpond-Warmup-Ms"  # in responses of the health path
 ERA_HEADER = "Store-Era"
 READY_PATH = "/api/ready"
 CONFIG_KEY = "op/config"
--- a/tests/platform/test_platform_config.py
+++ b/tests/platform/test_platform_config.py
@@ -63,6 +63,14 @@
     return decode_config(msgspec.json.encode({**DOCUMENT, **changes}))
 
 
+# Guards against a warm-up rate that is set but not kept.
+def test_warmup_of_a_service_is_decoded_and_off_by_default():
+    cluster = {"name": "one", "warmup": "3s", "warmup-per-s": 3.7}
+    services = decoded(clusters=[cluster, {"name": "two"}]).unwrap().services
+    assert (services["one"].warmup_s, services["one"].warmup_rate) == (3.0, 3.7)
+    assert (services["two"].warmup_s, services["two"].warmup_rate) == (0.0, 0.0)
+
+
 def test_routes_splits_and_limits_are_decoded():
     cfg = decoded().unwrap()
     first, second = cfg.routes
--- a/tests/platform/test_platform_instances.py
+++ b/tests/platform/test_platform_instances.py
@@ -3,8 +3,10 @@
 import msgspec
 import pytest
 
+from lacewingpond.entry.store_cache import StoreCache
 from lacewingpond.platform.formats import is_same
 from lacewingpond.platform.instance_entry import decode_instance
+from lacewingpond.store.base import StorePosition, WatchEvent
 
 ENTRY = {
     "service": "huvo11a",
@@ -53,9 +55,32 @@
     assert decode_instance("i-1", bad).is_err()
 
 
-def test_heartbeat_without_another_change_is_equivalent():
-    later = raw(sequence=5, **{"warmup-left": "0ms"})
-    assert is_same("servers/i-1", raw(), later)
+def warmup(left):
+    return raw(sequence=5, **{"warmup-left": left})
+
+
+@pytest.mark.parametrize(("before", "after"), [("1500ms", "200ms"), ("0ms", "0ms")])
+def test_heartbeat_without_another_change_is_equivalent(before, after):
+    assert is_same("servers/i-1", warmup(before), warmup(after))
+
+
+# Guards against a VM that gets only changes taking a second warm-up for the first one.
+@pytest.mark.parametrize(
+    ("before", "after"), [("0ms", "2s"), ("1s", "2s"), ("3s", "0ms")]
+)
+def test_end_of_a_warmup_and_a_later_one_are_changes(before, after):
+    assert not is_same("servers/i-1", warmup(before), warmup(after))
+
+
+# Guards against a fall of the warm-up being forgotten, so that its rise goes unseen.
+def test_warmup_is_compared_with_the_newest_value():
+    cache = StoreCache(is_same, lambda *args: False)
+    changes = []
+    cache.on_change(changes.extend)
+    for revision, left in enumerate(("3s", "1500ms", "2900ms"), 1):
+        event = WatchEvent("servers/i-1", warmup(left), revision)
+        cache.apply([event], StorePosition(revision=revision))
+    assert [event.revision for event in changes] == [1, 3]
 
 
 @pytest.mark.parametrize(
