Take a token for each request to a cold target

A cold target got what its weight drew: up to 15 requests in a second where 13.6 are allowed. Each incarnation of a cold target now has a token bucket. Its holder grants half of the bound, and a standby grants the other half while the holder does not answer, so that two views of the members keep the bound together. Health checks by the holder end the assumption that targets are cold after an evacuation. Nothing changes for services without a warm-up rate.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -16,6 +16,8 @@
 from lacewingpond.entry.hold_over import holds_over
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.limits.named_limits import NamedLimits
+from lacewingpond.entry.limits.warmup_checks import WarmupChecks
+from lacewingpond.entry.limits.warmup_rules import WarmupRules
 from lacewingpond.entry.member import Member
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.peers.channel import DatagramChannel
@@ -111,7 +113,7 @@
     __slots__ += ("_registration", "_fleet", "_retries", "_greenlets")
     __slots__ += ("_freshness", "_limiter", "_target_limiter", "_pipeline")
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
-    __slots__ += ("_statements", "_versions_logged")
+    __slots__ += ("_statements", "_versions_logged", "_warmup_checks")
 
     def __init__(
         self,
@@ -196,7 +198,24 @@
             log,
         )
         self._target_limiter = TargetLimiter(
-            limits, table, self.view, self._fleet, self._channel, clock, rng
+            limits,
+            table,
+            self.view,
+            self._fleet,
+            self._channel,
+            clock,
+            rng,
+            _warmup_rules(bounds),
+        )
+        self._warmup_checks = WarmupChecks(
+            names,
+            formats.decode_warmup,
+            self._target_limiter.warmup,
+            table,
+            self.view,
+            self._client,
+            clock,
+            log,
         )
         context = DeliveryContext(
             names,
@@ -292,6 +311,7 @@
                 ("sweep", self._sweep),
                 ("reach", self._reach.run),
                 ("overdue", self._overdue.run),
+                ("warmup-checks", self._warmup_checks.run),
             )
         ]
 
@@ -308,6 +328,7 @@
         self._cfg = cfg
         self._freshness.max_age_s = _max_proof_age_s(cfg.bounds)
         self._limiter.rules = _quota_rules(cfg.bounds)
+        self._target_limiter.warmup.rules = _warmup_rules(cfg.bounds)
         self._statements.max_pause_s = cfg.targets.max_pause_s
         self.view.missing_grace_s = cfg.bounds.seconds("store_return")
         self._divide_limits()
@@ -439,6 +460,10 @@
     )
 
 
+def _warmup_rules(bounds: BoundSettings) -> WarmupRules:
+    return WarmupRules(bounds.warmup_overage, bounds.warmup_slack)
+
+
 def http_options(address: str, descriptors: int) -> HttpOptions:
     """Return the options of an HTTP server.
 
--- a/lacewingpond/entry/fleet.py
+++ b/lacewingpond/entry/fleet.py
@@ -11,6 +11,7 @@
 from lacewingpond.util.clock import Clock
 
 RECENTLY_SEEN_S = 2.0  # a running peer sends several messages a second
+CUT_OFF_S = 1.0  # without a message of any peer; each sends several a second
 SAME_DOMAIN_RATIO = 0.75  # of pulls without a followed peer; bytes between domains cost
 
 
@@ -31,6 +32,7 @@
 
     __slots__ = ("vm_id", "failure_domain", "_view", "_clock", "_rng", "_last_seen")
     __slots__ += ("_ids", "_same_domain", "_other_domains", "_speaking")
+    __slots__ += ("_last_message_at",)
 
     def __init__(
         self,
@@ -46,6 +48,7 @@
         self._clock = clock
         self._rng = rng
         self._last_seen: dict[str, float] = {}
+        self._last_message_at = float("-inf")
         self._ids: dict[str, str] = {}
         self._same_domain: list[str] = []
         self._other_domains: dict[str, list[str]] = {}
@@ -67,9 +70,19 @@
         """
         vm_id = self._ids.get(address)
         if vm_id is not None:
-            self._last_seen[vm_id] = self._clock.now()
+            self._last_seen[vm_id] = self._last_message_at = self._clock.now()
         return vm_id
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no peer sent a message within `CUT_OFF_S`, although there are peers.
+
+        A VM alone in its fleet is not cut off.
+        """
+        if len(self._view.members) <= 1:
+            return False
+        return self._clock.now() - self._last_message_at > CUT_OFF_S
+
     def is_recently_seen(self, vm_id: str) -> bool:
         """Return whether a peer sent a message within `RECENTLY_SEEN_S`."""
         at = self._last_seen.get(vm_id)
--- a/lacewingpond/entry/limits/limiter.py
+++ b/lacewingpond/entry/limits/limiter.py
@@ -1,9 +1,14 @@
-"""Keeps the fleet's requests to a target within the limit that the target names."""
+"""Keeps the fleet's requests to a target within its limits.
+
+A limit is named by the target, or applies while the target is cold.
+"""
 
 import random
 
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.limits.named_limits import Incarnation, NamedLimits
+from lacewingpond.entry.limits.warmup_limiter import WarmupLimiter
+from lacewingpond.entry.limits.warmup_rules import DEFAULT_RULES, WarmupRules
 from lacewingpond.entry.model.entry_target import EntryTarget
 from lacewingpond.entry.peers.channel import DatagramChannel
 from lacewingpond.entry.peers.messages import LimitTokenRequest, TokenGrant
@@ -21,11 +26,12 @@
 
 
 class TargetLimiter:
-    """Takes a token for each request to a target that names a limit.
+    """Takes a token for each request to a target that names a limit or is cold.
 
     One token bucket serves the whole fleet. A target without a token is passed over
     until one may be available. Its bucket starts empty and has no standby, because
-    two holders of the whole limit would exceed it.
+    two holders of the whole limit would exceed it. A target that is cold as well needs
+    a token of both buckets, so that the smaller limit applies.
 
     Parameters
     ----------
@@ -43,15 +49,20 @@
         Time source of the buckets.
     rng : random.Random
         Picks holders to ask and varies waits.
+    warmup_rules : WarmupRules
+        Bounds on the requests to cold targets.
 
     Attributes
     ----------
     limits : NamedLimits
         The limits.
+    warmup : WarmupLimiter
+        Limits the requests to cold targets.
     """
 
     __slots__ = (
         "limits",
+        "warmup",
         "_table",
         "_shares",
         "_fleet",
@@ -69,8 +80,12 @@
         channel: DatagramChannel,
         clock: Clock,
         rng: random.Random,
+        warmup_rules: WarmupRules = DEFAULT_RULES,
     ) -> None:
         self.limits = limits
+        self.warmup = WarmupLimiter(
+            warmup_rules, table, view, fleet, channel, clock, rng
+        )
         self._table = table
         self._shares = TokenShares(
             MAX_TOKEN_REQUESTS, LIMITS_VERSION, view, fleet, channel, clock, rng
@@ -89,9 +104,10 @@
 
     def admit(self, target: EntryTarget) -> Admission:
         """Take a token for a request to `target`, and return whether there was one."""
+        warmup = self.warmup.admit(target)
         limit = self.limits.get(target)
-        if limit is None or limit.rate is None:
-            return Admission(True)
+        if not warmup.admitted or limit is None or limit.rate is None:
+            return warmup
         key = (target.target_id, target.incarnation)
         age_s = self._clock.now() - limit.observed_at
         admission = self._shares.take(
@@ -108,26 +124,29 @@
 
         Keys are target ids. A target whose limit has changed since is not among them.
         """
+        waits_s = self.warmup.exhausted(service)
         if not self._exhausted:
-            return {}
+            return waits_s
         now = self._clock.now()
-        waits_s = {}
         for target in self._targets(service):
             until, rate = self._exhausted.get(target.target_id, (now, None))
             if until <= now or rate != self.rate(target):
                 self._exhausted.pop(target.target_id, None)
             else:
-                waits_s[target.target_id] = until - now
+                wait_s = max(waits_s.get(target.target_id, 0.0), until - now)
+                waits_s[target.target_id] = wait_s
         return waits_s
 
     def limited(self, service: str) -> set[str]:
-        """Return the ids of the targets of a service that name a limit."""
+        """Return the ids of the targets of a service that name a limit or are cold."""
         targets = self._targets(service)
-        return {t.target_id for t in targets if self.rate(t) is not None}
+        named = {t.target_id for t in targets if self.rate(t) is not None}
+        return named | self.warmup.cold(service)
 
     def leave(self) -> None:
         """Stop holding buckets, so that other members take them over."""
         self._shares.leave()
+        self.warmup.leave()
 
     def _allowance(self, key: Incarnation, rate: float) -> Allowance:
         """Return the bucket of a target for the VMs that keep to its limit.
--- a/lacewingpond/entry/requests/target_choice.py
+++ b/lacewingpond/entry/requests/target_choice.py
@@ -28,7 +28,7 @@
     placer : EntryPlacer
         Picks targets of the service.
     limiter : TargetLimiter
-        Admits requests to targets that name a limit.
+        Admits requests to targets that name a limit or are cold.
     clock : Clock
         Time source.
 
@@ -74,20 +74,21 @@
         return self.pick_unlimited(retryable)
 
     def pick_unlimited(self, retryable: bool = False) -> TargetState | None:
-        """Return an untried target that names no limit."""
+        """Return an untried target that names no limit and is not cold."""
         limited = self._limiter.limited(self._request.service)
         return self._pick_except(limited, retryable)
 
     def limit_fields(self, state: TargetState) -> dict[str, object]:
         """Return what the log tells about the limit of an attempt's target."""
         limit = self._limiter.limits.get(state.spec)
-        if limit is None or limit.rate is None:
-            return {}
         token = self._tokens.get(state.spec.target_id)
+        granted_by = token.granted_by if token is not None else ""
+        if limit is None or limit.rate is None:
+            return {"token_from": granted_by} if granted_by else {}
         return {
             "limit": limit.rate,
             "limit_age_s": round(self._clock.now() - limit.observed_at, 2),
-            "token_from": token.granted_by if token is not None else "",
+            "token_from": granted_by,
         }
 
     def retry_after_s(self) -> float:
--- a/lacewingpond/entry/settings.py
+++ b/lacewingpond/entry/settings.py
@@ -191,6 +191,7 @@
     if cfg is not None:
         _check_addresses(cfg, place, findings)
         _check_durations(cfg, place, findings)
+        _check_warmup(cfg.bounds, place, findings)
         _check_clients(cfg.clients, place, findings)
         if cfg.log.level not in LOG_LEVELS:
             choices = ", ".join(LOG_LEVELS)
@@ -229,6 +230,14 @@
             findings.append(Finding(f"{place}.clients.{name}", "must be at least 1"))
 
 
+def _check_warmup(bounds: BoundSettings, place: str, findings: list[Finding]) -> None:
+    for name in ("warmup_overage", "warmup_slack"):
+        if not 0.0 <= getattr(bounds, name) < float("inf"):
+            findings.append(
+                Finding(f"{place}.bounds.{name}", "must be a number of at least 0")
+            )
+
+
 def _check_durations(cfg: EntrySettings, place: str, findings: list[Finding]) -> None:
     for name in DURATION_FIELDS:
         try:
