--- a/lacewingpond/entry/limits/warmup_checks.py
+++ b/lacewingpond/entry/limits/warmup_checks.py
@@ -86,6 +86,16 @@
             why = "assumed cold after an evacuation"
             self._log.decision("warmup", failure_domain, why, targets=len(assumed))
 
+    def stop(self, failure_domain: str) -> None:
+        """Check the targets of a failure domain no longer.
+
+        To be called when an evacuation begins, as it allows no connection to them.
+        """
+        for target_id in tuple(self._assumed):
+            state = self._table.get(target_id)
+            if state is None or state.spec.failure_domain == failure_domain:
+                self._forget(target_id)
+
     def run(self) -> None:
         """Start the checks that are due; never returns."""
         while True:
--- a/tests/entry/test_entry_settings.py
+++ b/tests/entry/test_entry_settings.py
@@ -51,6 +51,8 @@
         ("[7340, 7355]", "[7340]", "listen.peer_ports"),
         ('region = "region-1"', "", "vm.region"),
         ("[bounds]", "[bounds]\nnovelty = 1", "bounds.novelty"),
+        ("[bounds]", "[bounds]\nwarmup_overage = -1", "bounds.warmup_overage"),
+        ("[bounds]", "[bounds]\nwarmup_slack = inf", "bounds.warmup_slack"),
         ("[bounds]", "[clients]\nmax_pipelined = 0\n[bounds]", "clients.max_pipelined"),
         ("[bounds]", "[targets]\nmax_pause = '1 h'\n[bounds]", "targets.max_pause"),
     ],
