--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -21,6 +21,8 @@
 from lacewingpond.entry.hold_over import holds_over
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.limits.named_limits import NamedLimits
+from lacewingpond.entry.limits.warmup_checks import WarmupChecks
+from lacewingpond.entry.limits.warmup_rules import WarmupRules
 from lacewingpond.entry.member import Member
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.peers.channel import DatagramChannel
@@ -118,6 +120,7 @@
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
     __slots__ += ("_statements", "_versions_logged", "_hedging")
     __slots__ += ("_placer", "_balance", "_domain_reporter", "_emptying")
+    __slots__ += ("_warmup_checks",)
 
     def __init__(
         self,
@@ -205,8 +208,26 @@
             log,
         )
         self._target_limiter = TargetLimiter(
-            limits, table, self.view, self._fleet, self._channel, clock, rng
+            limits,
+            table,
+            self.view,
+            self._fleet,
+            self._channel,
+            clock,
+            rng,
+            _warmup_rules(bounds),
         )
+        self._warmup_checks = WarmupChecks(
+            names,
+            formats.decode_warmup,
+            self._target_limiter.warmup,
+            table,
+            self.view,
+            self._client,
+            clock,
+            log,
+        )
+        self.view.evacuations.on_ended(self._warmup_checks.assume_cold)
         reports = DomainReports(clock)
         self._domain_reporter = DomainReporter(
             table, self._fleet, reports, self._channel, clock, log
@@ -285,6 +306,7 @@
             clock,
         )
         self.view.on_config(self._apply_config)
+        self.view.on_evacuations(self._stop_warmup_checks)
         self.view.on_members(self._apply_members)
         self._apply_members()
 
@@ -312,6 +334,7 @@
                 ("reach", self._reach.run),
                 ("overdue", self._overdue.run),
                 ("domain-loads", self._domain_reporter.run),
+                ("warmup-checks", self._warmup_checks.run),
             )
         ]
 
@@ -328,12 +351,17 @@
         self._cfg = cfg
         self._freshness.max_age_s = _max_proof_age_s(cfg.bounds)
         self._limiter.rules = _quota_rules(cfg.bounds)
+        self._target_limiter.warmup.rules = _warmup_rules(cfg.bounds)
         self._statements.max_pause_s = cfg.targets.max_pause_s
         self._hedging.set_options(cfg.hedging)
         self.view.missing_grace_s = cfg.bounds.seconds("store_return")
         self._apply_balance(cfg)
         self._divide_limits()
 
+    def _stop_warmup_checks(self) -> None:
+        for failure_domain in self.view.evacuations.domains:
+            self._warmup_checks.stop(failure_domain)
+
     def _apply_balance(self, cfg: EntrySettings) -> None:
         self._balance.cfg = cfg.balance
         self._domain_reporter.enabled = cfg.balance.enabled
@@ -470,6 +498,10 @@
     )
 
 
+def _warmup_rules(bounds: BoundSettings) -> WarmupRules:
+    return WarmupRules(bounds.warmup_overage, bounds.warmup_slack)
+
+
 def http_options(address: str, descriptors: int) -> HttpOptions:
     """Return the options of an HTTP server.
 
--- a/lacewingpond/entry/evacuation/evacuations.py
+++ b/lacewingpond/entry/evacuation/evacuations.py
@@ -110,8 +110,12 @@
                 self._write(domain, event, era)
             elif domain in self._in_force or domain in self._unknown:
                 self._remove(domain, removal_grace_s)
-            elif key in written:
-                self._log_key(key, "written and deleted at once", event.revision)
+            else:
+                if key in written:
+                    self._log_key(key, "written and deleted at once", event.revision)
+                if domain in known_domains:
+                    # This VM missed the evacuation, in which targets may turn cold.
+                    self._notify_ended(domain)
         self._begin_known(known_domains, last)
         return before != set(self._in_force)
 
@@ -177,6 +181,9 @@
         if evacuation is None:
             return
         self._log_evacuation(evacuation, f"end: {why}")
+        self._notify_ended(domain)
+
+    def _notify_ended(self, domain: str) -> None:
         for listener in self._on_ended:
             listener(domain)
 
--- a/lacewingpond/entry/formats.py
+++ b/lacewingpond/entry/formats.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from msgspec import Struct
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.model.entry_target import EntryTarget
@@ -15,6 +15,10 @@
     return Ok(None)
 
 
+def _no_warmup(headers: Headers) -> Result[float, str]:
+    return Err("the platform states no warm-up")
+
+
 class Formats(Struct, frozen=True):
     """Keys in the store and decoders of their values.
 
@@ -37,6 +41,9 @@
         has none.
     decode_evacuation : callable
         Checks the value of an evacuation key.
+    decode_warmup : callable
+        Decodes from the headers of a health response for how long its target stays
+        cold, in seconds, or returns why they don't tell it.
     """
 
     config_key: str
@@ -48,3 +55,4 @@
     decode_statement: Callable[[int, Headers], TargetStatement]
     evacuations_prefix: str = ""
     decode_evacuation: Callable[[bytes], Result[None, str]] = _accept
+    decode_warmup: Callable[[Headers], Result[float, str]] = _no_warmup
