Entry: pause targets that reject requests as they are busy

A rejection left no state, so the next request could be sent to the same full target. Rejections now start a pause of 0.05 s, which doubles up to 0.8 s while the known load of the target is at least its slots and ends with a success. They are shared in the reports to the failure domain (OutcomeRow.rejections). The placer passes paused targets over, unless all usable ones are paused. Off unless the reporter is told to use rejections.

Measured: tests/entry/test_entry_rejections.py passes; with targets that reject half at random no target idles and the busiest of 6 gets less than twice the mean.

--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -115,13 +115,7 @@
 
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
     __slots__ += ("_last_failure", "_waiting_count", "_error_response")
-    __slots__ += (
-        "_targets",
-        "_earned",
-        "_relays_left",
-        "_relayed_count",
-        "_waiting",
-    )
+    __slots__ += ("_targets", "_earned", "_relays_left", "_relayed_count", "_waiting")
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
         self._context = context
@@ -393,6 +387,7 @@
             return Err(self._misdirected_failure(state))
         if response.headers.get(names.not_run):
             self._observe(state, response, started)
+            self._context.reporter.record_rejection(state)
             return Err(self._busy_failure())
         if not names.is_valid_response(response.headers, self._request.request_id):
             self._context.reporter.record_failure(
--- /dev/null
+++ b/lacewingpond/entry/room/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of the capacity of targets beyond their slots and loads."""
--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection
 
 from lacewingpond.entry.fleet import Fleet
+from lacewingpond.entry.room.without_paused import without_paused
 from lacewingpond.entry.targets.eligibility import (
     TRIALS,
     Eligibility,
@@ -111,6 +112,7 @@
         ]
         if not usable:
             return None
+        usable = without_paused(usable, now)
         domain = self._fleet.failure_domain
         preference = self._domain_preference(usable, states, now)
         weights = [
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -36,10 +36,10 @@
     """Outcomes at one target since the last report."""
 
     __slots__ = ("successes", "failure_evidence", "trial_successes", "evidence_at")
-    __slots__ += ("overdue_evidence",)
+    __slots__ += ("overdue_evidence", "rejections")
 
     def __init__(self) -> None:
-        self.successes = self.trial_successes = 0
+        self.successes = self.trial_successes = self.rejections = 0
         self.failure_evidence = self.overdue_evidence = 0.0
         self.evidence_at = float("-inf")
 
@@ -48,6 +48,7 @@
         self.failure_evidence += row.failure_evidence
         self.trial_successes += row.trial_successes
         self.overdue_evidence += row.overdue_evidence
+        self.rejections += row.rejections
         if row.failure_evidence or row.overdue_evidence > 0.0:
             self.evidence_at = max(self.evidence_at, now - row.age_s)
 
@@ -62,6 +63,7 @@
             load,
             age_s,
             self.overdue_evidence,
+            self.rejections,
         )
 
 
@@ -93,9 +95,20 @@
         Called before broken connections are reported, with the time of the last one;
         returns False if this VM reaches no target, so that they say nothing about the
         targets.
+    uses_rejections : bool
+        Whether targets that reject requests as they are busy are paused and reported.
     """
 
-    __slots__ = ("verify", "_table", "_fleet", "_channel", "_clock", "_log", "_counts")
+    __slots__ = (
+        "verify",
+        "uses_rejections",
+        "_table",
+        "_fleet",
+        "_channel",
+        "_clock",
+        "_log",
+        "_counts",
+    )
     __slots__ += ("_urgent", "_relay_counts", "_loads", "_greenlets")
     __slots__ += ("_last_success_at", "_last_broken_at")
 
@@ -117,6 +130,7 @@
         self._loads: dict[str, int] = {}
         self._last_success_at = clock.now()
         self.verify: Callable[[float], bool] | None = None
+        self.uses_rejections = False
         self._last_broken_at = clock.now()
         self._urgent = Event()
         self._greenlets: list[gevent.Greenlet] = []
@@ -176,6 +190,22 @@
             self._last_broken_at = self._clock.now()
         self._urgent.set()
 
+    def record_rejection(self, state: TargetState) -> None:
+        """Record that a target rejected a request of this VM, as it was busy.
+
+        Parameters
+        ----------
+        state : TargetState
+            The target; its load still counts the request.
+        """
+        if not self.uses_rejections:
+            return
+        row = OutcomeRow(state.spec.target_id, 0, 0.0, rejections=1)
+        now = self._clock.now()
+        self._counts.setdefault(row.target_id, _OutcomeCounts()).add(row, now)
+        others = state.load(now) - 1.0 / state.spec.slots
+        state.rejections.start(now, is_full=others >= 1.0)
+
     def record_overdue(
         self, state: TargetState, evidence: float, age_s: float = 0.0
     ) -> None:
@@ -225,6 +255,8 @@
     def _apply(self, state: TargetState, row: OutcomeRow, source: str) -> bool:
         """Add outcomes to the target's health and return whether they eject it."""
         now = self._clock.now()
+        if row.successes:
+            state.rejections.end()
         was_ejected = state.health.is_ejected(now)
         ejected = state.health.add(
             now,
@@ -252,6 +284,11 @@
                 state.update_peer_load(sender, row.in_flight, now)
             if row.successes or row.failure_evidence or row.overdue_evidence:
                 self._apply(state, row, f"peer {sender}")
+            # Peers' rejections by targets with free slots are at random: a pause on
+            # all VMs after each of them would leave these slots idle.
+            rejected = self.uses_rejections and row.rejections and not row.successes
+            if rejected and state.load(now) >= 1.0:
+                state.rejections.start(now, is_full=True)
         if report.relay:
             self._forward(report.rows)
 
--- a/lacewingpond/entry/targets/state.py
+++ b/lacewingpond/entry/targets/state.py
@@ -2,6 +2,7 @@
 
 from lacewingpond.config.model import Target
 from lacewingpond.entry.model.entry_target import EntryTarget
+from lacewingpond.entry.room.rejection_pause import RejectionPause
 from lacewingpond.entry.targets.health import EntryTargetHealth
 
 LOAD_MAX_AGE_S = 2.5  # twice the interval of reports in the largest failure domain
@@ -20,6 +21,8 @@
         The target in the form that `TargetClient` takes.
     health : EntryTargetHealth
         Its health, from the outcomes that the fleet reports.
+    rejections : RejectionPause
+        Whether it gets no requests, as it rejected some.
     in_flight : int
         Number of requests of this VM that it is processing.
     last_used_at : float
@@ -28,10 +31,11 @@
 
     __slots__ = ("spec", "target", "health", "in_flight", "last_used_at", "_warm_at")
     __slots__ += ("_peer_loads", "_unreachable_until", "_backoff_s")
-    __slots__ += ("_known_load", "_expire_at")
+    __slots__ += ("_known_load", "_expire_at", "rejections")
 
     def __init__(self, spec: EntryTarget, now: float) -> None:
         self.health = EntryTargetHealth()
+        self.rejections = RejectionPause()
         self.in_flight = 0
         self.last_used_at = now
         self._peer_loads: dict[str, tuple[int, float]] = {}
--- /dev/null
+++ b/tests/entry/test_entry_rejections.py
@@ -0,0 +1,130 @@
+"""Tests of targets that reject requests: their pauses, and the reports on them."""
+
+from collections import Counter
+
+import pytest
+from limit_helper import LimitFleet
+
+from lacewingpond.entry.room.rejection_pause import (
+    MAX_PAUSE_S,
+    MIN_PAUSE_S,
+    RejectionPause,
+)
+from lacewingpond.entry.targets.reporter import LOAD_REPORT_S
+
+
+# Guards against pauses that never grow, never stop growing, or outlast a success.
+def test_pause_doubles_while_the_target_is_full_and_ends_with_a_success():
+    pause, now, lengths = RejectionPause(), 100.0, []
+    for _ in range(6):
+        pause.start(now, is_full=True)
+        end = now
+        while pause.is_active(end):
+            end += 0.01
+        lengths.append(round(end - now, 2))
+        now = end
+    assert lengths == [0.05, 0.1, 0.2, 0.4, 0.8, 0.8]
+    pause.start(now, is_full=True)
+    pause.end()
+    assert not pause.is_active(now)
+    pause.start(now, is_full=True)
+    assert not pause.is_active(now + MIN_PAUSE_S)
+
+
+# Load pattern: a burst of simultaneous requests at one full target. Guards against a
+# pause that counts each of them as a further consecutive rejection.
+def test_simultaneous_rejections_count_as_one():
+    pause = RejectionPause()
+    for _ in range(5):
+        pause.start(100.0, is_full=True)
+    assert not pause.is_active(100.0 + MIN_PAUSE_S)
+
+
+@pytest.fixture
+def fleet(clock):
+    fleet = LimitFleet(clock, vms=6, targets=6)
+    for daemon in fleet.daemons:
+        daemon.context.reporter.uses_rejections = True
+        daemon.context.reporter.start()
+    clock.advance(0.01)
+    yield fleet
+    for daemon in fleet.daemons:
+        daemon.context.reporter.stop()
+
+
+def fill(daemon, target_id):
+    """Make a target full of requests of a peer, as far as a VM knows."""
+    state = daemon.table.get(target_id)
+    state.update_peer_load("10.0.0.99:7000", state.spec.slots, daemon.clock.now())
+    return state
+
+
+# Load pattern: one target is full while the others are idle. Guards against requests
+# that are sent to the target that has just rejected one.
+def test_target_that_rejected_is_passed_over_during_its_pause(fleet):
+    daemon = fleet.daemons[0]
+    daemon.context.reporter.record_rejection(daemon.table.get("t1"))
+    picks = {daemon.context.placer.pick("svc", (), True) for _ in range(200)}
+    assert "t1" not in {state.spec.target_id for state in picks}
+    fleet.clock.advance(MIN_PAUSE_S)
+    picks = {daemon.context.placer.pick("svc", (), True) for _ in range(200)}
+    assert "t1" in {state.spec.target_id for state in picks}
+
+
+# Guards against rejections that only the VM knows whose request it was.
+def test_peers_in_the_domain_pause_a_full_target_that_rejected(fleet, clock):
+    here, peer, far = fleet.daemons[0], fleet.daemons[3], fleet.daemons[1]
+    states = [fill(daemon, "t1") for daemon in (here, peer, far)]
+    here.context.reporter.record_rejection(states[0])
+    clock.advance(LOAD_REPORT_S)
+    assert states[1].rejections.is_active(clock.now())
+    assert not states[2].rejections.is_active(clock.now())
+
+
+# Guards against traffic to the few targets that are not paused, or against refusals,
+# when rejections do not tell the targets apart.
+def test_pauses_of_all_targets_are_ignored(fleet):
+    daemon = fleet.daemons[0]
+    for state in daemon.table.all():
+        daemon.context.reporter.record_rejection(state)
+    picks = Counter(
+        daemon.context.placer.pick("svc", (), True).spec.target_id for _ in range(600)
+    )
+    assert len(picks) == 6
+    assert max(picks.values()) < 3 * min(picks.values())
+
+
+# Load pattern: all targets reject half of the requests at random, while slots are free.
+# Guards against idle targets, and against traffic that gathers at a few of them.
+def test_random_rejections_leave_no_target_idle(fleet, clock):
+    send = fleet.targets.send
+
+    def at_random(vm, target, request):
+        chance = {target.target_id} if fleet.rng.random() < 0.5 else set()
+        fleet.targets.refusing = chance
+        return send(vm, target, request)
+
+    fleet.targets.send = at_random
+    busiest = 0.0
+    for _ in range(8):
+        since = clock.now()
+        fleet.run(1.0, per_s=120)
+        counts = [fleet.targets.arrived_at(f"t{n}", since) for n in range(6)]
+        assert min(counts) > 0
+        busiest = max(busiest, max(counts) * len(counts) / sum(counts))
+    assert busiest < 2.0
+    for state in fleet.daemons[0].table.all():
+        assert not state.rejections.is_active(clock.now() + 2 * MIN_PAUSE_S)
+
+
+# Guards against a change of the code path while `[admission]` is off.
+def test_nothing_is_paused_or_reported_when_off(fleet, clock):
+    daemon = fleet.daemons[0]
+    daemon.context.reporter.uses_rejections = False
+    state = fill(daemon, "t1")
+    daemon.context.reporter.record_rejection(state)
+    assert not state.rejections.is_active(clock.now())
+    clock.advance(MAX_PAUSE_S)
+    assert not [
+        m for _, m in daemon.vm.channel.sent if any(r.rejections for r in m.rows)
+    ]
