Entry: leave the last half of the retry balance to the most urgent class

Under overload the rejections of less urgent requests used up the retries of their service on a VM. With [admission] enabled only the most urgent class of a service may take the last half of its balance. A balance of less than two retries can't be divided so: a full one is enough for any request, as the large fleets have 1.6 a VM.

Measured: tests/retries/test_retries_budget.py and tests/entry/test_entry_rejections.py pass; at 5 of 10 retries an urgent request has two attempts, a less urgent one has one.

--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -116,12 +116,13 @@
     """
 
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
-    __slots__ += ("_last_failure", "_waiting_count", "_error_response")
+    __slots__ += ("_last_failure", "_waiting_count", "_error_response", "_is_urgent")
     __slots__ += ("_targets", "_earned", "_relays_left", "_relayed_count", "_waiting")
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
         self._context = context
         self._request = request
+        self._is_urgent = context.admission.is_most_urgent(request)
         self._tried: set[str] = set()
         self._sent_count = 0
         self._may_have_run = False
@@ -539,7 +540,7 @@
         attempts = self._attempt_count() + 1
         if attempts >= request.route.max_attempts or not self._has_time():
             return False
-        return self._context.retries.can_spend(request.service)
+        return self._context.retries.can_spend(request.service, self._is_urgent)
 
     def _overdue_at(self, waiting: WaitingRequest) -> float:
         """Return the time from which the response to an attempt is overdue."""
@@ -570,7 +571,7 @@
     def _can_retry(self) -> bool:
         if self._attempt_count() >= self._request.route.max_attempts:
             return False
-        return self._context.retries.can_spend(self._request.service)
+        return self._context.retries.can_spend(self._request.service, self._is_urgent)
 
     def _final_refusal(self) -> EntryRefusal:
         if self._last_failure is None:
--- a/lacewingpond/retries/budget.py
+++ b/lacewingpond/retries/budget.py
@@ -47,9 +47,19 @@
         balance = self._balances.get(service, self._options.first) + self._options.share
         self._balances[service] = min(balance, self._options.reserve)
 
-    def can_spend(self, service: str) -> bool:
-        """Return whether a retry may be made now."""
-        return self._balances.get(service, 0.0) >= 1.0
+    def can_spend(self, service: str, most_urgent: bool = True) -> bool:
+        """Return whether a retry may be made now.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        most_urgent : bool
+            False for requests that must leave the last half of the balance to more
+            urgent ones.
+        """
+        kept = 0.0 if most_urgent else self._kept()
+        return self._balances.get(service, 0.0) >= 1.0 + kept
 
     def spend(self, service: str) -> bool:
         """Take one retry from the balance; return False if there is none."""
@@ -69,5 +79,13 @@
         for service in set(self._balances) - services:
             del self._balances[service]
 
+    def _kept(self) -> float:
+        """Return the part of the balance that is left to urgent requests.
+
+        It is half of the reserve. A reserve of less than two retries can't be divided
+        so: then a full one is enough for any request.
+        """
+        return max(min(self._options.reserve / 2.0, self._options.reserve - 1.0), 0.0)
+
     def _is_full(self) -> bool:
         return len(self._balances) >= self._options.max_services
--- a/tests/entry/test_entry_rejections.py
+++ b/tests/entry/test_entry_rejections.py
@@ -1,9 +1,11 @@
 """Tests of targets that reject requests: their pauses, and the reports on them."""
 
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 from limit_helper import LimitFleet
+from msgspec import structs
 
 from lacewingpond.entry.admission.options import AdmissionOptions
 from lacewingpond.entry.room.rejection_pause import (
@@ -124,6 +126,23 @@
         assert not any(state.rejections.is_active(later) for state in states)
 
 
+# Load pattern: overload in which targets reject requests of all classes. Guards against
+# deliveries of less urgent requests that take the last half of the retry balance.
+@pytest.mark.parametrize(("urgent", "attempts"), [(True, 2), (False, 1)])
+def test_last_half_of_the_retry_balance_is_for_urgent_requests(fleet, urgent, attempts):
+    daemon = fleet.daemons[0]
+    admission = SimpleNamespace(
+        is_most_urgent=lambda request: urgent, retry_after_s=lambda request: None
+    )
+    daemon.context = structs.replace(daemon.context, admission=admission)
+    fleet.targets.refusing = {f"t{number}" for number in range(6)}
+    daemon.retries.earn("svc")
+    while daemon.retries.can_spend("svc", most_urgent=False):
+        daemon.retries.spend("svc")
+    assert daemon.deliver(1, idempotent=True).err_value.reason == "target-busy"
+    assert len(fleet.targets.requests) == attempts
+
+
 # Guards against a change of the code path while `[admission]` is off.
 def test_nothing_is_paused_or_reported_when_off(fleet, clock):
     daemon = fleet.daemons[0]
--- a/tests/retries/test_retries_budget.py
+++ b/tests/retries/test_retries_budget.py
@@ -27,6 +27,21 @@
     assert [budget.spend("ledger") for _ in range(4)] == [True, True, True, False]
 
 
+# Load pattern: overload in which requests of all classes fail. Guards against less
+# urgent requests that use up the retries of urgent ones.
+@pytest.mark.parametrize(("reserve", "left"), [(10.0, 5), (3.0, 2), (1.6, 0)])
+def test_last_half_of_the_balance_is_left_to_the_most_urgent_class(reserve, left):
+    budget = RetryBudget(RetryOptions(first=reserve, reserve=reserve))
+    budget.earn("svc")
+    assert budget.can_spend("svc", most_urgent=False)
+    while budget.can_spend("svc", most_urgent=False):
+        budget.spend("svc")
+    spent = 0
+    while budget.can_spend("svc"):
+        spent += budget.spend("svc")
+    assert spent == left
+
+
 def test_services_beyond_the_maximum_get_no_retries():
     budget = RetryBudget(RetryOptions(share=1.0, first=0.0, max_services=1))
     budget.earn("a")
