Entry: refuse no request on a predicted wait while slots are free

After a fall of the load a VM of a large fleet holds its backlog until the next report. The rate of completions is low then, so newcomers were refused for a wait that they would not have had. The prediction applies from busy_load up only.

--- a/lacewingpond/entry/admission/queue_admission.py
+++ b/lacewingpond/entry/admission/queue_admission.py
@@ -103,7 +103,7 @@
         ticket = AdmissionTicket(request, self._start_by(request), now)
         if line.has_room(ticket):
             return None
-        line.push(ticket, self.options.max_waiting)
+        line.push(ticket, self.options)
         line.release(now)
         try:
             self._wait(line, ticket)
--- a/lacewingpond/entry/admission/waiting_line.py
+++ b/lacewingpond/entry/admission/waiting_line.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from lacewingpond.entry.admission.class_order import AdmissionTicket, ClassOrder
+from lacewingpond.entry.admission.options import AdmissionOptions
 from lacewingpond.entry.admission.service_capacity import Capacity
 from lacewingpond.entry.model.route import EntryRoute
 from lacewingpond.entry.targets.reporter import LOAD_REPORT_S
@@ -106,21 +107,23 @@
             self.order.remove(ticket)
             self._refuse(ticket, QueueReason.CALLER_GONE)
 
-    def push(self, ticket: AdmissionTicket, max_waiting: int) -> None:
+    def push(self, ticket: AdmissionTicket, options: AdmissionOptions) -> None:
         """Add a request, or refuse it or another one if it can't be served in time.
 
         Parameters
         ----------
         ticket : AdmissionTicket
             The request; it has its result already if it is refused.
-        max_waiting : int
-            Most requests that may wait.
+        options : AdmissionOptions
+            The most requests that may wait, and the load below which slots are known
+            to be free, so that what waits goes on with the next report.
         """
         wait_s = self.order.ahead_of(ticket) / self.rate_per_s(ticket.request.route)
-        if ticket.arrived_at + wait_s >= ticket.deadline:
+        is_late = ticket.arrived_at + wait_s >= ticket.deadline
+        if is_late and self.load() >= options.busy_load:
             self._refuse(ticket, QueueReason.DEADLINE_OUT_OF_REACH)
             return
-        if len(self.order) >= max_waiting:
+        if len(self.order) >= options.max_waiting:
             evicted = self.order.eviction_candidate(ticket)
             if evicted is None:
                 self._refuse(ticket, QueueReason.QUEUE_FULL)
