--- a/tests/entry/test_entry_daemon.py
+++ b/tests/entry/test_entry_daemon.py
@@ -125,6 +125,18 @@
     assert ready_status(daemon) == 503
 
 
+# Guards against settings that are read and not applied, at the start or at a reload.
+def test_admission_is_off_until_the_settings_ask_for_it(daemon):
+    assert not daemon._admission.options.enabled
+    assert not daemon._reporter.uses_rejections
+    section = {"enabled": True, "max_waiting": 5}
+    changed = check_entry_settings({**SETTINGS, "admission": section}, "s").unwrap()
+    daemon.apply_settings(changed)
+    assert daemon._admission.options.max_waiting == 5
+    assert daemon._reporter.uses_rejections
+    assert daemon._pipeline._context.admission is daemon._admission
+
+
 class HoldingLog(RecordingDecisionLog):
     """A log that holds a clock as a line is written."""
 
--- a/tests/entry/test_entry_rejections.py
+++ b/tests/entry/test_entry_rejections.py
@@ -84,6 +84,15 @@
     assert not states[2].rejections.is_active(clock.now())
 
 
+# Load pattern: targets reject at random. Guards against free slots that are left idle
+# on all VMs after each rejection.
+def test_peers_do_not_pause_a_target_with_free_slots(fleet, clock):
+    here, peer = fleet.daemons[0], fleet.daemons[3]
+    here.context.reporter.record_rejection(here.table.get("t1"))
+    clock.advance(LOAD_REPORT_S)
+    assert not peer.table.get("t1").rejections.is_active(clock.now())
+
+
 # Guards against traffic to the few targets that are not paused, or against refusals,
 # when rejections do not tell the targets apart.
 def test_pauses_of_all_targets_are_ignored(fleet):
