--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -8,6 +8,8 @@
 import gevent
 from msgspec import structs
 
+from lacewingpond.entry.admission.queue_admission import QueueAdmission
+from lacewingpond.entry.admission.service_capacity import ServiceCapacity
 from lacewingpond.entry.balance.domain_balance import DomainBalance
 from lacewingpond.entry.balance.reporter import DomainReporter
 from lacewingpond.entry.balance.reports import DomainReports
@@ -120,7 +122,7 @@
     __slots__ += ("_reach", "_peer_client", "_relay_server", "_overdue")
     __slots__ += ("_statements", "_versions_logged", "_hedging")
     __slots__ += ("_placer", "_balance", "_domain_reporter", "_emptying")
-    __slots__ += ("_warmup_checks",)
+    __slots__ += ("_warmup_checks", "_admission")
 
     def __init__(
         self,
@@ -237,6 +239,10 @@
         )
         self._placer = EntryPlacer(table, statements, self._fleet, clock, rng)
         self._apply_balance(cfg)
+        latencies = self._overdue.latencies
+        capacity = ServiceCapacity(self._placer, table, latencies, self._fleet)
+        self._admission = QueueAdmission(cfg.admission, capacity, clock, rng, log)
+        self._reporter.uses_rejections = cfg.admission.enabled
         context = DeliveryContext(
             names,
             table,
@@ -265,7 +271,8 @@
             ),
             clock,
             log,
-            hedging=self._hedging,
+            self._hedging,
+            self._admission,
         )
         pipeline = self._pipeline = EntryPipeline(
             names,
@@ -335,6 +342,7 @@
                 ("overdue", self._overdue.run),
                 ("domain-loads", self._domain_reporter.run),
                 ("warmup-checks", self._warmup_checks.run),
+                ("admission", self._admission.run),
             )
         ]
 
@@ -352,6 +360,8 @@
         self._freshness.max_age_s = _max_proof_age_s(cfg.bounds)
         self._limiter.rules = _quota_rules(cfg.bounds)
         self._target_limiter.warmup.rules = _warmup_rules(cfg.bounds)
+        self._admission.options = cfg.admission
+        self._reporter.uses_rejections = cfg.admission.enabled
         self._statements.max_pause_s = cfg.targets.max_pause_s
         self._hedging.set_options(cfg.hedging)
         self.view.missing_grace_s = cfg.bounds.seconds("store_return")
@@ -448,6 +458,7 @@
         self._retries.keep_only(frozenset(cfg.services))
         self._balance.keep_only(frozenset(cfg.services))
         self._hedging.apply_config(cfg)
+        self._admission.configure(cfg)
         self._overdue.latencies.keep_only(frozenset(r.name for r in cfg.routes))
         self._divide_limits()
 
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -6,6 +6,7 @@
 from msgspec import Struct, field
 from result import Err, Ok, Result
 
+from lacewingpond.entry.admission.base import Admission, AdmitAll
 from lacewingpond.entry.header_names import HeaderNames
 from lacewingpond.entry.hedging.hedging import Hedging
 from lacewingpond.entry.limits.limiter import TargetLimiter
@@ -96,6 +97,7 @@
     clock: Clock
     log: DecisionLog
     hedging: Hedging = field(default_factory=Hedging.off)
+    admission: Admission = AdmitAll()
 
 
 class EntryDelivery:
@@ -116,19 +118,14 @@
     """
 
     __slots__ = ("_context", "_request", "_tried", "_sent_count", "_may_have_run")
-    __slots__ += ("_last_failure", "_waiting_count", "_error_response")
-    __slots__ += (
-        "_targets",
-        "_earned",
-        "_relays_left",
-        "_relayed_count",
-        "_waiting",
-        "_second_attempts",
-    )
+    __slots__ += ("_last_failure", "_waiting_count", "_error_response", "_is_urgent")
+    __slots__ += ("_targets", "_earned", "_relays_left", "_relayed_count", "_waiting")
+    __slots__ += ("_second_attempts",)
 
     def __init__(self, context: DeliveryContext, request: EntryRequest) -> None:
         self._context = context
         self._request = request
+        self._is_urgent = context.admission.is_most_urgent(request)
         self._tried: set[str] = set()
         self._sent_count = 0
         self._may_have_run = False
@@ -142,6 +139,7 @@
             context.placer,
             context.limiter,
             context.clock,
+            context.admission,
         )
         self._second_attempts = SecondAttempts(self, context, request, self._targets)
         self._earned = False
@@ -344,6 +342,7 @@
             return Err(self._misdirected_failure(state))
         if response.headers.get(names.not_run):
             self._observe(state, response, started)
+            self._context.reporter.record_rejection(state)
             return Err(self._busy_failure())
         if not names.is_valid_response(response.headers, self._request.request_id):
             self._context.reporter.record_failure(
@@ -493,7 +492,7 @@
         attempts = self.attempt_count() + 1
         if attempts >= request.route.max_attempts or not self._has_time():
             return False
-        return self._context.retries.can_spend(request.service)
+        return self._context.retries.can_spend(request.service, self._is_urgent)
 
     def _has_time(self) -> bool:
         return self._context.clock.now() + MIN_ATTEMPT_S < self._request.deadline
@@ -509,7 +508,7 @@
     def _can_retry(self) -> bool:
         if self.attempt_count() >= self._request.route.max_attempts:
             return False
-        return self._context.retries.can_spend(self._request.service)
+        return self._context.retries.can_spend(self._request.service, self._is_urgent)
 
     def _final_refusal(self) -> EntryRefusal:
         if self._last_failure is None:
--- a/lacewingpond/entry/requests/target_choice.py
+++ b/lacewingpond/entry/requests/target_choice.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Collection
 
+from lacewingpond.entry.admission.base import Admission
 from lacewingpond.entry.limits.limiter import TargetLimiter
-from lacewingpond.entry.quota.admission import Admission
+from lacewingpond.entry.quota.admission import Admission as LimitAdmission
 from lacewingpond.entry.requests.outcome import IDLE_RETRY_AFTER_S
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
@@ -32,6 +33,8 @@
         Admits requests to targets that name a limit or are cold.
     clock : Clock
         Time source.
+    admission : Admission
+        Tells the retry time of loaded services.
 
     Attributes
     ----------
@@ -40,7 +43,7 @@
     """
 
     __slots__ = ("passed_over", "_request", "_tried", "_placer", "_limiter", "_clock")
-    __slots__ += ("_tokens", "_denied_count")
+    __slots__ += ("_tokens", "_denied_count", "_admission")
 
     def __init__(
         self,
@@ -49,6 +52,7 @@
         placer: EntryPlacer,
         limiter: TargetLimiter,
         clock: Clock,
+        admission: Admission,
     ) -> None:
         self.passed_over: dict[str, int] = {}
         self._request = request
@@ -56,7 +60,8 @@
         self._placer = placer
         self._limiter = limiter
         self._clock = clock
-        self._tokens: dict[str, Admission] = {}
+        self._admission = admission
+        self._tokens: dict[str, LimitAdmission] = {}
         self._denied_count = 0
 
     def pick(self, retryable: bool) -> TargetState | None:
@@ -103,6 +108,9 @@
         pauses_s = self._placer.pauses_s(service)
         if pauses_s and self._placer.pick(service, (), False) is None:
             return min(pauses_s)
+        retry_after_s = self._admission.retry_after_s(self._request)
+        if retry_after_s is not None:
+            return retry_after_s
         load = self._placer.load(service)
         return BUSY_RETRY_AFTER_S if load >= BUSY_LOAD else IDLE_RETRY_AFTER_S
 
--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -10,6 +10,7 @@
 
 from lacewingpond.entry.balance.domain_balance import DomainBalance
 from lacewingpond.entry.fleet import Fleet
+from lacewingpond.entry.room.without_paused import without_paused
 from lacewingpond.entry.targets.eligibility import (
     TRIALS,
     Eligibility,
@@ -120,6 +121,7 @@
             return None
         if self.balance is not None:
             usable = self._of_one_domain(self.balance, service, usable, states)
+        usable = without_paused(usable, now)
         domain = self._fleet.failure_domain
         preference = self._domain_preference(usable, states, now)
         weights = [
--- a/tests/entry/test_entry_daemon.py
+++ b/tests/entry/test_entry_daemon.py
@@ -137,6 +137,18 @@
     assert hedging.enabled
 
 
+# Guards against settings that are read and not applied, at the start or at a reload.
+def test_admission_is_off_until_the_settings_ask_for_it(daemon):
+    assert not daemon._admission.options.enabled
+    assert not daemon._reporter.uses_rejections
+    section = {"enabled": True, "max_waiting": 5}
+    changed = check_entry_settings({**SETTINGS, "admission": section}, "s").unwrap()
+    daemon.apply_settings(changed)
+    assert daemon._admission.options.max_waiting == 5
+    assert daemon._reporter.uses_rejections
+    assert daemon._pipeline._context.admission is daemon._admission
+
+
 class HoldingLog(RecordingDecisionLog):
     """A log that holds a clock as a line is written."""
 
