Test of evacuations: carry long listings between daemons

Cause: a VM that hears only peers gets the listing of a new era over a stream when it is too long for a datagram.

Change: the tests hand the listing over from the peer's follower, unless the peer is cut.

--- a/tests/entry/test_entry_evacuation_fleet.py
+++ b/tests/entry/test_entry_evacuation_fleet.py
@@ -1,6 +1,7 @@
 """Tests of evacuations over several daemons that follow a store which may go back."""
 
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import pytest
 from entry_helper import MISSING_GRACE_S, Network, route
@@ -34,8 +35,23 @@
         self.reaches_peers = [True] * size
         self.hears_since = [clock.now()] * size
         self.changed_at = {}
+        # A listing in a new era is too long for a datagram; the network has no streams.
+        self._streams = patch(
+            "lacewingpond.entry.follower.fetch_changes", self._fetch_changes
+        )
+        self._streams.start()
         self.era.run(SETTLE_S)
 
+    def stop(self):
+        self._streams.stop()
+        self.era.stop()
+
+    def _fetch_changes(self, address, request):
+        if address in self.era.network.cut:
+            raise ConnectionRefusedError
+        (peer,) = (each for each in self.era.vms if each.vm.address == address)
+        return peer.follower.changes_for(request)
+
     @property
     def store(self):
         return self.era.store
@@ -108,7 +124,7 @@
 def fleet(clock):
     fleet = EvacuationFleet(clock)
     yield fleet
-    fleet.era.stop()
+    fleet.stop()
 
 
 # Guards against a store that lost the key ending the evacuation before its grace, and
@@ -244,7 +260,7 @@
             for picker in fleet.pickers:
                 assert picker.domains(count=200) == set(DOMAINS)
         finally:
-            fleet.era.stop()
+            fleet.stop()
 
 
 EvacuationMachine.TestCase.settings = settings(max_examples=30, stateful_step_count=20)
