Derive the priority classes of a service in one place

Cause: hedging and admission each derived the classes of a service from routes and workspaces; only one of them left out parts of a split with weight 0.

Change: service_classes moves to entry/model and both use it.

Result: tests of admission and hedging pass.

--- a/lacewingpond/entry/admission/priority_classes.py
+++ b/lacewingpond/entry/admission/priority_classes.py
@@ -4,6 +4,7 @@
 
 from lacewingpond.entry.admission.options import AdmissionOptions
 from lacewingpond.entry.model.entry_config import EntryConfig
+from lacewingpond.entry.model.service_classes import service_classes
 
 
 class PriorityClasses:
@@ -21,19 +22,10 @@
     __slots__ = ("_priorities",)
 
     def __init__(self, cfg: EntryConfig | None) -> None:
-        self._priorities: dict[str, list[int]] = {}
-        if cfg is None:
-            return
-        of_workspaces = {each.priority for each in cfg.workspaces.values()}
-        found: dict[str, set[int]] = {}
-        for route in cfg.routes:
-            named = of_workspaces
-            if route.public or not cfg.has_workspaces:
-                named = {None}
-            priorities = {route.priority if p is None else p for p in named}
-            for part in route.split:
-                found.setdefault(part.service, set()).update(priorities)
-        self._priorities = {service: sorted(found[service]) for service in found}
+        classes = service_classes(cfg) if cfg is not None else {}
+        self._priorities = {
+            service: sorted(found) for service, found in classes.items()
+        }
 
     def rank(self, service: str, priority: int) -> int:
         """Return how many classes of the service are more urgent than `priority`.
--- a/lacewingpond/entry/hedging/hedging.py
+++ b/lacewingpond/entry/hedging/hedging.py
@@ -2,11 +2,11 @@
 
 from collections import Counter
 
-from lacewingpond.entry.hedging.classes import service_classes
 from lacewingpond.entry.hedging.options import HedgingOptions
 from lacewingpond.entry.hedging.policy import HedgeRefusal, HedgingPolicy, SlowRequest
 from lacewingpond.entry.model.entry_config import EntryConfig
 from lacewingpond.entry.model.route import EntryRoute
+from lacewingpond.entry.model.service_classes import service_classes
 from lacewingpond.retries.budget import RetryBudget
 from lacewingpond.retries.options import RetryOptions
 from lacewingpond.telemetry.decisions import DecisionLog
--- a/tests/entry/test_entry_hedging.py
+++ b/tests/entry/test_entry_hedging.py
@@ -9,7 +9,6 @@
 from msgspec import structs
 from test_entry_daemon import SETTINGS
 
-from lacewingpond.entry.hedging.classes import service_classes
 from lacewingpond.entry.hedging.hedging import (
     EXTRA_RESERVE,
     REPORT_INTERVAL_S,
@@ -18,6 +17,7 @@
 from lacewingpond.entry.hedging.options import HedgingOptions
 from lacewingpond.entry.hedging.policy import HedgeRefusal, HedgingPolicy, SlowRequest
 from lacewingpond.entry.hedging.targets import unfit_for_hedge
+from lacewingpond.entry.model.service_classes import service_classes
 from lacewingpond.entry.settings import check_entry_settings
 from lacewingpond.entry.targets.latency import RouteLatency
 from lacewingpond.entry.targets.state import TargetState
