--- a/lacewingpond/entry/balance/controller.py
+++ b/lacewingpond/entry/balance/controller.py
@@ -2,9 +2,9 @@
 
 import math
 
-# Part of the remaining difference that is corrected per second. Loads are 0.5 to 1 s
-# old; a higher rate follows their random changes.
-RATE_PER_S = 1.5
+# Rate at which the planned share approaches the one needed. Lower rates lag behind
+# waves of 13 s; higher ones follow random changes of the load.
+RATE_PER_S = 3.0
 TRIM_RATE_PER_S = 0.4  # slower than the loads are old, so that the trim can't oscillate
 # Difference between the near and the mean load that is not trimmed, in requests per
 # slot. Random differences would make domains send requests to one another.
