Test that a caller that leaves frees its target, however it is noticed

What was seen: test_caller_that_leaves_cancels_its_requests_at_targets failed once of three runs of tests/entry at a load average of 17: unanswered-caller-gone instead of cancelled.

Cause: the caller's connection and the wait for the target both check for a caller that has left, the latter each 0.2 s. If the process is held up for longer, the wait for the target finds it first. Shown by a blocking sleep of 0.3 s after the close: 6 of 6 runs ended so.

Change: the test accepts both ends, as both close the connection to the target, and now also asserts that no connection to the target is left open, which it did not before.

--- a/tests/entry/test_entry_pipelined.py
+++ b/tests/entry/test_entry_pipelined.py
@@ -111,6 +111,8 @@
     )
 
 
+# Guards against targets that work on for a caller that has left. The connection of the
+# caller and the wait for the target both notice it; which is first depends on timing.
 def test_caller_that_leaves_cancels_its_requests_at_targets():
     target = HeldTarget("a", "b", "c")
     with running_pipeline(target) as stack:
@@ -122,11 +124,10 @@
             while stack.pipeline.running:
                 gevent.sleep(0.002)
         attempts = [line for line in stack.vm.log.lines if line[0] == "attempt"]
-        assert {(which, why) for _, which, why, _ in attempts} == {
-            ("a", "cancelled"),
-            ("b", "cancelled"),
-            ("c", "cancelled"),
-        }
+        ends = {which: why for _, which, why, _ in attempts}
+        assert ends.keys() == {"a", "b", "c"}
+        assert set(ends.values()) <= {"cancelled", "unanswered-caller-gone"}
+        assert stack.client.connections(stack.table.get("t1").target) == 0
         assert all(fields["target"] == "t1" for *_, fields in attempts)
         for event in target.events.values():
             event.set()
