Count an evacuation whose value is nested too deeply

msgspec raises RecursionError for such a value, which is no MsgspecError. It left the decoder and would have ended the greenlet that follows the store, while the key alone is to be sufficient. It is now a value that can't be decoded, as any other. Test: test_values_on_the_platform fails before, with RecursionError at 5,000 levels.

--- a/lacewingpond/platform/evacuation_value.py
+++ b/lacewingpond/platform/evacuation_value.py
@@ -14,6 +14,6 @@
     """
     try:
         msgspec.json.decode(value, type=dict[str, msgspec.Raw])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         return Err(str(exc))
     return Ok(None)
--- a/tests/entry/test_entry_evacuation.py
+++ b/tests/entry/test_entry_evacuation.py
@@ -194,7 +194,14 @@
 # Guards against the platform's key and values being read in another way than stated.
 @pytest.mark.parametrize(
     ("value", "valid"),
-    [(b"{}", True), (b'{"by":1}', True), (b"", False), (b"1", False)],
+    [
+        (b"{}", True),
+        (b'{"by":1}', True),
+        (b"", False),
+        (b"1", False),
+        # Too deep for the decoder: an exception would end the follower of the store.
+        (b'{"by":' + b"[" * 5000 + b"]" * 5000 + b"}", False),
+    ],
 )
 def test_values_on_the_platform(value, valid):
     assert PLATFORM_FORMATS.evacuations_prefix == "op/evacuate/"
