Send no health check to a domain that was evacuated again

Checks run 16 at a time and take up to 0.5 s each, so where many targets do not respond, one may wait until the next evacuation of the domain has begun. The check that was forgotten meanwhile was still sent, and a response from before the evacuation could show a target warm after it. It also left a log state behind that nothing removed. Such checks are now dropped, before and after sending. Both new tests fail before.

--- a/lacewingpond/entry/limits/warmup_checks.py
+++ b/lacewingpond/entry/limits/warmup_checks.py
@@ -129,8 +129,19 @@
         return due
 
     def check(self, state: TargetState) -> None:
-        """Request the health path of a target and record for how long it is cold."""
+        """Request the health path of a target and record for how long it is cold.
+
+        Nothing is sent, or recorded, if the target was forgotten since `due` returned
+        it: where many targets do not respond, checks wait for one another, and the next
+        evacuation of their domain may begin before.
+        """
+        target_id = state.spec.target_id
+        due_at = self._checked_at.get(target_id)
+        if due_at is None:
+            return
         result = self._left_s(state)
+        if self._checked_at.get(target_id) != due_at:
+            return
         if result.is_err():
             self._log_change(state, f"unknown: {result.err_value}")
             return
--- a/tests/entry/test_entry_warmup_fleet.py
+++ b/tests/entry/test_entry_warmup_fleet.py
@@ -209,6 +209,42 @@
     assert not paths.checks
 
 
+def due_checks(fleet, checks):
+    fleet._beat()
+    due = [(each, state) for each in checks for state in each.due()]
+    assert due
+    return due
+
+
+# Failure: many targets do not respond, so that checks wait while the next evacuation
+# begins, and would then reach the domain.
+def test_check_that_waited_is_not_sent_to_an_evacuated_domain(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    paths, checks = assume_cold(fleet, left_ms=0)
+    for each, state in due_checks(fleet, checks):
+        each.stop("zone-a")
+        each.check(state)
+    assert not paths.checks
+
+
+# Failure: the response to a check arrives when the domain was evacuated once more, in
+# which its target may have turned cold.
+def test_response_from_before_an_evacuation_does_not_show_a_target_warm(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    paths, checks = assume_cold(fleet, left_ms=0)
+    for each, state in due_checks(fleet, checks):
+
+        def send(*args, each=each):
+            each.stop("zone-a")
+            each.assume_cold("zone-a")
+            return paths._send(*args)
+
+        each._client.send = send
+        each.check(state)
+        assert not state.is_warm(clock.now())
+    assert paths.checks
+
+
 # Failure: an evacuation ends, and its targets are cold without a restart.
 def test_target_is_assumed_cold_after_an_evacuation(clock):
     fleet = WarmupFleet(clock)
