Drop the waits for tokens of cold targets that were removed

A wait was dropped only when its target was looked up again, which never happens once the target is removed, so the map grew by one entry for each. Waits that have ended are dropped when a target is added.

--- a/lacewingpond/entry/limits/warmup_limiter.py
+++ b/lacewingpond/entry/limits/warmup_limiter.py
@@ -92,8 +92,7 @@
                 ),
             )
         if not admission.admitted:
-            until = self._clock.now() + admission.retry_after_s
-            self._exhausted[target.target_id] = (until, target.incarnation)
+            self._record_exhausted(target, admission.retry_after_s)
         return admission
 
     def exhausted(self, service: str) -> dict[str, float]:
@@ -141,6 +140,15 @@
     def _is_cold(self, state: TargetState, now: float) -> bool:
         return state.warmup.left_s(now) > 0.0 and self._rate(state.spec.service) > 0.0
 
+    def _record_exhausted(self, target: EntryTarget, wait_s: float) -> None:
+        now, exhausted = self._clock.now(), self._exhausted
+        if target.target_id not in exhausted:
+            # Targets that were removed meanwhile are not looked at by `exhausted`.
+            ended = [k for k, (until, _) in exhausted.items() if until <= now]
+            for target_id in ended:
+                del exhausted[target_id]
+        exhausted[target.target_id] = (now + wait_s, target.incarnation)
+
     def _keep(self, name: str, left_s: float) -> None:
         """Keep a bucket while its target is cold, and drop those no longer needed."""
         now = self._clock.now()
--- a/tests/entry/test_entry_warmup_fleet.py
+++ b/tests/entry/test_entry_warmup_fleet.py
@@ -1,6 +1,8 @@
 """Tests of the bound on the requests to a cold target, over all VMs of a fleet."""
 
+import msgspec
 import pytest
+from entry_helper import entry_target
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -245,6 +247,21 @@
     assert paths.checks
 
 
+# Failure: targets are removed while they have no token, and never looked up again.
+def test_waits_for_tokens_of_removed_targets_are_dropped(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    warmup = fleet.daemons[0].context.limiter.warmup
+    for number in range(20):
+        target_id = f"cold-{number}"
+        spec = entry_target(target_id, "127.0.0.1:9001", warmup_left_s=WARMUP_S)
+        fleet.put(f"targets/{target_id}", msgspec.json.encode(spec))
+        while warmup.admit(spec).admitted:
+            pass
+        fleet.put(f"targets/{target_id}", None)
+        clock.advance(WARMUP_S)
+    assert len(warmup._exhausted) <= 1
+
+
 # Failure: an evacuation ends, and its targets are cold without a restart.
 def test_target_is_assumed_cold_after_an_evacuation(clock):
     fleet = WarmupFleet(clock)
