Tell callers no wait for tokens of targets that they can't use

Waits of targets in evacuated domains, and of targets that the sender of a relayed request excluded, counted for Retry-After and for the reason target-limits, although no request may be sent there when the wait ends. The limiters now look at the remaining targets only, and the refusal leaves out excluded ones. The new tests fail before.

--- a/lacewingpond/entry/limits/limiter.py
+++ b/lacewingpond/entry/limits/limiter.py
@@ -122,13 +122,15 @@
     def exhausted(self, service: str) -> dict[str, float]:
         """Return the targets without a token now, with the seconds until one.
 
-        Keys are target ids. A target whose limit has changed since is not among them.
+        Keys are target ids. A target whose limit has changed since is not among them,
+        nor one in an evacuated failure domain, which gets no request after the wait.
         """
         waits_s = self.warmup.exhausted(service)
         if not self._exhausted:
             return waits_s
         now = self._clock.now()
-        for target in self._targets(service):
+        for state in self._table.remaining(service):
+            target = state.spec
             until, rate = self._exhausted.get(target.target_id, (now, None))
             if until <= now or rate != self.rate(target):
                 self._exhausted.pop(target.target_id, None)
--- a/lacewingpond/entry/limits/warmup_limiter.py
+++ b/lacewingpond/entry/limits/warmup_limiter.py
@@ -98,13 +98,14 @@
     def exhausted(self, service: str) -> dict[str, float]:
         """Return the cold targets without a token now, with the seconds until one.
 
-        Keys are target ids. A target that has become warm since is not among them.
+        Keys are target ids. A target that has become warm since is not among them, nor
+        one in an evacuated failure domain, which gets no request after the wait.
         """
         waits_s: dict[str, float] = {}
         if not self._exhausted:
             return waits_s
         now = self._clock.now()
-        for state in self._table.ready(service):
+        for state in self._table.remaining(service):
             target_id = state.spec.target_id
             until, incarnation = self._exhausted.get(target_id, (now, 0))
             if (
--- a/lacewingpond/entry/requests/target_choice.py
+++ b/lacewingpond/entry/requests/target_choice.py
@@ -122,7 +122,8 @@
             return EntryRefusal.not_run(
                 503, "domain-evacuated", detail, EVACUATED_RETRY_AFTER_S
             )
-        waits_s = list(self._limiter.exhausted(service).values())
+        waits = self._limiter.exhausted(service).items()
+        waits_s = [wait_s for key, wait_s in waits if key not in self._request.excluded]
         pauses_s = self._placer.pauses_s(service)
         if pauses_s:
             detail = "The targets of the service have asked for a pause."
--- a/tests/entry/test_entry_warmup_fleet.py
+++ b/tests/entry/test_entry_warmup_fleet.py
@@ -1,5 +1,7 @@
 """Tests of the bound on the requests to a cold target, over all VMs of a fleet."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 from entry_helper import entry_target
@@ -12,6 +14,7 @@
 from lacewingpond.entry.limits.warmup_rules import warmup_allowance
 from lacewingpond.entry.peers.messages import WarmupTokenRequest
 from lacewingpond.entry.quota.standby_shares import STANDBY_DELAY_S
+from lacewingpond.entry.requests.target_choice import TargetChoice
 from lacewingpond.util.clock import ManualClock
 
 LONG_WARMUP_S = 8.0
@@ -262,6 +265,36 @@
     assert len(warmup._exhausted) <= 1
 
 
+# Failure: the wait for a token of an evacuated target is told to callers as the time
+# after which their requests are served.
+@pytest.mark.parametrize("limit", [None, "1"])
+def test_evacuated_targets_are_not_waited_for(clock, limit):
+    fleet = WarmupFleet(clock, targets=1)
+    if limit is None:
+        fleet.turn_cold(LONG_WARMUP_S)
+    else:
+        fleet.targets.limits["t0"] = limit
+    fleet.serve(1.0, 100, 0, busy_ratio=1.0)
+    limiter = fleet.daemons[0].context.limiter
+    assert limiter.exhausted("svc")
+    fleet.put("evacuate/zone-a", b"{}")
+    assert not limiter.exhausted("svc")
+
+
+# Failure: a relayed request is told to wait for a target that its sender excluded.
+def test_relayed_request_waits_for_no_excluded_target(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    fleet.turn_cold(LONG_WARMUP_S)
+    fleet.serve(1.0, 100, 0, busy_ratio=1.0)
+    context, evacuated = fleet.daemons[0].context, frozenset({"zone-x"})
+    for excluded, reason in ((set(), "target-limits"), ({"t0"}, "no-target")):
+        request = SimpleNamespace(service="svc", excluded=excluded, evacuated=evacuated)
+        choice = TargetChoice(
+            request, set(), context.placer, context.limiter, clock, context.admission
+        )
+        assert choice.no_target_refusal().reason == reason
+
+
 # Failure: an evacuation ends, and its targets are cold without a restart.
 def test_target_is_assumed_cold_after_an_evacuation(clock):
     fleet = WarmupFleet(clock)
