--- a/tests/entry/test_entry_warmup_fleet.py
+++ b/tests/entry/test_entry_warmup_fleet.py
@@ -1,6 +1,10 @@
 """Tests of the bound on the requests to a cold target, over all VMs of a fleet."""
 
+from types import SimpleNamespace
+
+import msgspec
 import pytest
+from entry_helper import entry_target
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -10,6 +14,7 @@
 from lacewingpond.entry.limits.warmup_rules import warmup_allowance
 from lacewingpond.entry.peers.messages import WarmupTokenRequest
 from lacewingpond.entry.quota.standby_shares import STANDBY_DELAY_S
+from lacewingpond.entry.requests.target_choice import TargetChoice
 from lacewingpond.util.clock import ManualClock
 
 LONG_WARMUP_S = 8.0
@@ -209,6 +214,87 @@
     assert not paths.checks
 
 
+def due_checks(fleet, checks):
+    fleet._beat()
+    due = [(each, state) for each in checks for state in each.due()]
+    assert due
+    return due
+
+
+# Failure: many targets do not respond, so that checks wait while the next evacuation
+# begins, and would then reach the domain.
+def test_check_that_waited_is_not_sent_to_an_evacuated_domain(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    paths, checks = assume_cold(fleet, left_ms=0)
+    for each, state in due_checks(fleet, checks):
+        each.stop("zone-a")
+        each.check(state)
+    assert not paths.checks
+
+
+# Failure: the response to a check arrives when the domain was evacuated once more, in
+# which its target may have turned cold.
+def test_response_from_before_an_evacuation_does_not_show_a_target_warm(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    paths, checks = assume_cold(fleet, left_ms=0)
+    for each, state in due_checks(fleet, checks):
+
+        def send(*args, each=each):
+            each.stop("zone-a")
+            each.assume_cold("zone-a")
+            return paths._send(*args)
+
+        each._client.send = send
+        each.check(state)
+        assert not state.is_warm(clock.now())
+    assert paths.checks
+
+
+# Failure: targets are removed while they have no token, and never looked up again.
+def test_waits_for_tokens_of_removed_targets_are_dropped(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    warmup = fleet.daemons[0].context.limiter.warmup
+    for number in range(20):
+        target_id = f"cold-{number}"
+        spec = entry_target(target_id, "127.0.0.1:9001", warmup_left_s=WARMUP_S)
+        fleet.put(f"targets/{target_id}", msgspec.json.encode(spec))
+        while warmup.admit(spec).admitted:
+            pass
+        fleet.put(f"targets/{target_id}", None)
+        clock.advance(WARMUP_S)
+    assert len(warmup._exhausted) <= 1
+
+
+# Failure: the wait for a token of an evacuated target is told to callers as the time
+# after which their requests are served.
+@pytest.mark.parametrize("limit", [None, "1"])
+def test_evacuated_targets_are_not_waited_for(clock, limit):
+    fleet = WarmupFleet(clock, targets=1)
+    if limit is None:
+        fleet.turn_cold(LONG_WARMUP_S)
+    else:
+        fleet.targets.limits["t0"] = limit
+    fleet.serve(1.0, 100, 0, busy_ratio=1.0)
+    limiter = fleet.daemons[0].context.limiter
+    assert limiter.exhausted("svc")
+    fleet.put("evacuate/zone-a", b"{}")
+    assert not limiter.exhausted("svc")
+
+
+# Failure: a relayed request is told to wait for a target that its sender excluded.
+def test_relayed_request_waits_for_no_excluded_target(clock):
+    fleet = WarmupFleet(clock, targets=1)
+    fleet.turn_cold(LONG_WARMUP_S)
+    fleet.serve(1.0, 100, 0, busy_ratio=1.0)
+    context, evacuated = fleet.daemons[0].context, frozenset({"zone-x"})
+    for excluded, reason in ((set(), "target-limits"), ({"t0"}, "no-target")):
+        request = SimpleNamespace(service="svc", excluded=excluded, evacuated=evacuated)
+        choice = TargetChoice(
+            request, set(), context.placer, context.limiter, clock, context.admission
+        )
+        assert choice.no_target_refusal().reason == reason
+
+
 # Failure: an evacuation ends, and its targets are cold without a restart.
 def test_target_is_assumed_cold_after_an_evacuation(clock):
     fleet = WarmupFleet(clock)
