Decode deeply nested entries and configurations as errors

What would be seen: an entry or a configuration with very deep nesting raised RecursionError out of the decoder into the follower of the store, which then restarts without end and serves by an old state. Found by review of the evacuation keys, which had the same fault.

Why this works: such a document is undecodable like any other; the last state stays in force.

--- a/lacewingpond/platform/instance_entry.py
+++ b/lacewingpond/platform/instance_entry.py
@@ -42,5 +42,5 @@
                 incarnation=entry.born,
             )
         )
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
         return Err(str(exc))
--- a/tests/platform/test_platform_config.py
+++ b/tests/platform/test_platform_config.py
@@ -130,3 +130,9 @@
 def test_malformed_duration_is_an_error():
     limits = {**DOCUMENT["limits"], "idle-timeout": "15 minutes"}
     assert decoded(limits=limits).is_err()
+
+
+# A document that raises would end the follower of the store.
+def test_deeply_nested_document_is_an_error():
+    nested = b'{"more":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    assert decode_config(nested).is_err()
--- a/tests/platform/test_platform_instances.py
+++ b/tests/platform/test_platform_instances.py
@@ -88,3 +88,9 @@
 )
 def test_change_of_state_address_or_incarnation_is_not_equivalent(change):
     assert not is_same("servers/i-1", raw(), raw(**change))
+
+
+# An entry of another writer that raises would end the follower of the store.
+def test_deeply_nested_entry_is_an_error():
+    nested = b'{"more":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    assert decode_instance("i-1", nested).is_err()
