Decode the warm-up of services

Cause: the configuration states how long a target of a service stays cold and how many requests a second it tolerates, and the decoder dropped both. Change: EntryService has warmup_s and warmup_rate, 0 if absent. Nothing uses them yet except for the check of a configuration.

--- a/lacewingpond/platform/config_document.py
+++ b/lacewingpond/platform/config_document.py
@@ -68,6 +68,8 @@
     name: str
     health_path: str = "/health"
     max_conns: int = 360
+    warmup: str = ""
+    warmup_per_s: float = 0.0
 
 
 class _Document(Struct):
@@ -100,7 +102,11 @@
         ),
         services={
             cluster.name: EntryService(
-                cluster.name, cluster.health_path, cluster.max_conns
+                cluster.name,
+                cluster.health_path,
+                cluster.max_conns,
+                _duration_or(cluster.warmup, 0.0),
+                cluster.warmup_per_s,
             )
             for cluster in document.clusters
         },
