--- /dev/null
+++ b/lacewingpond/entry/config_check/__init__.py
@@ -0,0 +1,1 @@
+"""Check of an operators' configuration before it is put in force."""
