--- a/lacewingpond/ui/application.py
+++ b/lacewingpond/ui/application.py
@@ -15,6 +15,7 @@
 COMMANDS = {
     "bench": "bench.BenchCommand",
     "check": "check.CheckCommand",
+    "config check": "config_check.ConfigCheckCommand",
     "confirm": "confirm.ConfirmCommand",
     "demo": "demo.DemoCommand",
     "explain": "explain.ExplainCommand",
--- a/tests/ui/test_ui_application.py
+++ b/tests/ui/test_ui_application.py
@@ -46,3 +46,33 @@
 def test_error_names_a_missing_trace(run_command):
     status, _, err = run_command("replay", "/nonexistent.jsonl")
     assert (status, "/nonexistent.jsonl" in err) == (2, True)
+
+
+# A script took a configuration that can't be read for one without problems.
+@pytest.mark.parametrize(
+    ("content", "against", "expected"),
+    [
+        ('{"version": 1}', None, (0, [])),
+        ('{"version": 2}', '{"version": 1}', (0, [])),
+        (
+            '{"version": 2, "clusters": [{"name": "a"}]}',
+            None,
+            (1, ["new: clusters[0]"]),
+        ),
+        ('{"version": 1}', "{}", (2, ["old: version"])),
+        ('{"version": 1', None, (2, ["new"])),
+        (None, None, (2, ["new"])),
+    ],
+)
+def test_config_check_states_places_and_exit_status(
+    run_command, tmp_path, monkeypatch, content, against, expected
+):
+    monkeypatch.chdir(tmp_path)
+    words = ["config", "check", "new", "--format", "json"]
+    if content is not None:
+        (tmp_path / "new").write_text(content)
+    if against is not None:
+        (tmp_path / "old").write_text(against)
+        words += ["--against", "old"]
+    status, out, _ = run_command(*words)
+    assert (status, [finding["place"] for finding in json.loads(out)]) == expected
