Treat a configuration that is nested too deeply as undecodable

Cause: msgspec raises RecursionError for it, which decode_config passed on to its caller. Change: decode_config returns an error; the check walks the document without recursion. Result: test_malformed_document_is_an_error has the case (it failed before), and test_deep_nesting_is_accepted_or_a_fault passes.

--- a/lacewingpond/platform/config_document.py
+++ b/lacewingpond/platform/config_document.py
@@ -85,7 +85,7 @@
     try:
         document = msgspec.json.decode(raw, type=_Document)
         return Ok(_to_config(document))
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
         return Err(str(exc))
 
 
--- a/lacewingpond/platform/config_form.py
+++ b/lacewingpond/platform/config_form.py
@@ -59,7 +59,7 @@
         listeners=listeners,
         services=services,
         faults=tuple(reader.faults),
-        places=tuple(_places(value, "")),
+        places=tuple(_places(value)),
     )
 
 
@@ -135,11 +135,15 @@
     )
 
 
-def _places(value: object, place: str) -> Iterator[str]:
-    yield place
-    if isinstance(value, dict):
-        for name, inner in value.items():
-            yield from _places(inner, f"{place}.{name}".lstrip("."))
-    elif isinstance(value, list):
-        for number, inner in enumerate(value):
-            yield from _places(inner, f"{place}[{number}]")
+def _places(document: object) -> Iterator[str]:
+    """Yield the path of each value; without recursion, as nesting may be deep."""
+    stack = [("", document)]
+    while stack:
+        place, value = stack.pop()
+        yield place
+        inner: list[tuple[str, object]] = []
+        if isinstance(value, dict):
+            inner = [(f"{place}.{name}".lstrip("."), v) for name, v in value.items()]
+        elif isinstance(value, list):
+            inner = [(f"{place}[{number}]", v) for number, v in enumerate(value)]
+        stack += reversed(inner)
--- a/tests/platform/test_platform_config.py
+++ b/tests/platform/test_platform_config.py
@@ -110,6 +110,7 @@
         b"",
         b"{}",
         b"\xff\xfe",
+        b'{"version": 1, "x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
         msgspec.json.encode(DOCUMENT)[:-40],
         msgspec.json.encode({**DOCUMENT, "version": "seven"}),
         msgspec.json.encode({**DOCUMENT, "listeners": [{"rules": []}]}),
--- a/tests/platform/test_platform_config_form.py
+++ b/tests/platform/test_platform_config_form.py
@@ -84,3 +84,10 @@
 def test_faults_are_found_exactly_where_the_daemon_refuses(document):
     raw = msgspec.json.encode(document)
     assert bool(decode_form(raw).faults) == decode_config(raw).is_err()
+
+
+# Deep nesting, which ends the recursion of a decoder, raised an error out of the check.
+def test_deep_nesting_is_accepted_or_a_fault():
+    for depth in range(100, 1100, 10):
+        raw = b'{"version": 1, "x": ' + b"[" * depth + b"]" * depth + b"}"
+        assert len(decode_form(raw).faults) <= 1
