--- a/tests/entry/test_entry_config_check.py
+++ b/tests/entry/test_entry_config_check.py
@@ -95,7 +95,6 @@
     ("path", "value", "place"),
     [
         (rule("action", "timeout"), "3 s", f"{RULE_PLACE}.action.timeout"),
-        ((*SPLIT, 0, "service"), "x", f"{SPLIT_PLACE}[0].service"),
         ((*SPLIT, 1, "weight"), -1, f"{SPLIT_PLACE}[1].weight"),
         (rule("match", "prefix"), "/a", f"{RULE_PLACE}.match.prefix"),
         (rule("match", "prefix"), "a/", f"{RULE_PLACE}.match.prefix"),
@@ -106,10 +105,22 @@
         (("version",), "7", "version"),
     ],
 )
-def test_error_is_the_only_one_and_has_its_place(path, value, place):
+def test_error_is_the_only_finding_and_has_its_place(path, value, place):
     findings = findings_of(changed((path, value)))
-    errors = [pair for pair in brief(findings) if pair[0] == "error"]
-    assert (errors, exit_status(findings)) == ([("error", place)], 2)
+    assert (brief(findings), exit_status(findings)) == ([("error", place)], 2)
+
+
+# A route to a service that does not exist refused every request.
+@pytest.mark.parametrize(
+    ("path", "value", "place", "unrouted"),
+    [
+        ((*SPLIT, 0, "service"), "x", f"{SPLIT_PLACE}[0].service", [0]),
+        (rule("action"), {}, f"{RULE_PLACE}.action.service", [0, 1]),
+    ],
+)
+def test_missing_service_is_an_error(path, value, place, unrouted):
+    warnings = [("warning", f"clusters[{number}]") for number in unrouted]
+    assert brief(findings_of(changed((path, value)))) == [("error", place), *warnings]
 
 
 # An entry without effect, or limits of which one is void, went unnoticed.
