config check: print names as they are

Cause: cleo took parts of names for markup: <fg=zzz> in a host ended the command with an error of its own, and <info> was not printed. Change: findings are written raw, control characters escaped. Result: test_config_check_prints_names_with_markup_as_they_are passes.

--- a/lacewingpond/ui/commands/config_check.py
+++ b/lacewingpond/ui/commands/config_check.py
@@ -4,6 +4,7 @@
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
+from cleo.io.outputs.output import Type as OutputType
 from msgspec.structs import replace
 
 from lacewingpond.entry.config_check.check import check_config
@@ -41,14 +42,18 @@
         as_json = wants_json(self.option("format"))
         findings = _findings(self.argument("file"), self.option("against"))
         if as_json:
-            self.line(to_json(findings))
+            self._write(to_json(findings))
         else:
             for finding in findings:
-                self.line(str(finding))
+                self._write(_printable(str(finding)))
             if not any(each.level is not Level.DIFFERENCE for each in findings):
                 self.line("no problems found")
         return exit_status(findings)
 
+    def _write(self, text: str) -> None:
+        # Names of the document may contain what cleo takes for markup.
+        self.io.write_line(text, type=OutputType.RAW)
+
 
 def _findings(file: str, against: str | None) -> list[ConfigFinding]:
     findings: list[ConfigFinding] = []
@@ -80,6 +85,11 @@
         return None
 
 
+def _printable(text: str) -> str:
+    """Return `text` with control characters, which terminals obey, escaped."""
+    return "".join(c if c.isprintable() else f"\\u{ord(c):04x}" for c in text)
+
+
 def _in_file(file: str, finding: ConfigFinding) -> ConfigFinding:
     place = f"{file}: {finding.place}" if finding.place else file
     return replace(finding, place=place)
--- a/tests/ui/test_ui_application.py
+++ b/tests/ui/test_ui_application.py
@@ -76,3 +76,13 @@
         words += ["--against", "old"]
     status, out, _ = run_command(*words)
     assert (status, [finding["place"] for finding in json.loads(out)]) == expected
+
+
+# Markup in a name ended the command with an error, and hid what the name contained.
+@pytest.mark.parametrize("form", ["table", "json"])
+def test_config_check_prints_names_with_markup_as_they_are(run_command, tmp_path, form):
+    name = "<fg=zzz>\x1b[31m"
+    path = tmp_path / "new"
+    path.write_text(json.dumps({"version": 1, "clusters": [{"name": name}]}))
+    status, out, _ = run_command("config", "check", str(path), "--format", form)
+    assert (status, "<fg=zzz>" in out, "\x1b" in out) == (1, True, False)
