Balance: leave slots of evacuated domains out of the measured load

With [balance] on, the load of a service was divided by the slots of all its targets, also of those in evacuated domains, which get no requests. At 0.6 requests per slot before an evacuation of one of three domains the load read 0.64 instead of 0.9, so that admission, hedging and the bound on ejected targets saw free slots that no request may use. Admission counted the same slots in its rate of completed requests.

Both now use the targets that remain, as the estimate without [balance] does. The new test read 0.64 before, and passes.

--- a/lacewingpond/entry/admission/service_capacity.py
+++ b/lacewingpond/entry/admission/service_capacity.py
@@ -17,7 +17,7 @@
         ...
 
     def slots(self, service: str) -> int:
-        """Return the slots of all targets of a service."""
+        """Return the slots of a service, without those of evacuated domains."""
         ...
 
     def usual_s(self, route: EntryRoute) -> float:
@@ -63,8 +63,8 @@
         return self._placer.load(service)
 
     def slots(self, service: str) -> int:
-        """Return the slots of all targets of a service."""
-        return sum(state.spec.slots for state in self._table.ready(service))
+        """Return the slots of a service, without those of evacuated domains."""
+        return sum(state.spec.slots for state in self._table.remaining(service))
 
     def usual_s(self, route: EntryRoute) -> float:
         """Return the median latency of a route's successes, in seconds."""
--- a/lacewingpond/entry/balance/domain_balance.py
+++ b/lacewingpond/entry/balance/domain_balance.py
@@ -77,7 +77,10 @@
         self._measured: dict[str, tuple[float, ServiceLoads]] = {}
 
     def load(self, service: str) -> float:
-        """Return the measured requests in flight of the whole fleet per slot."""
+        """Return the measured requests in flight of the whole fleet per usable slot.
+
+        The slots of evacuated failure domains do not count.
+        """
         return self._loads(service).per_slot()
 
     def spilled_share(self, service: str) -> float:
@@ -153,7 +156,7 @@
         known = self._measured.get(service)
         if known is not None and now - known[0] < UPDATE_INTERVAL_S:
             return known[1]
-        states = self._table.ready(service)
+        states = self._table.remaining(service)
         domain, sizes = self._fleet.failure_domain, self._live_sizes()
         loads = measured_loads(service, states, domain, sizes, self._reports, now)
         self._measured[service] = (now, loads)
--- a/tests/entry/test_entry_balance.py
+++ b/tests/entry/test_entry_balance.py
@@ -4,8 +4,9 @@
 import math
 
 import pytest
-from balance_helper import DOMAINS, BalancedFleet, anti_phase
+from balance_helper import DOMAINS, SLOTS, BalancedFleet, anti_phase
 
+from lacewingpond.entry.admission.service_capacity import ServiceCapacity
 from lacewingpond.entry.balance.reports import REPORT_MAX_AGE_S
 from lacewingpond.entry.peers.messages import DomainLoads
 from lacewingpond.entry.targets.health import BROKEN_EVIDENCE
@@ -209,3 +210,24 @@
     assert not any(state in near for state in picks)
     trials = [each.placer.pick("svc", (), True) for _ in range(300)]
     assert sum(state in near for state in trials) == len(near)
+
+
+# Load pattern: a domain is evacuated under load. Guards against slots that no request
+# may use and that make a full service look free, so that requests are admitted and
+# hedged although targets reject them.
+def test_slots_of_evacuated_domains_do_not_count_as_capacity(fleet):
+    for each in fleet.vms:
+        fleet.put(each, "evacuate/zone-c", b"{}")
+    fleet.run(6.0, lambda domain, now: 0.6)
+    each = fleet.of("zone-a")[0]
+    assert each.balance.load("svc") == pytest.approx(0.9, abs=0.1)
+    capacity = ServiceCapacity(each.placer, each.table, None, each.vm.fleet)
+    assert capacity.slots("svc") == 2 * 20 * SLOTS
+
+
+def test_service_whose_domains_are_all_evacuated_has_no_load(fleet):
+    for each in fleet.vms:
+        for domain in DOMAINS:
+            fleet.put(each, f"evacuate/{domain}", b"{}")
+    fleet.run(1.0, idle)
+    assert all(each.balance.load("svc") == 0.0 for each in fleet.vms)
