Placer: pass paused targets over before a failure domain is drawn

With [balance] and [admission] on, a failure domain was drawn first, and the pauses after rejections were applied within it. If all targets of the drawn domain were paused their pauses were ignored, although targets of other domains were in none; they are to be ignored only while all usable targets are paused.

The order is now the other way round. The new test found requests at paused targets before, and passes.

--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -119,9 +119,9 @@
         ]
         if not usable:
             return None
+        usable = without_paused(usable, now)
         if self.balance is not None:
             usable = self._of_one_domain(self.balance, service, usable, states)
-        usable = without_paused(usable, now)
         domain = self._fleet.failure_domain
         preference = self._domain_preference(usable, states, now)
         weights = [
--- a/tests/entry/test_entry_balance.py
+++ b/tests/entry/test_entry_balance.py
@@ -9,6 +9,7 @@
 from lacewingpond.entry.admission.service_capacity import ServiceCapacity
 from lacewingpond.entry.balance.reports import REPORT_MAX_AGE_S
 from lacewingpond.entry.peers.messages import DomainLoads
+from lacewingpond.entry.room.rejection_pause import MIN_PAUSE_S
 from lacewingpond.entry.targets.health import BROKEN_EVIDENCE
 from lacewingpond.entry.targets.placer import TRIAL_INTERVAL_S
 
@@ -231,3 +232,16 @@
             fleet.put(each, f"evacuate/{domain}", b"{}")
     fleet.run(1.0, idle)
     assert all(each.balance.load("svc") == 0.0 for each in fleet.vms)
+
+
+# Load pattern: all near targets are full and reject requests. Guards against requests
+# that are sent to them during their pauses while far targets accept requests.
+def test_paused_near_targets_get_nothing_while_far_targets_are_not_paused(fleet, clock):
+    each = fleet.of("zone-a")[0]
+    near = [s for s in each.table.all() if s.spec.failure_domain == "zone-a"]
+    for state in near:
+        state.rejections.start(clock.now(), is_full=True)
+    picks = [each.placer.pick("svc", (), n % 2) for n in range(100)]
+    assert not any(state in near for state in picks)
+    clock.advance(MIN_PAUSE_S)
+    assert any(each.placer.pick("svc", (), False) in near for _ in range(20))
