Placer: weigh domains by eligible targets if only ejected ones are left

A request that only ejected targets are left for, as the others were tried or are paused, made the balance compute the spilled share from the slots of these few targets. In the new test the share of the service rose from 0 to 0.46 at once on this VM, and falls back over seconds only.

The weights are now computed from the eligible targets of the service if it has any.

--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -258,7 +258,7 @@
         if len(domains) == 1:
             return sound or usable
         eligible = [s for s, e in states.items() if e is Eligibility.ELIGIBLE]
-        weights = balance.weights(service, eligible if sound else usable)
+        weights = balance.weights(service, eligible or usable)
         parts = [weights.get(domain, 0.0) for domain in domains]
         if not any(parts):
             parts = [float(len(group)) for group in domains.values()]
--- a/tests/entry/test_entry_balance.py
+++ b/tests/entry/test_entry_balance.py
@@ -245,3 +245,17 @@
     assert not any(state in near for state in picks)
     clock.advance(MIN_PAUSE_S)
     assert any(each.placer.pick("svc", (), False) in near for _ in range(20))
+
+
+# Load pattern: requests that only ejected targets are left for. Guards against a
+# spilled share that jumps, as if these targets were all that the service has.
+def test_choice_between_ejected_targets_leaves_the_spilled_share(fleet, clock):
+    fleet.run(4.0, lambda domain, now: 0.5)
+    each = fleet.of("zone-a")[0]
+    names = ("zone-a-t0", "zone-b-t0", "zone-b-t1", "zone-b-t2")
+    ejected = [each.table.get(name) for name in names]
+    for state in ejected:
+        state.health.add(clock.now(), 0, BROKEN_EVIDENCE, 0)
+    tried = {s.spec.target_id for s in each.table.all() if s not in ejected}
+    assert each.placer.pick("svc", tried, True) in ejected
+    assert each.balance.spilled_share("svc") < 0.1
