Fair order: drop heap entries of workspaces whose requests have left

A workspace whose last waiting request is removed leaves its entry in the heap until a request with a later tag is served.

Such entries are now dropped when they are as many as the waiting workspaces. The order of service does not change.

--- a/lacewingpond/queues/fair_order.py
+++ b/lacewingpond/queues/fair_order.py
@@ -13,6 +13,11 @@
 
 MAX_FINISH_TAGS = 1024
 """Maximum number of workspaces without waiting requests whose finish tag is kept."""
+MAX_STALE_RATIO = 2
+"""Heap entries per waiting workspace from which those of removed tickets are dropped.
+
+Otherwise they pile up while tickets are removed and none is served.
+"""
 
 
 class FairOrder:
@@ -146,8 +151,18 @@
             }
         if len(self._finish_tags) < MAX_FINISH_TAGS:
             self._finish_tags[workspace] = queue.start_tag
-        if not self._queues:
-            self._heap.clear()
+        if len(self._heap) > MAX_STALE_RATIO * len(self._queues):
+            self._drop_stale()
+
+    def _drop_stale(self) -> None:
+        """Keep one entry of the heap for each workspace that waits."""
+        current: dict[str, tuple[float, int, str]] = {}
+        for entry in sorted(self._heap):
+            start_tag, _, workspace = entry
+            queue = self._queues.get(workspace)
+            if queue is not None and queue.start_tag == start_tag:
+                current.setdefault(workspace, entry)
+        self._heap = sorted(current.values())
 
 
 def _weighted_length(queue: WorkspaceQueue) -> float:
--- a/tests/queues/test_fair_queue.py
+++ b/tests/queues/test_fair_queue.py
@@ -130,3 +130,19 @@
     order.remove(Ticket("w", 3.0, 0.0))
     assert [order.pop(), order.pop()] == [soon, late]
     assert len(order) == 0
+
+
+# Load pattern: overload in which nothing is served and what waits expires. Guards
+# against entries of requests that have left and are kept until one is served.
+def test_order_keeps_nothing_of_requests_that_left():
+    order = FairOrder(lambda workspace: 1.0)
+    order.push(Ticket("stays", 1.0, 0.0))
+    for _ in range(1000):
+        ticket = Ticket("leaves", 1.0, 0.0)
+        order.push(ticket)
+        order.remove(ticket)
+    assert len(order._heap) < 100
+    late = Ticket("late", 1.0, 0.0)
+    order.push(late)
+    assert [order.pop().workspace for _ in range(2)] == ["stays", "late"]
+    assert len(order) == 0
