Hedging: do not count targets unfit for a hedge as limited

Full, cold, ejected and unreachable targets were passed to the placer of a hedge as if their limits were exhausted.

They are now passed like targets that were tried already.

--- a/lacewingpond/entry/requests/target_choice.py
+++ b/lacewingpond/entry/requests/target_choice.py
@@ -84,7 +84,7 @@
     ) -> TargetState | None:
         """Return an untried target without a limit, not cold, not among `unfit`."""
         limited = self._limiter.limited(self._request.service)
-        return self._pick_except(limited.union(unfit), retryable)
+        return self._pick_except(limited, retryable, unfit)
 
     def limit_fields(self, state: TargetState) -> dict[str, object]:
         """Return what the log tells about the limit of an attempt's target."""
@@ -135,11 +135,12 @@
         return EntryRefusal.not_run(503, "no-target", detail, self.retry_after_s())
 
     def _pick_except(
-        self, limited: Collection[str], retryable: bool
+        self, limited: Collection[str], retryable: bool, unfit: Collection[str] = ()
     ) -> TargetState | None:
-        """Return an untried target that is not among `limited`."""
+        """Return an untried target that is not among `limited` or `unfit`."""
         service, placer = self._request.service, self._placer
-        state = placer.pick(service, self._unusable(), retryable, limited)
+        unusable = {*self._unusable(), *unfit} if unfit else self._unusable()
+        state = placer.pick(service, unusable, retryable, limited)
         if state is not None:
             self.passed_over = placer.passed_over(service, limited)
         return state
--- a/tests/entry/test_entry_balance.py
+++ b/tests/entry/test_entry_balance.py
@@ -2,13 +2,17 @@
 
 import itertools
 import math
+from types import SimpleNamespace
 
 import pytest
 from balance_helper import DOMAINS, SLOTS, BalancedFleet, anti_phase
 
+from lacewingpond.entry.admission.base import AdmitAll
 from lacewingpond.entry.admission.service_capacity import ServiceCapacity
+from lacewingpond.entry.balance.domain_balance import UPDATE_INTERVAL_S
 from lacewingpond.entry.balance.reports import REPORT_MAX_AGE_S
 from lacewingpond.entry.peers.messages import DomainLoads
+from lacewingpond.entry.requests.target_choice import TargetChoice
 from lacewingpond.entry.room.rejection_pause import MIN_PAUSE_S
 from lacewingpond.entry.targets.health import BROKEN_EVIDENCE
 from lacewingpond.entry.targets.placer import TRIAL_INTERVAL_S
@@ -259,3 +263,23 @@
     tried = {s.spec.target_id for s in each.table.all() if s not in ejected}
     assert each.placer.pick("svc", tried, True) in ejected
     assert each.balance.spilled_share("svc") < 0.1
+
+
+# Load pattern: most near targets are full when a request is hedged. Guards against a
+# log that names limits which no target has, and against a spilled share that follows
+# from the few targets which are fit for a hedge.
+def test_targets_that_get_no_hedges_count_neither_as_limited_nor_as_missing(
+    fleet, clock
+):
+    fleet.run(4.0, lambda domain, now: 0.5)
+    each = fleet.of("zone-a")[0]
+    near = [s for s in each.table.all() if s.spec.failure_domain == "zone-a"]
+    unfit = {state.spec.target_id for state in near[:15]}
+    request = SimpleNamespace(service="svc", excluded=frozenset())
+    limiter = SimpleNamespace(limited=lambda service: set())
+    choice = TargetChoice(request, set(), each.placer, limiter, clock, AdmitAll())
+    clock.advance(UPDATE_INTERVAL_S)
+    picks = [choice.pick_unlimited(unfit=unfit) for _ in range(50)]
+    assert not unfit & {state.spec.target_id for state in picks}
+    assert choice.passed_over == {}
+    assert each.balance.spilled_share("svc") < 0.1
