Hedging: forbid hedges after rejections that peers report

Hedges are forbidden for 1 s after a target of the service rejected a request, but only rejections of this VM's own requests counted: at 2 to 4 requests a second it sees few of them. The load reports of the domain's VMs tell rejections since [admission] exists, but nothing took them for hedging.

The reporter now passes them to the policy. The new tests failed before, as nothing received the rejections, and pass.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -191,6 +191,7 @@
         self._overdue = OverdueRequests(self._reporter, clock)
         self._retries = RetryBudget.from_options(RetryOptions())
         self._hedging = Hedging(cfg.hedging, self._retries)
+        self._reporter.on_peer_rejection = self._hedging.policy.record_rejection
         limiter = self._limiter = QuotaLimiter(
             _quota_rules(bounds),
             self.view,
--- a/lacewingpond/entry/targets/reporter.py
+++ b/lacewingpond/entry/targets/reporter.py
@@ -97,11 +97,14 @@
         targets.
     uses_rejections : bool
         Whether targets that reject requests as they are busy are paused and reported.
+    on_peer_rejection : callable or None
+        Called with the service and the time if targets rejected requests of a peer.
     """
 
     __slots__ = (
         "verify",
         "uses_rejections",
+        "on_peer_rejection",
         "_table",
         "_fleet",
         "_channel",
@@ -131,6 +134,7 @@
         self._last_success_at = clock.now()
         self.verify: Callable[[float], bool] | None = None
         self.uses_rejections = False
+        self.on_peer_rejection: Callable[[str, float], None] | None = None
         self._last_broken_at = clock.now()
         self._urgent = Event()
         self._greenlets: list[gevent.Greenlet] = []
@@ -284,6 +288,8 @@
                 state.update_peer_load(sender, row.in_flight, now)
             if row.successes or row.failure_evidence or row.overdue_evidence:
                 self._apply(state, row, f"peer {sender}")
+            if row.rejections and self.on_peer_rejection is not None:
+                self.on_peer_rejection(state.spec.service, now)
             # Peers' rejections by targets with free slots are at random: a pause on
             # all VMs after each of them would leave these slots idle.
             rejected = self.uses_rejections and row.rejections and not row.successes
--- a/tests/entry/test_entry_daemon.py
+++ b/tests/entry/test_entry_daemon.py
@@ -7,11 +7,12 @@
 import gevent
 import msgspec
 import pytest
-from entry_helper import FORMATS, KEY, entry_target
+from entry_helper import FORMATS, KEY, entry_target, route
 from path_helper import CLOCK, caller_server, connect, read_all
 from stack_helper import NAMES, signed
 
 from lacewingpond.entry.daemon import EntryDaemon
+from lacewingpond.entry.hedging.policy import HedgeRefusal, SlowRequest
 from lacewingpond.entry.settings import check_entry_settings
 from lacewingpond.store.memory import MemoryStore
 from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
@@ -135,6 +136,10 @@
     changed = {**SETTINGS, "hedging": {"max_extra": 0.1}}
     daemon.apply_settings(check_entry_settings(changed, "settings").unwrap())
     assert hedging.enabled
+    now = CLOCK.now()
+    daemon._reporter.on_peer_rejection("svc", now)
+    slow = SlowRequest(route(idempotent=True, max_attempts=2), "svc", 0, 1, 2.0, 0.1)
+    assert hedging.policy.refusal(slow, 0.0, now) is HedgeRefusal.REJECTIONS
 
 
 # Guards against settings that are read and not applied, at the start or at a reload.
--- a/tests/entry/test_entry_rejections.py
+++ b/tests/entry/test_entry_rejections.py
@@ -4,10 +4,18 @@
 from types import SimpleNamespace
 
 import pytest
+from entry_helper import route
 from limit_helper import LimitFleet
 from msgspec import structs
 
 from lacewingpond.entry.admission.options import AdmissionOptions
+from lacewingpond.entry.hedging.options import HedgingOptions
+from lacewingpond.entry.hedging.policy import (
+    REJECTION_MEMORY_S,
+    HedgeRefusal,
+    HedgingPolicy,
+    SlowRequest,
+)
 from lacewingpond.entry.room.rejection_pause import (
     MAX_PAUSE_S,
     MIN_PAUSE_S,
@@ -93,6 +101,22 @@
     assert not peer.table.get("t1").rejections.is_active(clock.now())
 
 
+# Load pattern: a service rejects requests, of which one VM sees few. Guards against
+# hedges there that make full targets reject more.
+def test_peers_do_not_hedge_for_a_second_after_a_rejection(fleet, clock):
+    here, peer = fleet.daemons[0], fleet.daemons[3]
+    policy = HedgingPolicy(HedgingOptions(max_extra=0.1))
+    peer.context.reporter.on_peer_rejection = policy.record_rejection
+    hedgeable = route(idempotent=True, max_attempts=3)
+    slow = SlowRequest(hedgeable, "svc", 0, 1, time_left_s=2.0, usual_s=0.1)
+    assert policy.refusal(slow, 0.0, clock.now()) is None
+    here.context.reporter.record_rejection(here.table.get("t1"))
+    clock.advance(LOAD_REPORT_S)
+    assert policy.refusal(slow, 0.0, clock.now()) is HedgeRefusal.REJECTIONS
+    clock.advance(REJECTION_MEMORY_S)
+    assert policy.refusal(slow, 0.0, clock.now()) is None
+
+
 # Guards against traffic to the few targets that are not paused, or against refusals,
 # when rejections do not tell the targets apart.
 def test_pauses_of_all_targets_are_ignored(fleet):
