--- a/lacewingpond/entry/targets/placer.py
+++ b/lacewingpond/entry/targets/placer.py
@@ -119,9 +119,9 @@
         ]
         if not usable:
             return None
+        usable = without_paused(usable, now)
         if self.balance is not None:
             usable = self._of_one_domain(self.balance, service, usable, states)
-        usable = without_paused(usable, now)
         domain = self._fleet.failure_domain
         preference = self._domain_preference(usable, states, now)
         weights = [
@@ -258,7 +258,7 @@
         if len(domains) == 1:
             return sound or usable
         eligible = [s for s, e in states.items() if e is Eligibility.ELIGIBLE]
-        weights = balance.weights(service, eligible if sound else usable)
+        weights = balance.weights(service, eligible or usable)
         parts = [weights.get(domain, 0.0) for domain in domains]
         if not any(parts):
             parts = [float(len(group)) for group in domains.values()]
--- a/tests/entry/test_entry_balance.py
+++ b/tests/entry/test_entry_balance.py
@@ -2,12 +2,18 @@
 
 import itertools
 import math
+from types import SimpleNamespace
 
 import pytest
-from balance_helper import DOMAINS, BalancedFleet, anti_phase
+from balance_helper import DOMAINS, SLOTS, BalancedFleet, anti_phase
 
+from lacewingpond.entry.admission.base import AdmitAll
+from lacewingpond.entry.admission.service_capacity import ServiceCapacity
+from lacewingpond.entry.balance.domain_balance import UPDATE_INTERVAL_S
 from lacewingpond.entry.balance.reports import REPORT_MAX_AGE_S
 from lacewingpond.entry.peers.messages import DomainLoads
+from lacewingpond.entry.requests.target_choice import TargetChoice
+from lacewingpond.entry.room.rejection_pause import MIN_PAUSE_S
 from lacewingpond.entry.targets.health import BROKEN_EVIDENCE
 from lacewingpond.entry.targets.placer import TRIAL_INTERVAL_S
 
@@ -209,3 +215,71 @@
     assert not any(state in near for state in picks)
     trials = [each.placer.pick("svc", (), True) for _ in range(300)]
     assert sum(state in near for state in trials) == len(near)
+
+
+# Load pattern: a domain is evacuated under load. Guards against slots that no request
+# may use and that make a full service look free, so that requests are admitted and
+# hedged although targets reject them.
+def test_slots_of_evacuated_domains_do_not_count_as_capacity(fleet):
+    for each in fleet.vms:
+        fleet.put(each, "evacuate/zone-c", b"{}")
+    fleet.run(6.0, lambda domain, now: 0.6)
+    each = fleet.of("zone-a")[0]
+    assert each.balance.load("svc") == pytest.approx(0.9, abs=0.1)
+    capacity = ServiceCapacity(each.placer, each.table, None, each.vm.fleet)
+    assert capacity.slots("svc") == 2 * 20 * SLOTS
+
+
+def test_service_whose_domains_are_all_evacuated_has_no_load(fleet):
+    for each in fleet.vms:
+        for domain in DOMAINS:
+            fleet.put(each, f"evacuate/{domain}", b"{}")
+    fleet.run(1.0, idle)
+    assert all(each.balance.load("svc") == 0.0 for each in fleet.vms)
+
+
+# Load pattern: all near targets are full and reject requests. Guards against requests
+# that are sent to them during their pauses while far targets accept requests.
+def test_paused_near_targets_get_nothing_while_far_targets_are_not_paused(fleet, clock):
+    each = fleet.of("zone-a")[0]
+    near = [s for s in each.table.all() if s.spec.failure_domain == "zone-a"]
+    for state in near:
+        state.rejections.start(clock.now(), is_full=True)
+    picks = [each.placer.pick("svc", (), n % 2) for n in range(100)]
+    assert not any(state in near for state in picks)
+    clock.advance(MIN_PAUSE_S)
+    assert any(each.placer.pick("svc", (), False) in near for _ in range(20))
+
+
+# Load pattern: requests that only ejected targets are left for. Guards against a
+# spilled share that jumps, as if these targets were all that the service has.
+def test_choice_between_ejected_targets_leaves_the_spilled_share(fleet, clock):
+    fleet.run(4.0, lambda domain, now: 0.5)
+    each = fleet.of("zone-a")[0]
+    names = ("zone-a-t0", "zone-b-t0", "zone-b-t1", "zone-b-t2")
+    ejected = [each.table.get(name) for name in names]
+    for state in ejected:
+        state.health.add(clock.now(), 0, BROKEN_EVIDENCE, 0)
+    tried = {s.spec.target_id for s in each.table.all() if s not in ejected}
+    assert each.placer.pick("svc", tried, True) in ejected
+    assert each.balance.spilled_share("svc") < 0.1
+
+
+# Load pattern: most near targets are full when a request is hedged. Guards against a
+# log that names limits which no target has, and against a spilled share that follows
+# from the few targets which are fit for a hedge.
+def test_targets_that_get_no_hedges_count_neither_as_limited_nor_as_missing(
+    fleet, clock
+):
+    fleet.run(4.0, lambda domain, now: 0.5)
+    each = fleet.of("zone-a")[0]
+    near = [s for s in each.table.all() if s.spec.failure_domain == "zone-a"]
+    unfit = {state.spec.target_id for state in near[:15]}
+    request = SimpleNamespace(service="svc", excluded=frozenset())
+    limiter = SimpleNamespace(limited=lambda service: set())
+    choice = TargetChoice(request, set(), each.placer, limiter, clock, AdmitAll())
+    clock.advance(UPDATE_INTERVAL_S)
+    picks = [choice.pick_unlimited(unfit=unfit) for _ in range(50)]
+    assert not unfit & {state.spec.target_id for state in picks}
+    assert choice.passed_over == {}
+    assert each.balance.spilled_share("svc") < 0.1
