Admit a waiting request at its last moment while the measured load shows room

What callers saw: with [admission] on, in a fleet of several VMs, a request could be refused with no-room after its wait although the service had free slots. Found by review: the property test exempted these refusals.

Cause: requests that other VMs may have released are counted for 0.25 s; the estimate held requests until the latest time at which they could start.

Evidence: without the exemption the test fails with a fleet of 20 VMs (refused at a measured load of 0.1, bound 1.0). It passes now; the exemption is gone, and both fleet sizes are tested.

Why this works: at the last moment the measured load decides, and what waits before the request is admitted first.

--- a/lacewingpond/entry/admission/waiting_line.py
+++ b/lacewingpond/entry/admission/waiting_line.py
@@ -77,14 +77,19 @@
         size = self._capacity.fleet_size()
         load = self.load() + len(self._released_at) * (size - 1) / slots
         while len(self.order) and load < self._threshold_of(self.order.most_urgent()):
-            ticket = self.order.pop()
-            if ticket.request.is_disconnected():
-                self._refuse(ticket, QueueReason.CALLER_GONE)
-                continue
-            self._released_at.append(now)
-            self._starting += 1
-            load += size / slots
-            ticket.grant(Slot(now - ticket.arrived_at, _ignore))
+            if self._release_next(now):
+                load += size / slots
+
+    def _release_next(self, now: float) -> bool:
+        """Admit the next request, and return whether its caller is still connected."""
+        ticket = self.order.pop()
+        if ticket.request.is_disconnected():
+            self._refuse(ticket, QueueReason.CALLER_GONE)
+            return False
+        self._released_at.append(now)
+        self._starting += 1
+        ticket.grant(Slot(now - ticket.arrived_at, _ignore))
+        return True
 
     def start(self, ticket: AdmissionTicket) -> None:
         """Note that a request goes on after its wait, or was given up.
@@ -96,10 +101,22 @@
             self._starting -= 1
 
     def drop_expired(self, now: float) -> None:
-        """Refuse the requests that can no longer be served in time."""
+        """Refuse the requests that can no longer be served in time.
+
+        While the measured load shows room they are admitted instead, and those before
+        them: what other VMs may have released is only an estimate.
+        """
         for ticket in [each for each in self.order if each.deadline <= now]:
-            self.order.remove(ticket)
-            self._refuse(ticket, QueueReason.DEADLINE_PASSED)
+            while ticket.result is None and self._measures_room():
+                self._release_next(now)
+            if ticket.result is None:
+                self.order.remove(ticket)
+                self._refuse(ticket, QueueReason.DEADLINE_PASSED)
+
+    def _measures_room(self) -> bool:
+        """Return whether the measured load admits the next request."""
+        first = self.order.most_urgent()
+        return first is not None and self.load() < self._threshold_of(first)
 
     def drop_disconnected(self) -> None:
         """Remove the requests whose callers have disconnected."""
--- a/tests/entry/test_entry_admission.py
+++ b/tests/entry/test_entry_admission.py
@@ -313,8 +313,9 @@
 
 # Load pattern: any arrivals of any classes, some of whose callers are cancelled. Guards
 # against inverted priorities, waits without a reason or an end, and leaked counts.
-@given(ARRIVALS, st.sampled_from((1, 20)))
-def test_order_work_conservation_bounded_waits_and_no_leaks(arrivals, size):
+@pytest.mark.parametrize("size", [1, 20])
+@given(ARRIVALS)
+def test_order_work_conservation_bounded_waits_and_no_leaks(size, arrivals):
     clock = ManualClock()
     service = MemoryService(clock, workspaces={"a": 1.0, "b": 10.0}, size=size)
     held = 2 * SLOTS  # requests of others, some of which end at each step
@@ -339,7 +340,7 @@
 def check_events(service):
     """Check the order of events, each with the load just before it."""
     waiting = {}
-    gone, late = ids(service, "interrupted"), ids(service, "deadline-passed")
+    gone = ids(service, "interrupted")
     for now, what, request, load in service.events:
         if what == "arrived":
             waiting[request] = now
@@ -351,7 +352,7 @@
         if what == "admitted":
             more_urgent = [o for o in waiting if o.priority < request.priority]
             assert all(o.request_id in gone for o in more_urgent)
-        elif service.size == 1 or request.request_id not in late:
+        else:
             assert load >= service.admission.options.busy_load
 
 
