--- a/review/lib/instance.py
+++ b/review/lib/instance.py
@@ -116,7 +116,7 @@
                 if message is None:
                     return
                 writer.write(await self._answer(message))
-                await writer.drain()
+                await self._hand_over(writer)
         except ConnectionError:
             return
         except asyncio.CancelledError:
@@ -125,6 +125,22 @@
             self._tasks.discard(task)
             writer.close()
 
+    async def _hand_over(self, writer: asyncio.StreamWriter) -> None:
+        """Wait until the kernel has all bytes of an answer."""
+        if not writer.transport.get_write_buffer_size():
+            return
+        began = time.monotonic()
+        writer.transport.set_write_buffer_limits(high=0)
+        try:
+            await writer.drain()
+            how = "handed over"
+        except ConnectionError:
+            how = "cut by its reader"
+            raise
+        finally:
+            waited_s = round(time.monotonic() - began, 2)
+            self._note("instance", id=self.id, what=how, waited_s=waited_s)
+
     async def _answer(self, message: Message) -> bytes:
         method, path, _ = message.first.split(" ")
         if method == "GET" and path == "/health":
