--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,6 +15,7 @@
 STABLE_S = 3.0  # bounds.stable-window
 CUT_S = 5.0  # the longest core_cut of imbaraga-gw lasts 5.5 s
 ROUNDS = 10
+ROUND_S, END_S = 10.0, 112.0  # no round begins that could not end by then
 SPACING_S = 0.02
 FOLLOWS_S = 1.5  # without a watch of its own for so long, a daemon follows the other
 AT_ONCE_S = 0.02
@@ -100,8 +101,11 @@
     await asyncio.sleep(4.0)
     late = []
     for version in range(8, 8 + ROUNDS):
+        left_s = END_S - case.now()
+        if left_s < ROUND_S:
+            break
         try:
-            late += await asyncio.wait_for(play_round(case, watches, version), 20.0)
+            late += await asyncio.wait_for(play_round(case, watches, version), left_s)
         except TimeoutError:
             break
     if not case.found("round"):
