--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -433,7 +433,7 @@
 
     def _sweep(self) -> None:
         while True:
-            self._clock.sleep(SWEEP_INTERVAL_S)
+            self._clock.sleep(self.view.drop_due_in_s(SWEEP_INTERVAL_S))
             self.view.drop_missing()
             self._emptying.sweep()
             self._client.sweep()
--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -11,6 +11,7 @@
 import gevent
 import msgspec
 from gevent.event import Event
+from result import Result
 
 from lacewingpond.entry.fleet import Fleet
 from lacewingpond.entry.freshness import Freshness
@@ -29,8 +30,10 @@
     Listing,
     ListingStore,
     StoreEntry,
+    StoreError,
     StoreFailure,
     StorePosition,
+    WatchBatch,
 )
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
@@ -47,7 +50,8 @@
 LOST_PEER_AGE_S = 0.8  # the watcher does not respond
 TAKEOVER_SPREAD_S = 0.6  # keeps the daemons of a domain from starting together
 FIRST_RETRY_S = 0.5  # pause after a failed store call; doubles with each failure
-MAX_RETRY_S = 2.0  # below the bounds for applying changes
+MAX_RETRY_S = 1.0  # half of the bounds for applying changes
+MAX_RECONNECT_S = 0.1  # longest pause after the connection of a watch was closed
 
 
 class Follower:
@@ -62,7 +66,7 @@
     freshness : Freshness
         Receives the proofs that the cache is up to date.
     view : StoreView
-        Receives failures of store calls.
+        Receives contacts with the store, and its changes of era.
     fleet : Fleet
         Chooses peers.
     channel : DatagramChannel
@@ -210,17 +214,27 @@
 
         Stops watching after a failure, or if a watcher with a lower VM id was found.
         """
-        called_at = self._clock.boot()
-        after = self._cache.position.revision
         # A proof is dated by the start of its call, so waiting for events makes it
         # older. Without a recent proof the call returns at once.
         wait_s = WATCH_TIMEOUT_S if self._freshness.age_s < WATCH_TIMEOUT_S * 2 else 0.0
-        batch = self._store.watch("", after, wait_s)
+        called_at = self._clock.boot()
+        batch = self._call_watch(wait_s)
+        was_cut = _is_cut(batch)
+        if was_cut:
+            # A store that is up may close the connection of a waiting watch.
+            waited_s = round(self._clock.boot() - called_at, 3)
+            self._log.decision("store", "watch", "disconnected", waited_s=waited_s)
+            self._clock.sleep(self._rng.uniform(0.0, MAX_RECONNECT_S))
+            called_at = self._clock.boot()
+            batch = self._call_watch(0.0)
         if batch.is_err():
             failure = batch.err_value.failure
             if failure is StoreFailure.COMPACTED:
                 self._log.decision(
-                    "store", "history", "compacted; listing all keys", after=after
+                    "store",
+                    "history",
+                    "compacted; listing all keys",
+                    after=self._cache.position.revision,
                 )
                 self._list_again()
                 return
@@ -229,6 +243,7 @@
         changes = batch.ok_value
         if not self._is_trusted(changes.era):
             return
+        self._view.record_contact(called_at, "store")
         if not self._cache.apply(changes.events, changes.position):
             # The store came back from an older copy, whose changes need a listing.
             self._list_again()
@@ -238,7 +253,7 @@
         if not self._leaving:
             # Also sent without events, so that watchers discover one another.
             self._channel.broadcast(self._fleet.domain_peers(), self._notice())
-        if changes.events:
+        if changes.events or was_cut:
             self._clock.sleep(WATCH_PAUSE_S)
         if self._other_watcher is not None:
             self._log.decision(
@@ -247,6 +262,9 @@
             self._followed_peer, self._other_watcher = self._other_watcher, None
             self.watching = False
 
+    def _call_watch(self, wait_s: float) -> Result[WatchBatch, StoreError]:
+        return self._store.watch("", self._cache.position.revision, wait_s)
+
     def _list(self) -> None:
         """List all keys and apply them; after a failure wait until the next retry."""
         called_at = self._clock.boot()
@@ -260,6 +278,7 @@
             return
         self._record_store_success()
         self._has_listing = True
+        self._view.record_contact(called_at, "store")
         self._apply_listing(listing.ok_value, "store")
         self._freshness.record_proof(called_at, "store")
 
@@ -310,7 +329,6 @@
     def _record_store_failure(self, why: str) -> None:
         """Stop watching after a failed store call, and set the time of the next one."""
         self.watching = False
-        self._view.record_store_failure()
         pause_s = self._retry_s * self._rng.uniform(0.5, 1.0)
         self._retry_at = self._clock.now() + pause_s
         self._retry_s = min(self._retry_s * 2.0, MAX_RETRY_S)
@@ -350,10 +368,12 @@
         if changes is None or not changes.complete:
             self._drop_followed_peer(address, LOST_PEER_AGE_S, "no answer")
             return
+        proved_at = called_at - changes.proof_age_s
+        self._view.record_contact(proved_at, address)
         if not self._apply_changes(changes, address):
             self._drop_followed_peer(address, LOST_PEER_AGE_S, "in an earlier era")
             return
-        self._freshness.record_proof(called_at - changes.proof_age_s, address)
+        self._freshness.record_proof(proved_at, address)
         if changes.from_watcher:
             self._followed_peer = address
             self._takeover_age_s = max(self._takeover_age_s, TAKEOVER_AGE_S)
@@ -417,3 +437,7 @@
 
     def _draw_takeover_age(self, min_age_s: float = TAKEOVER_AGE_S) -> float:
         return min_age_s + self._rng.uniform(0.0, TAKEOVER_SPREAD_S)
+
+
+def _is_cut(batch: Result[WatchBatch, StoreError]) -> bool:
+    return batch.is_err() and batch.err_value.failure is StoreFailure.DISCONNECTED
--- a/lacewingpond/entry/store_view.py
+++ b/lacewingpond/entry/store_view.py
@@ -10,18 +10,19 @@
 from lacewingpond.entry.model.entry_target import EntryTarget
 from lacewingpond.entry.registration import LEASE_TTL_S
 from lacewingpond.entry.store_cache import StoreCache
+from lacewingpond.entry.store_contact import StoreContact
 from lacewingpond.store.base import NO_ERA, WatchEvent
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
-OUTAGE_WINDOW_S = 2.6  # longest pause between store calls, and a pull from a peer
-
 
 class StoreView:
     """Decoded state of the store cache, with listeners for its changes.
 
-    A target or member that is missing after an outage of the store is kept for a
-    grace period, because its lease may have lapsed while it could not renew it.
+    A target or member that goes missing until shortly after an outage of the store is
+    kept for a grace period, because its lease may have lapsed while it could not renew
+    it. For targets the period begins with the return of the store: what is removed
+    later has left.
 
     Parameters
     ----------
@@ -34,7 +35,7 @@
     log : DecisionLog
         Log of changes and of entries that can't be decoded.
     missing_grace_s : float
-        How long an entry may be missing after an outage of the store, in seconds.
+        How long after an outage of the store an entry may be missing, in seconds.
 
     Attributes
     ----------
@@ -53,7 +54,7 @@
     __slots__ += (
         "_log",
         "missing_grace_s",
-        "_store_failed_at",
+        "_contact",
         "_missing_targets",
         "_missing_members",
         "_on_config",
@@ -77,7 +78,7 @@
         self._clock = clock
         self._log = log
         self.missing_grace_s = missing_grace_s
-        self._store_failed_at = float("-inf")
+        self._contact = StoreContact()
         self._era_began_at = float("-inf")
         self._missing_targets: dict[str, float] = {}
         self._missing_members: dict[str, float] = {}
@@ -111,19 +112,37 @@
         """Call `listener` after each change of the evacuated failure domains."""
         self._on_evacuations.append(listener)
 
-    def record_store_failure(self) -> None:
-        """Record that a call to the store failed now."""
-        self._store_failed_at = self._clock.now()
+    def record_contact(self, at: float, source: str) -> None:
+        """Record that the store served a call, before its changes are applied.
+
+        Parameters
+        ----------
+        at : float
+            Boot-clock time in seconds at which the call was made.
+        source : str
+            Who made it, for the log.
+        """
+        gap_s = self._contact.record(at)
+        if gap_s > 0.0:
+            self._log.decision("store", "returned", source, gap_s=round(gap_s, 3))
 
     def record_new_era(self) -> None:
         """Record that the store came back now, from a copy that may lack entries."""
         self._era_began_at = self._clock.now()
-        self.record_store_failure()
+        self._contact.returned_at = self._clock.boot()
 
     def is_listed(self, vm_id: str) -> bool:
         """Return whether the store has an entry of a daemon, as far as is known."""
         return vm_id in self.members and vm_id not in self._missing_members
 
+    def drop_due_in_s(self, max_s: float) -> float:
+        """Return when to call `drop_missing` next, in seconds from now.
+
+        At most `max_s`, earlier if the grace period of a missing target ends before.
+        """
+        first = min(self._missing_targets.values(), default=float("inf"))
+        return min(max(first - self._clock.now(), 0.0), max_s)
+
     def drop_missing(self) -> None:
         """Drop missing entries whose grace period has ended; call periodically."""
         now = self._clock.now()
@@ -207,12 +226,12 @@
         """Apply changes of evacuations, and those of the known failure domains."""
         if not events:
             return self.evacuations.update_domains(self._known_domains)
-        stable = self._is_store_stable(self._clock.now())
+        grace_s = self.missing_grace_s if self._grace_left_s() > 0.0 else 0.0
         return self.evacuations.apply(
             events,
             self._cache.position.era,
             self._known_domains(),
-            0.0 if stable else self.missing_grace_s,
+            grace_s,
         )
 
     def _known_domains(self) -> set[str]:
@@ -220,16 +239,20 @@
         return {entry.failure_domain for entry in entries}
 
     def _remove_target(self, target_id: str) -> None:
-        now = self._clock.now()
+        grace_s = self._grace_left_s()
         known = self.targets.get(target_id)
         # A draining target that disappears has stopped, also during an outage.
-        if known is None or known.draining or self._is_store_stable(now):
+        if known is None or known.draining or grace_s <= 0.0:
             self._drop_target(target_id, "removed")
-        else:
-            self._missing_targets.setdefault(target_id, now + self.missing_grace_s)
+        elif target_id not in self._missing_targets:
+            self._missing_targets[target_id] = self._clock.now() + grace_s
+            self._log.decision(
+                "target", target_id, "missing, kept", grace_s=round(grace_s, 3)
+            )
 
-    def _is_store_stable(self, now: float) -> bool:
-        return now - self._store_failed_at > OUTAGE_WINDOW_S
+    def _grace_left_s(self) -> float:
+        """Return for how long a missing entry may still come back after an outage."""
+        return self._contact.returned_at + self.missing_grace_s - self._clock.boot()
 
     def _drop_target(self, target_id: str, why: str) -> None:
         if self.targets.pop(target_id, None) is not None:
@@ -250,11 +273,11 @@
 
     def _remove_member(self, vm_id: str) -> None:
         now = self._clock.now()
-        if vm_id not in self.members or self._is_store_stable(now):
+        if vm_id not in self.members or self._grace_left_s() <= 0.0:
             self._drop_member(vm_id, "removed")
         else:
             grace_s = self.missing_grace_s
-            if now - self._era_began_at <= OUTAGE_WINDOW_S:
+            if now - self._era_began_at <= self.missing_grace_s:
                 # It holds its shares of quotas for as long as after a crash.
                 grace_s = max(grace_s, LEASE_TTL_S)
             self._missing_members.setdefault(vm_id, now + grace_s)
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -188,9 +188,7 @@
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            not_sent = method == "GET" or isinstance(exc, _NOT_SENT_ERRORS)
-            failure = StoreFailure.UNAVAILABLE if not_sent else StoreFailure.UNKNOWN
-            return Err(StoreError(failure, type(exc).__name__))
+            return Err(StoreError(_failure(method, exc), type(exc).__name__))
         if response.status == 200:
             era = _era(response.headers.get(ERA_HEADER))
             return era.map(lambda number: _Answer(response.data, number))
@@ -208,6 +206,16 @@
 }
 
 
+def _failure(method: str, exc: Exception) -> StoreFailure:
+    """Return what a call that got no response means for its caller."""
+    if isinstance(exc, _NOT_SENT_ERRORS):
+        return StoreFailure.UNAVAILABLE
+    if method != "GET":
+        return StoreFailure.UNKNOWN
+    closed = isinstance(exc, urllib3.exceptions.ProtocolError)
+    return StoreFailure.DISCONNECTED if closed else StoreFailure.UNAVAILABLE
+
+
 def _era(text: str | None) -> Result[int, StoreError]:
     """Return the era that an answer states, `NO_ERA` if it states none."""
     if text is None:
--- a/lacewingpond/store/base.py
+++ b/lacewingpond/store/base.py
@@ -15,6 +15,8 @@
 
     UNAVAILABLE = "unavailable"
     """The call provably had no effect."""
+    DISCONNECTED = "disconnected"
+    """The store closed the connection of a read before it responded."""
     UNKNOWN = "unknown"
     """The call may have taken effect; only reading back tells."""
     CONFLICT = "conflict"
--- a/tests/entry/entry_helper.py
+++ b/tests/entry/entry_helper.py
@@ -27,6 +27,7 @@
 from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 
 UNAVAILABLE = StoreError(StoreFailure.UNAVAILABLE, "unavailable")
+DISCONNECTED = StoreError(StoreFailure.DISCONNECTED, "connection closed")
 COMPACTED = StoreError(StoreFailure.COMPACTED, "compacted")
 MAX_AGE_S = 3.5
 LIMIT_HEADER, LEAVING_HEADER = "X-Limit", "X-Leaving"
@@ -102,6 +103,7 @@
         self.compacted = False
         self.hang_s = 0.0
         self.watch_count = 0
+        self.closes_waiting = False
 
     def __getattr__(self, name):
         return getattr(self.store, name)
@@ -120,6 +122,8 @@
         if self.compacted:
             self.compacted = False
             return Err(COMPACTED)
+        if self.closes_waiting and timeout_s > 0.0:
+            return Err(DISCONNECTED)
         return self.store.watch(prefix, after, timeout_s)
 
 
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -18,6 +18,7 @@
 
 STEP_S = 0.05
 CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
 SETTLE_S = 6.0
 
 
@@ -205,3 +206,43 @@
     assert watching(others)
     run(clock, SETTLE_S)
     assert len(watching(others)) == 1
+
+
+# Guards against requests to targets that have left, as a daemon whose waiting watch was
+# closed took that for an outage of the store, and called it again only later.
+def test_removal_is_followed_in_time_while_waiting_watches_are_closed(
+    fleet, clock, store
+):
+    store.put("targets/t1", msgspec.json.encode(entry_target()), "")
+    run(clock, SETTLE_S)
+    for each in fleet:
+        each.store.closes_waiting = True
+    run(clock, 0.5)
+    store.delete_if("targets/t1", store.get("targets/t1").ok_value.revision)
+    counts = [each.store.watch_count for each in fleet]
+    for _ in range(round((DRAIN_S - 0.5) / STEP_S)):
+        run(clock, STEP_S)
+        for each in fleet:
+            each.vm.view.drop_missing()
+    assert all(each.vm.view.targets == {} for each in fleet)
+    calls = sum(each.store.watch_count for each in fleet) - sum(counts)
+    assert calls <= 6 * DRAIN_S
+    assert all(each.vm.freshness.is_fresh for each in fleet)
+
+
+# Guards against a call of an outage that fails after it, and makes it look longer.
+def test_target_removed_after_an_outage_is_dropped_in_time(fleet, clock, store):
+    store.put("targets/t1", msgspec.json.encode(entry_target()), "")
+    run(clock, SETTLE_S)
+    for each in fleet:
+        each.store.hang_s = 2.0
+    run(clock, 4.5)
+    for each in fleet:
+        each.store.hang_s = 0.0
+    run(clock, 3.05)
+    store.delete_if("targets/t1", store.get("targets/t1").ok_value.revision)
+    for _ in range(round((DRAIN_S - 0.1) / STEP_S)):
+        run(clock, STEP_S)
+        for each in fleet:
+            each.vm.view.drop_missing()
+    assert all(each.vm.view.targets == {} for each in fleet)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -132,6 +132,19 @@
     assert error.failure is StoreFailure.UNKNOWN
 
 
+# Guards against a waiting watch that was closed and counts as an outage of the store.
+def test_closed_watch_is_told_from_a_store_that_is_away():
+    with raw_target(lambda sock: (read_head(sock), sock.close())) as target:
+        port = int(target.address.rpartition(":")[2])
+        error = PlatformStore("127.0.0.1", port).watch("", 1, 0.5).unwrap_err()
+    assert error.failure is StoreFailure.DISCONNECTED
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        store = PlatformStore("127.0.0.1", unused.getsockname()[1])
+        error = store.watch("", 1, 0.5).unwrap_err()
+    assert error.failure is StoreFailure.UNAVAILABLE
+
+
 def test_write_that_was_not_sent_had_no_effect():
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
