--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import gevent
 import msgspec
@@ -46,9 +47,12 @@
 PULL_TIMEOUT_S = 0.15  # peers respond within 2 ms
 # Age of its proof at which a daemon starts to watch:
 TAKEOVER_AGE_S = 1.6  # proofs from a watcher are at most 1.55 s old
-HANDOVER_AGE_S = 0.0  # the watcher announced its stop: take over at once
 LOST_PEER_AGE_S = 0.8  # the watcher does not respond
 TAKEOVER_SPREAD_S = 0.6  # keeps the daemons of a domain from starting together
+HANDOVER_SPREAD_S = 0.3  # as the watcher hands over, when proofs may be 1.4 s old
+OVERDUE_S = 0.25  # a response of the store takes so much longer than expected
+LISTING_OVERDUE_S = 0.5  # of several pages
+FOLLOWER_MEMORY_S = 2.0  # several pulls
 FIRST_RETRY_S = 0.5  # pause after a failed store call; doubles with each failure
 MAX_RETRY_S = 1.0  # half of the bounds for applying changes
 MAX_RECONNECT_S = 0.1  # longest pause after the connection of a watch was closed
@@ -88,6 +92,7 @@
     __slots__ += ("_channel", "_clock", "_rng", "_log", "_followed_peer", "_newer_peer")
     __slots__ += ("_wake", "_retry_at", "_retry_s", "_store_reachable", "_greenlets")
     __slots__ += ("_takeover_age_s", "_other_watcher", "_has_listing", "_leaving")
+    __slots__ += ("_announced", "_overdue", "_latency_s", "_pulled_at")
 
     def __init__(
         self,
@@ -119,6 +124,12 @@
         self._store_reachable = True
         self._has_listing = False
         self._leaving = False
+        # Whether peers have been told that this daemon watches.
+        self._announced = False
+        # Whether the present call to the store takes longer than expected.
+        self._overdue = False
+        self._latency_s = 0.0
+        self._pulled_at: dict[str, float] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._takeover_age_s = self._draw_takeover_age()
         self._other_watcher: str | None = None
@@ -148,14 +159,13 @@
             self._wake.set()
 
     def hand_over_watch(self) -> None:
-        """Ask the peers of this domain to take over the watch, before a planned stop.
+        """Ask the followers to take over the watch, before a planned stop.
 
         Until `stop`, a daemon that watches goes on but no longer announces it.
         """
         self._leaving = True
         if self.watching:
-            notice = self._notice(leaving=True)
-            self._channel.broadcast(self._fleet.domain_peers(), notice)
+            self._ask_for_takeover()
 
     def changes_for(
         self, request: ChangesRequest, max_bytes: int | None = None
@@ -176,7 +186,7 @@
             request.number,
             cache.position.revision,
             self._freshness.age_s,
-            self.watching and not self._leaving,
+            self.watching and not self._leaving and not self._overdue,
             events is not None,
             events or (),
             cache.position.era,
@@ -253,6 +263,7 @@
         if not self._leaving:
             # Also sent without events, so that watchers discover one another.
             self._channel.broadcast(self._fleet.domain_peers(), self._notice())
+            self._announced = True
         if changes.events or was_cut:
             self._clock.sleep(WATCH_PAUSE_S)
         if self._other_watcher is not None:
@@ -260,15 +271,51 @@
                 "source", self._other_watcher, "already watches the store"
             )
             self._followed_peer, self._other_watcher = self._other_watcher, None
-            self.watching = False
+            self.watching = self._announced = False
 
     def _call_watch(self, wait_s: float) -> Result[WatchBatch, StoreError]:
-        return self._store.watch("", self._cache.position.revision, wait_s)
+        called_at = self._clock.now()
+        due_s = wait_s + max(OVERDUE_S, self._latency_s * 2.0)
+        revision = self._cache.position.revision
+        batch = self._call(due_s, lambda: self._store.watch("", revision, wait_s))
+        if batch.is_ok():
+            # Events end the wait, so that the latency is known only within bounds.
+            took_s = self._clock.now() - called_at
+            self._latency_s = min(max(self._latency_s, took_s - wait_s), took_s)
+        return batch
+
+    def _call(self, due_s: float, call: Callable[[], Result]) -> Result:
+        """Make a call to the store; hand the watch over while it is overdue."""
+        timer = gevent.spawn(self._hand_over_overdue, due_s)
+        try:
+            return call()
+        finally:
+            timer.kill(block=False)
+            self._overdue = False
+
+    def _hand_over_overdue(self, due_s: float) -> None:
+        """Let followers take over the watch if a call is not done after `due_s`.
+
+        Their proofs are too old by the time at which the call fails.
+        """
+        self._clock.sleep(due_s)
+        self._overdue = True
+        self._wake.set()
+        if self._announced:
+            self._log.decision("source", "store", "overdue", due_s=round(due_s, 3))
+            self._ask_for_takeover()
+
+    def _ask_for_takeover(self) -> None:
+        """Ask the peers that may follow this daemon to watch the store themselves."""
+        since = self._clock.now() - FOLLOWER_MEMORY_S
+        followers = {peer for peer, at in self._pulled_at.items() if at > since}
+        followers.update(self._fleet.domain_peers())
+        self._channel.broadcast(sorted(followers), self._notice(leaving=True))
 
     def _list(self) -> None:
         """List all keys and apply them; after a failure wait until the next retry."""
         called_at = self._clock.boot()
-        listing = self._store.listing("")
+        listing = self._call(LISTING_OVERDUE_S, lambda: self._store.listing(""))
         if listing.is_err():
             self._record_store_failure(str(listing.err_value.detail))
             self._clock.sleep(max(self._retry_at - self._clock.now(), 0.0))
@@ -328,7 +375,9 @@
 
     def _record_store_failure(self, why: str) -> None:
         """Stop watching after a failed store call, and set the time of the next one."""
-        self.watching = False
+        if self._announced:
+            self._ask_for_takeover()
+        self.watching = self._announced = False
         pause_s = self._retry_s * self._rng.uniform(0.5, 1.0)
         self._retry_at = self._clock.now() + pause_s
         self._retry_s = min(self._retry_s * 2.0, MAX_RETRY_S)
@@ -343,13 +392,17 @@
             self._wake.clear()
             if not self._has_listing:
                 continue
-            if self.watching and self._newer_peer is None and self._freshness.is_fresh:
+            if self._gets_changes_itself() and self._newer_peer is None:
                 continue
             newer_peer, self._newer_peer = self._newer_peer, None
             self._pull(
                 newer_peer or self._followed_peer or self._fleet.choose_peer_to_follow()
             )
 
+    def _gets_changes_itself(self) -> bool:
+        """Return whether this daemon watches the store, which answers it in time."""
+        return self.watching and not self._overdue and self._freshness.is_fresh
+
     def _pull(self, address: str | None) -> None:
         """Request changes and their proof from a peer; follow it if it is a watcher."""
         if address is None:
@@ -416,15 +469,37 @@
             self._takeover_age_s = self._draw_takeover_age(takeover_age_s)
             self._log.decision("source", address, why)
 
+    def _take_over_from(self, address: str) -> None:
+        """Drop `address` if it is the followed peer, and watch soon without another."""
+        if self._followed_peer == address:
+            self._followed_peer = None
+            spread_s = self._rng.uniform(0.0, HANDOVER_SPREAD_S)
+            self._takeover_age_s = self._freshness.age_s + spread_s
+            self._log.decision("source", address, "hands over")
+
+    def _record_pull(self, sender: str) -> None:
+        now = self._clock.now()
+        self._pulled_at.pop(sender, None)
+        self._pulled_at[sender] = now
+        # Ordered by time, so that the first ones are the oldest.
+        while now - next(iter(self._pulled_at.values())) > FOLLOWER_MEMORY_S:
+            del self._pulled_at[next(iter(self._pulled_at))]
+
     def _on_request(self, request: ChangesRequest, sender: str) -> None:
         self._fleet.record_message(sender)
+        self._record_pull(sender)
         self._channel.send(sender, self.changes_for(request, MAX_DATAGRAM_BYTES))
 
     def _on_notice(self, notice: WatcherNotice, sender: str) -> None:
-        """Follow a watcher that announces itself; drop one that stops."""
+        """Follow a watcher that announces itself; take over from one that asks for it.
+
+        One asks for it before it stops, and while the store does not answer it.
+        """
         vm_id = self._fleet.record_message(sender)
         if notice.leaving:
-            self._drop_followed_peer(sender, HANDOVER_AGE_S, "leaves")
+            if self._other_watcher == sender:
+                self._other_watcher = None
+            self._take_over_from(sender)
             return
         # Of two watchers, the one with the lower id goes on.
         if self.watching and vm_id is not None and vm_id < self._fleet.vm_id:
--- a/tests/entry/entry_helper.py
+++ b/tests/entry/entry_helper.py
@@ -104,6 +104,7 @@
         self.hang_s = 0.0
         self.watch_count = 0
         self.closes_waiting = False
+        self.delay_s = 0.0
 
     def __getattr__(self, name):
         return getattr(self.store, name)
@@ -124,7 +125,10 @@
             return Err(COMPACTED)
         if self.closes_waiting and timeout_s > 0.0:
             return Err(DISCONNECTED)
-        return self.store.watch(prefix, after, timeout_s)
+        batch = self.store.watch(prefix, after, timeout_s)
+        if self.delay_s:
+            self.store._clock.sleep(self.delay_s)
+        return batch
 
 
 class Network:
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -1,5 +1,8 @@
 """Tests of following the store directly and through peers."""
 
+import random
+from contextlib import contextmanager
+
 import gevent
 import msgspec
 import pytest
@@ -13,6 +16,7 @@
 )
 
 from lacewingpond.entry.follower import WATCH_PAUSE_S, WATCH_TIMEOUT_S, Follower
+from lacewingpond.entry.peers.messages import WatcherNotice
 from lacewingpond.store.base import WatchEvent
 from lacewingpond.store.memory import MemoryStore
 
@@ -22,6 +26,13 @@
 SETTLE_S = 6.0
 
 
+class LongestWaits(random.Random):
+    """Draws the longest of all random waits."""
+
+    def uniform(self, a, b):
+        return b
+
+
 class FollowingVm:
     """A VM with a follower of a store whose calls can fail for this VM."""
 
@@ -53,12 +64,14 @@
     return memory
 
 
-@pytest.fixture
-def fleet(clock, store):
+@contextmanager
+def following(clock, store, domains, rng=None):
+    """Run a fleet with one VM for each item of `domains`."""
     network = Network()
-    vms = [Vm(f"vm-{n}", n, network, clock) for n in range(1, 6)]
+    vms = [Vm(f"vm-{n}", n, network, clock, d) for n, d in enumerate(domains, 1)]
     for vm in vms:
         store.put(f"members/{vm.name}", vm.member.encode(), "")
+        vm.rng = rng or vm.rng
     fleet = [FollowingVm(vm, store) for vm in vms]
     for each in fleet:
         each.follower.start()
@@ -68,6 +81,12 @@
         each.follower.stop()
 
 
+@pytest.fixture
+def fleet(clock, store):
+    with following(clock, store, ["zone-a"] * 5) as fleet:
+        yield fleet
+
+
 def run(clock, seconds):
     for _ in range(round(seconds / STEP_S)):
         clock.advance(STEP_S)
@@ -246,3 +265,55 @@
         for each in fleet:
             each.vm.view.drop_missing()
     assert all(each.vm.view.targets == {} for each in fleet)
+
+
+# Guards against a VM that follows a watcher which the store no longer answers, and
+# learns of a change only when its proof is too old.
+@pytest.mark.parametrize("answer", ["hangs", "refuses"])
+@pytest.mark.parametrize("domains", [("zone-a",) * 2, ("zone-a", "zone-b")])
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.3, 0.5, 0.7, 1.0, 1.3])
+def test_change_is_followed_in_time_while_the_watcher_is_cut_off(
+    clock, store, domains, answer, delay_s
+):
+    with following(clock, store, domains, LongestWaits()) as fleet:
+        cut = watching(fleet)[0]
+        other = next(each for each in fleet if each is not cut)
+        # The second watch returns at once, so that the proofs are as new as possible.
+        for name in ("t1", "t2"):
+            store.put(f"targets/{name}", msgspec.json.encode(entry_target(name)), "")
+            run(clock, WATCH_PAUSE_S / 2)
+        run(clock, STEP_S + delay_s)
+        cut.store.hang_s = WATCH_TIMEOUT_S + 0.8 if answer == "hangs" else 0.0
+        cut.store.unavailable = answer == "refuses"
+        store.put("config", b"2", "")
+        run(clock, CONFIG_APPLY_S - 0.1)
+        assert other.version == 2
+        assert cut.version == 2
+
+
+# Guards against a slow store that all followers of a watcher call as well.
+def test_slow_store_is_not_called_by_all_followers(fleet, clock):
+    delay_s = 0.4
+    for each in fleet:
+        each.store.delay_s = delay_s
+    run(clock, SETTLE_S)
+    before = sum(each.store.watch_count for each in fleet)
+    run(clock, 10.0)
+    calls = sum(each.store.watch_count for each in fleet) - before
+    calls_of_a_watcher = 10.0 / (WATCH_TIMEOUT_S + delay_s)
+    assert calls <= 3 * calls_of_a_watcher
+
+
+# Guards against messages that grow with the square of a domain, as each daemon that
+# fails to become the watcher asks all others to take over.
+def test_only_watchers_ask_for_a_takeover_in_an_outage(fleet, clock):
+    for each in fleet:
+        each.store.unavailable = True
+    run(clock, 10.0)
+    asked = [
+        message
+        for each in fleet
+        for _, message in each.vm.channel.sent
+        if isinstance(message, WatcherNotice) and message.leaving
+    ]
+    assert len(asked) == len(fleet) - 1
