--- a/lacewingpond/entry/header_names.py
+++ b/lacewingpond/entry/header_names.py
@@ -4,6 +4,8 @@
 
 from lacewingpond.http.headers import Headers
 
+MISDIRECTED = 421
+
 
 class HeaderNames(Struct, frozen=True):
     """Header field names of a platform.
@@ -35,6 +37,30 @@
     signature: str
     not_run: str
 
+    def states_not_run(
+        self, status: int, headers: Headers, request_id: str, target_id: str
+    ) -> bool:
+        """Return whether a response proves that its target did not run the request.
+
+        It does if it says so and names the request, which tells it from a refusal of an
+        earlier one, or if another target than the expected one responds with 421.
+
+        Parameters
+        ----------
+        status : int
+            Status of the response.
+        headers : Headers
+            Its headers.
+        request_id, target_id : str
+            Id of the request, and of the target that it was meant for.
+        """
+        ids = headers.get_all(self.request_id)
+        if headers.get(self.not_run):
+            return ids == [request_id]
+        responder = headers.get(self.target_id)
+        is_other = responder is not None and responder != target_id
+        return status == MISDIRECTED and is_other and ids in ([], [request_id])
+
     def is_valid_response(self, headers: Headers, request_id: str) -> bool:
         """Return whether headers are those of a target's response to a request.
 
--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -27,11 +27,13 @@
 from lacewingpond.entry.requests.forwarded_body import read_response
 from lacewingpond.entry.requests.outcome import (
     FINAL_REASONS,
+    NOT_RUN_STATUSES,
     AttemptFailure,
     FailureKind,
     Outcome,
     no_response_refusal,
     not_sent_refusal,
+    unproven_refusal,
 )
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
@@ -237,9 +239,16 @@
             return Err(_unknown(502, "bad-answer"))
         refusal = parsed.ok_value
         if refusal is not None:
+            ids = response.headers.get_all(self._names.request_id)
+            if ids != [request.request_id]:
+                return Err(_unknown(502, "bad-answer"))
             return Err(_refused(response, refusal, self._log))
         if not self._names.is_valid_response(response.headers, request.request_id):
             return Err(_unknown(502, "bad-answer"))
+        if response.status in NOT_RUN_STATUSES:
+            # From a peer of an earlier build, which does not ask for proof.
+            refused = unproven_refusal(response.status)
+            return Err(AttemptFailure(FailureKind.UNKNOWN, refused))
         target = parse_target(response.headers.get(TARGET_HEADER))
         if target is not None:
             self._statements.observe_relayed(target, response.status, response.headers)
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from lacewingpond.entry.admission.base import Admission, AdmitAll
-from lacewingpond.entry.header_names import HeaderNames
+from lacewingpond.entry.header_names import MISDIRECTED, HeaderNames
 from lacewingpond.entry.hedging.hedging import Hedging
 from lacewingpond.entry.limits.limiter import TargetLimiter
 from lacewingpond.entry.model.target_statement import TargetStatement
@@ -19,12 +19,14 @@
 from lacewingpond.entry.requests.outcome import (
     FINAL_REASONS,
     FIRST_SERVER_ERROR,
+    NOT_RUN_STATUSES,
     AttemptFailure,
     FailureKind,
     Outcome,
     ends_request,
     no_response_refusal,
     not_sent_refusal,
+    unproven_refusal,
 )
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
 from lacewingpond.entry.requests.refusal import EntryRefusal
@@ -60,7 +62,6 @@
 MIN_ATTEMPT_S = 0.05  # no target responds in less
 QUARANTINE_RETRY_AFTER_S = 30.0  # half of the time that a quarantine lasts
 MAX_RELAYS = 2  # a second peer, for an idempotent request that the first one lost
-MISDIRECTED = 421
 GATEWAY_TIMEOUT = 504
 
 NO_EVIDENCE_REASONS = frozenset(
@@ -338,24 +339,38 @@
         state, started = waiting.state, waiting.sent_at
         if response.status != GATEWAY_TIMEOUT:
             self._context.overdue.respond(waiting)
-        if response.status == MISDIRECTED:
-            return Err(self._misdirected_failure(state))
-        if response.headers.get(names.not_run):
+        request_id = self._request.request_id
+        evidence = {
+            "target": state.spec.target_id,
+            "conn": "kept" if response.reused else "new",
+            "answer": response.status,
+            "answer_ids": response.headers.get_all(names.request_id),
+        }
+        if names.states_not_run(
+            response.status, response.headers, request_id, state.spec.target_id
+        ):
+            if response.status == MISDIRECTED:
+                return Err(self._misdirected_failure(state, evidence))
             self._observe(state, response, started)
             self._context.reporter.record_rejection(state)
-            return Err(self._busy_failure())
-        if not names.is_valid_response(response.headers, self._request.request_id):
+            return Err(self._busy_failure(evidence))
+        if not names.is_valid_response(response.headers, request_id):
             self._context.reporter.record_failure(
                 state, "invalid response", BROKEN_EVIDENCE
             )
             detail = (
                 "The target's response is unsigned, encoded or for another request."
             )
-            return Err(
-                _unknown_failure(EntryRefusal.unknown(502, "bad-answer", detail))
-            )
+            refusal = EntryRefusal.unknown(502, "bad-answer", detail)
+            return Err(_unknown_failure(refusal.with_evidence(**evidence)))
         paused = self._observe(state, response, started).pause_s > 0.0
         forwarded = read_response(response)
+        if response.status in NOT_RUN_STATUSES:
+            # The target may have run the request, which this status would deny.
+            weight = 0.0 if paused else ERROR_EVIDENCE
+            self._context.reporter.record_failure(state, "unproven status", weight)
+            refusal = unproven_refusal(response.status)
+            return Err(_unknown_failure(refusal.with_evidence(**evidence)))
         if self._request.is_relayed:
             target = encode_target(state.spec.target_id, state.spec.incarnation)
             forwarded.headers.set(TARGET_HEADER, target)
@@ -384,22 +399,26 @@
             state.spec, response.status, response.headers, started
         )
 
-    def _misdirected_failure(self, state: TargetState) -> AttemptFailure:
+    def _misdirected_failure(
+        self, state: TargetState, evidence: dict[str, object]
+    ) -> AttemptFailure:
         """Report that another target has taken over the address."""
         self._context.reporter.record_failure(state, "misdirected", BROKEN_EVIDENCE)
         detail = "Another target now uses the address."
-        return self._not_run_failure("misdirected", detail)
+        return self._not_run_failure("misdirected", detail, evidence)
 
-    def _busy_failure(self) -> AttemptFailure:
+    def _busy_failure(self, evidence: dict[str, object]) -> AttemptFailure:
         now, service = self._context.clock.now(), self._request.service
         self._context.hedging.policy.record_rejection(service, now)
         detail = "The target accepts no more requests now."
-        return self._not_run_failure("target-busy", detail)
+        return self._not_run_failure("target-busy", detail, evidence)
 
-    def _not_run_failure(self, reason: str, detail: str) -> AttemptFailure:
+    def _not_run_failure(
+        self, reason: str, detail: str, evidence: dict[str, object]
+    ) -> AttemptFailure:
         refusal = EntryRefusal.not_run(
             503, reason, detail, self._targets.retry_after_s()
-        )
+        ).with_evidence(**evidence)
         return AttemptFailure(FailureKind.NOT_RUN, refusal)
 
     def _send_failure(
@@ -515,7 +534,8 @@
             return self._targets.no_target_refusal()
         refusal = self._last_failure.refusal
         if self._may_have_run and self._last_failure.kind is not FailureKind.UNKNOWN:
-            return EntryRefusal.unknown(502, refusal.reason, refusal.detail)
+            unknown = EntryRefusal.unknown(502, refusal.reason, refusal.detail)
+            return unknown.with_evidence(**refusal.evidence)
         return refusal
 
 
--- a/lacewingpond/entry/requests/outcome.py
+++ b/lacewingpond/entry/requests/outcome.py
@@ -12,6 +12,8 @@
 # While targets refuse requests although slots are free, other targets may accept them.
 IDLE_RETRY_AFTER_S = 0.15
 FIRST_SERVER_ERROR = 500
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers know that their request has not run and never will."""
 FINAL_REASONS = frozenset(
     {
         SendReason.CALLER_DISCONNECTED,
@@ -89,6 +91,15 @@
     return EntryRefusal.unknown(status, f"unanswered-{reason.value}", detail)
 
 
+def unproven_refusal(status: int) -> EntryRefusal:
+    """Return the error in place of a target's response with one of `NOT_RUN_STATUSES`.
+
+    The target has not proved what its `status` would tell the caller.
+    """
+    detail = f"A target responded with {status}, and may have run the request."
+    return EntryRefusal.unknown(502, "unproven-status", detail)
+
+
 def ends_request(outcome: Outcome) -> bool:
     """Return whether no other attempt can give the caller a better response."""
     if outcome.is_err():
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -251,6 +251,7 @@
             status=refusal.status,
             run=refusal.run.value,
             detail=refusal.detail,
+            **refusal.evidence,
         )
         response = refusal.response()
         if request_id:
--- a/lacewingpond/entry/requests/refusal.py
+++ b/lacewingpond/entry/requests/refusal.py
@@ -3,7 +3,8 @@
 `lacewingpond.proxy.refusal` has those of the standalone daemon.
 """
 
-from msgspec import Struct
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from lacewingpond.http.refusal import refusal_response
 from lacewingpond.http.response import Response
@@ -26,6 +27,9 @@
         Whether a target may have run it.
     retry_after_s : float or None
         Time after which the caller should retry, in seconds; None for no advice.
+    evidence : dict of str to object
+        What the log tells about the response of a target on which the refusal rests;
+        empty if it rests on none.
     """
 
     status: int
@@ -33,6 +37,7 @@
     detail: str
     run: RunState = RunState.NOT_RUN
     retry_after_s: float | None = None
+    evidence: dict[str, object] = field(default_factory=dict)
 
     @classmethod
     def not_run(
@@ -46,6 +51,10 @@
         """Return the error for a request that a target may have run."""
         return cls(status, reason, detail, RunState.UNKNOWN)
 
+    def with_evidence(self, **evidence: object) -> "EntryRefusal":
+        """Return this refusal as one that rests on the response of a target."""
+        return replace(self, evidence=evidence)
+
     def response(self) -> Response:
         """Return the HTTP response for the caller."""
         response = refusal_response(self.status, self.run, self.reason, self.detail)
--- a/lacewingpond/targets/http_connection.py
+++ b/lacewingpond/targets/http_connection.py
@@ -57,8 +57,10 @@
         """Return whether the response has the id of another request."""
         if not self.id_header or self.expected_id is None:
             return False
-        found = self.msg.get(self.id_header)
-        return found is not None and found != self.expected_id
+        found = self.msg.get_all(self.id_header, [])
+        if len(found) > 1:
+            raise ExchangeError(SendReason.PROTOCOL, "response with several ids")
+        return bool(found) and found[0] != self.expected_id
 
     def _skip_stray(self) -> None:
         if self.chunked:
--- a/tests/entry/stack_helper.py
+++ b/tests/entry/stack_helper.py
@@ -67,6 +67,11 @@
     return signed(req, 503, b"", X_Not_Run="1")
 
 
+def raw_head(status, *fields, length=0):
+    lines = [f"HTTP/1.1 {status} Status", *fields, f"Content-Length: {length}"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
 def limiter_of(vm, table, limits, clock):
     return TargetLimiter(limits, table, vm.view, vm.fleet, vm.channel, clock, vm.rng)
 
