--- a/lacewingpond/targets/client.py
+++ b/lacewingpond/targets/client.py
@@ -143,6 +143,9 @@
             return Err(SendError(SendFailure.NOT_SENT, SendReason.DEADLINE))
         pool = self._pools.get(target.address)
         acquired = pool.acquire(fresh=not req.idempotent, deadline=deadline)
+        if acquired.is_ok() and acquired.ok_value.has_carried(req):
+            pool.discard(acquired.ok_value)
+            acquired = pool.acquire(fresh=True, deadline=deadline, new=True)
         if acquired.is_err():
             return acquired
         outcome = self._exchange(target, pool, acquired.ok(), req, deadline)
--- a/lacewingpond/targets/connection.py
+++ b/lacewingpond/targets/connection.py
@@ -1,6 +1,7 @@
 """A pooled connection and the HTTP exchange that it carries."""
 
 import math
+from collections import deque
 from collections.abc import Callable
 
 from gevent.socket import wait_read
@@ -17,6 +18,9 @@
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.sockets import SocketState, socket_state
 
+MAX_CARRIED_IDS = 8
+"""Ids that a connection remembers; only this fleet sends a request more than once."""
+
 
 class TargetConnection:
     """A connection to a target; it carries one exchange at a time.
@@ -48,6 +52,7 @@
     """
 
     __slots__ = (
+        "_carried_ids",
         "opened_at",
         "last_active_at",
         "expires_at",
@@ -91,6 +96,7 @@
         self._deadline = 0.0
         self._method = ""
         self._expected_id: str | None = None
+        self._carried_ids: deque[str] = deque(maxlen=MAX_CARRIED_IDS)
         self._is_disconnected: Callable[[], bool] | None = None
         self._gives_up_silent = False
         self._on_overdue: Callable[[], bool] | None = None
@@ -118,6 +124,15 @@
         idle_s = now - self.last_active_at
         return now < self.expires_at and idle_s <= self.idle_timeout_s * REUSE_RATIO
 
+    def has_carried(self, req: TargetRequest) -> bool:
+        """Return whether it has carried a request with the same id.
+
+        A target that repeats its response to that one could not be told from one that
+        responds to `req`.
+        """
+        request_id = req.headers.get(self._options.answer_id_header)
+        return request_id is not None and request_id in self._carried_ids
+
     def is_clean(self) -> bool:
         """Return whether it is open and has no unread bytes."""
         sock = self._http.sock
@@ -146,6 +161,8 @@
         self._method = req.method
         self._expected_id = req.headers.get(self._options.answer_id_header)
         self._http.set_expected_id(self._options.answer_id_header, self._expected_id)
+        if self._expected_id is not None:
+            self._carried_ids.append(self._expected_id)
         if req.may_send is not None and not req.may_send():
             raise ExchangeError(SendReason.MAY_NOT_SEND)
         self.sent_at = self._clock.now()
