--- a/lacewingpond/entry/store_view.py
+++ b/lacewingpond/entry/store_view.py
@@ -56,6 +56,7 @@
         "missing_grace_s",
         "_contact",
         "_missing_targets",
+        "_unreadable_targets",
         "_missing_members",
         "_on_config",
     )
@@ -80,6 +81,7 @@
         self.missing_grace_s = missing_grace_s
         self._contact = StoreContact()
         self._era_began_at = float("-inf")
+        self._unreadable_targets: set[str] = set()
         self._missing_targets: dict[str, float] = {}
         self._missing_members: dict[str, float] = {}
         self._on_config: list[Callable[[EntryConfig], None]] = []
@@ -213,8 +215,9 @@
         self._missing_targets.pop(target_id, None)
         decoded = self._formats.decode_instance(target_id, event.value)
         if decoded.is_err():
-            self._drop_target(target_id, f"unreadable entry: {decoded.err_value}")
+            self._drop_unreadable_target(target_id, decoded.err_value)
             return
+        self._unreadable_targets.discard(target_id)
         target = decoded.ok_value
         known = self.targets.get(target_id)
         if known is None or known.draining != target.draining:
@@ -239,6 +242,7 @@
         return {entry.failure_domain for entry in entries}
 
     def _remove_target(self, target_id: str) -> None:
+        self._unreadable_targets.discard(target_id)
         grace_s = self._grace_left_s()
         known = self.targets.get(target_id)
         # A draining target that disappears has stopped, also during an outage.
@@ -254,6 +258,13 @@
         """Return for how long a missing entry may still come back after an outage."""
         return self._contact.returned_at + self.missing_grace_s - self._clock.boot()
 
+    def _drop_unreadable_target(self, target_id: str, why: str) -> None:
+        """Drop a target whose entry can't be decoded, and log that once."""
+        self.targets.pop(target_id, None)
+        if target_id not in self._unreadable_targets:
+            self._unreadable_targets.add(target_id)
+            self._log.decision("target", target_id, f"unreadable entry: {why}")
+
     def _drop_target(self, target_id: str, why: str) -> None:
         if self.targets.pop(target_id, None) is not None:
             self._log.decision("target", target_id, why)
--- a/lacewingpond/platform/config_document.py
+++ b/lacewingpond/platform/config_document.py
@@ -1,7 +1,9 @@
 """Decodes the platform's configuration document."""
 
+from typing import Annotated
+
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 from result import Err, Ok, Result
 
 from lacewingpond.entry.model.caller_limits import CallerLimits
@@ -73,7 +75,8 @@
 
 
 class _Document(Struct):
-    version: int
+    # With a larger one, no later version could be told to peers.
+    version: Annotated[int, Meta(le=2**63 - 1)]
     limits: _Limits | None = None
     tenants: tuple[_Tenant, ...] | None = None
     listeners: tuple[_Listener, ...] = ()
--- a/lacewingpond/platform/instance_entry.py
+++ b/lacewingpond/platform/instance_entry.py
@@ -1,35 +1,48 @@
 """Decodes the entries that targets write for themselves."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 from result import Err, Ok, Result
 
 from lacewingpond.entry.model.entry_target import EntryTarget
 from lacewingpond.util.address import parse_address
 from lacewingpond.util.duration import parse_duration
 
+MAX_SLOTS = 65_535
+"""A target processes one request on a connection, and has no more ports for them."""
+MAX_NAME_CHARS = 200
+MAX_ERROR_CHARS = 200
+
+_Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+
 
 class _InstanceEntry(Struct, rename="kebab"):
-    service: str
+    service: _Name
     address: str
-    zone: str
-    slots: int
+    zone: _Name
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     warmup_left: str = "0ms"
     # Start time in Unix milliseconds. It identifies the incarnation, so it is only
-    # compared for equality.
-    born: int = 0
+    # compared for equality. Messages between daemons have 64 bits for it.
+    born: Annotated[int, Meta(ge=0, le=2**63 - 1)] = 0
 
 
 def decode_instance(target_id: str, raw: bytes) -> Result[EntryTarget, str]:
-    """Return the target that `raw` describes, or why it can't be decoded."""
+    """Return the target that `raw` describes, or why it can't be decoded.
+
+    The reason has at most `MAX_ERROR_CHARS` characters.
+    """
+    # The id is sent in a header of each request.
+    if not target_id or not target_id.isascii() or not target_id.isprintable():
+        return Err("the id is empty or not printable")
     try:
         entry = msgspec.json.decode(raw, type=_InstanceEntry)
-        parse_address(entry.address)
-        if not target_id or entry.slots < 1:
-            return Err("the entry has no id or no slots")
+        _, port = parse_address(entry.address)
+        if port == 0:
+            return Err("the port is 0")
         return Ok(
             EntryTarget(
                 target_id=target_id,
@@ -43,4 +56,4 @@
             )
         )
     except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
-        return Err(str(exc))
+        return Err(str(exc)[:MAX_ERROR_CHARS])
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -23,6 +23,7 @@
 WATCH_TIMEOUT_MARGIN_S = 0.8  # ends a hung watch; proofs are valid for only 3.5 s
 MAX_CONNECTIONS = 2  # a watch occupies one
 MAX_ERA_DIGITS = 15
+MAX_DETAIL_CHARS = 200  # of the log line of a failed call
 MAX_PAGES = 1_000  # of 500 items; bounds a listing if the store never ends it
 
 _NOT_SENT_ERRORS = (
@@ -232,7 +233,6 @@
         return response
     try:
         return Ok(msgspec.json.decode(response.ok_value.body, type=body_type))
-    except msgspec.MsgspecError as exc:
-        return Err(
-            StoreError(StoreFailure.UNKNOWN, f"can't decode the response: {exc}")
-        )
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        detail = f"can't decode the response: {exc}"[:MAX_DETAIL_CHARS]
+        return Err(StoreError(StoreFailure.UNKNOWN, detail))
--- a/tests/platform/test_platform_instances.py
+++ b/tests/platform/test_platform_instances.py
@@ -55,6 +55,55 @@
     assert decode_instance("i-1", bad).is_err()
 
 
+HUGE = b"9" * 401
+
+
+def with_number(name, digits):
+    return raw(**{name: 12345}).replace(b"12345", digits)
+
+
+# Guards against an entry of another writer that is taken for a sound target, and makes
+# each choice of a target, or each message about it, fail.
+@pytest.mark.parametrize(
+    "bad",
+    [
+        with_number("slots", HUGE),
+        with_number("slots", b"9" * 19),
+        with_number("slots", b"9" * 20),
+        with_number("slots", b"65536"),
+        with_number("slots", b"-6"),
+        with_number("slots", b"1e3"),
+        with_number("slots", b"1e999"),
+        with_number("born", HUGE),
+        with_number("born", b"9" * 5000),
+        with_number("born", b"9223372036854775808"),
+        with_number("born", b"-1"),
+        with_number("sequence", HUGE).replace(b'"ready"', b'"' + HUGE + b'"'),
+        raw(address="10.128.0.9:0"),
+        raw(address="10.128.0.9:99999"),
+        raw(address="10.128.0.9:" + "9" * 5000),
+        raw(address="a" * 10_000),
+        raw(zone=""),
+        raw(zone="z" * 201),
+        raw(service=""),
+        raw(**{"warmup-left": "9" * 400 + "s"}),
+        raw(state="x" * 10_000),
+    ],
+)
+def test_entry_beyond_what_a_target_can_be_is_an_error_with_a_short_reason(bad):
+    assert len(decode_instance("i-1", bad).unwrap_err()) <= 200
+
+
+@pytest.mark.parametrize("target_id", ["", "i\r\nX: 1", "i-\u00e9", "i-\x7f"])
+def test_id_that_no_header_can_hold_is_an_error(target_id):
+    assert decode_instance(target_id, raw()).is_err()
+
+
+def test_largest_numbers_are_decoded():
+    entry = raw(slots=65_535, born=2**63 - 1)
+    assert decode_instance("i-1", entry).unwrap().incarnation == 2**63 - 1
+
+
 def warmup(left):
     return raw(sequence=5, **{"warmup-left": left})
 
