--- a/lacewingpond/entry/member.py
+++ b/lacewingpond/entry/member.py
@@ -1,12 +1,17 @@
 """A daemon's own entry in the store."""
 
+from typing import Annotated
+
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 from result import Err, Ok, Result
 
 from lacewingpond.entry.peers.protocol import BASE_VERSION, LIMITS_VERSION
 from lacewingpond.util.address import parse_address
 
+MAX_VERSION = 2**31 - 1
+MAX_ERROR_CHARS = 200
+
 
 class Member(Struct, frozen=True):
     """Daemon of the fleet, stored as JSON.
@@ -26,7 +31,7 @@
     address: str
     failure_domain: str
     relay: str = ""
-    speaks: int = 0
+    speaks: Annotated[int, Meta(ge=0, le=MAX_VERSION)] = 0
 
     @property
     def version(self) -> int:
@@ -42,12 +47,15 @@
 
 
 def decode_member(raw: bytes) -> Result[Member, str]:
-    """Return the member encoded in `raw`, or why it can't be decoded."""
+    """Return the member encoded in `raw`, or why it can't be decoded.
+
+    The reason has at most `MAX_ERROR_CHARS` characters.
+    """
     try:
         member = msgspec.json.decode(raw, type=Member)
         parse_address(member.address)
         if member.relay:
             parse_address(member.relay)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        return Err(str(exc))
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        return Err(str(exc)[:MAX_ERROR_CHARS])
     return Ok(member)
--- a/lacewingpond/entry/relay/headers.py
+++ b/lacewingpond/entry/relay/headers.py
@@ -9,6 +9,7 @@
 RELAY_HEADER = "Lacewingpond-Relay"
 ATTEMPTS_HEADER = "Lacewingpond-Relay-Attempts"
 TARGET_HEADER = "Lacewingpond-Relay-Target"
+MAX_INCARNATION_DIGITS = 20
 RESPONSE = "response"
 """Value for the response of a target."""
 
@@ -62,4 +63,6 @@
     digits = incarnation.removeprefix("-")
     if not separator or not (digits.isascii() and digits.isdigit()):
         return None
+    if len(digits) > MAX_INCARNATION_DIGITS:
+        return None
     return target_id, int(incarnation)
