--- a/lacewingpond/entry/quota/allowance.py
+++ b/lacewingpond/entry/quota/allowance.py
@@ -21,8 +21,8 @@
     initial_tokens : float
         Tokens that a starting fleet receives.
     allows_standby : bool
-        Whether two VMs that each grant the whole bucket keep the bound. Only then may
-        a standby serve tokens beside the holder of a share.
+        Whether the bound holds if one more VM grants as much as a holder. Only then
+        may a standby serve tokens in the place of one that does not answer.
     """
 
     name: str
@@ -33,5 +33,9 @@
 
     def share_count(self, fleet_size: int) -> int:
         """Return the number of shares that the bucket is split into."""
-        wanted = int(self.bucket_size / MIN_TOKENS_PER_SHARE)
-        return min(max(wanted, 1), fleet_size)
+        return min(shares_of(self.bucket_size), fleet_size)
+
+
+def shares_of(bucket_size: float) -> int:
+    """Return the number of shares of a bucket in a fleet that is large enough."""
+    return max(int(bucket_size / MIN_TOKENS_PER_SHARE), 1)
--- a/lacewingpond/entry/quota/rules.py
+++ b/lacewingpond/entry/quota/rules.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from lacewingpond.entry.model.workspace import EntryWorkspace
-from lacewingpond.entry.quota.allowance import Allowance
+from lacewingpond.entry.quota.allowance import Allowance, shares_of
 
 # Share of the tolerance that buckets may hold. The rest covers the initial tokens of
 # restarted daemons.
@@ -69,9 +69,13 @@
         return self.tolerance(workspace) * INITIAL_TOKENS_RATIO
 
     def allows_standby(self, workspace: EntryWorkspace) -> bool:
-        """Return whether two VMs that each grant the whole quota keep the bound.
+        """Return whether the bound holds if one more VM grants as much as a holder.
 
-        Only then may a standby serve tokens beside the holder of a share.
+        Only then may a standby serve tokens beside the holders of the shares. Each
+        share admits what it holds at the begin of a window, and what it refills.
         """
         allowed = workspace.rate * self.window_s + workspace.burst
-        return allowed <= self.tolerance(workspace)
+        size = self.bucket_size(workspace)
+        shares = shares_of(size)
+        admitted = (size + allowed) * (shares + 1) / shares
+        return admitted <= allowed + self.tolerance(workspace)
--- a/lacewingpond/entry/quota/token_shares.py
+++ b/lacewingpond/entry/quota/token_shares.py
@@ -5,8 +5,8 @@
 holder. The holder removes a token before it sends the grant, so a lost grant loses a
 token but never admits two requests. A share whose holder has failed is unused until
 the entry of that holder in the store expires. The next daemon in the ranking serves as
-a standby only if two VMs that each hold the whole bucket would still stay within the
-bound.
+a standby, asked only if a holder does not answer, and only where the bound holds even
+if that holder grants tokens to others.
 """
 
 import random
@@ -106,6 +106,8 @@
             Builds the request to a peer from its number.
         """
         waits: list[float] = []
+        unanswered = False
+        _, standby = self._share_holders(allowance)
         own = self._own_bucket(allowance)
         if own is not None:
             now = self._clock.now()
@@ -113,8 +115,11 @@
                 return Admission(True, granted_by=self._fleet.vm_id)
             waits.append(own.wait_s(now))
         for vm_id in self._request_order(allowance):
+            if vm_id == standby and not unanswered:
+                continue
             grant = self._request_token(vm_id, make_request)
             if grant is None:
+                unanswered = True
                 continue
             if grant.granted:
                 return Admission(True, granted_by=vm_id)
@@ -140,11 +145,13 @@
     def hold(self, allowance: Allowance) -> None:
         """Create the share of a bucket if this VM holds one, else drop it.
 
-        The share refills from now on, even if it is not used yet. Where the bound
-        allows a standby, any member may serve tokens, so it keeps its share.
+        The share refills from now on, even if it is not used yet. A standby keeps the
+        one that it has.
         """
-        held = self._own_bucket(allowance) is not None
-        if not held and not allowance.allows_standby:
+        if self._own_bucket(allowance) is not None:
+            return
+        _, standby = self._share_holders(allowance)
+        if standby != self._fleet.vm_id:
             self.drop(allowance.name)
 
     def drop(self, name: str) -> None:
@@ -217,9 +224,10 @@
     def _bucket_for_peer(self, allowance: Allowance | None) -> TokenBucket | None:
         if self._leaving or allowance is None:
             return None
-        if allowance.allows_standby:
-            return self._bucket(allowance)
-        return self._own_bucket(allowance)
+        holders, standby = self._share_holders(allowance)
+        if self._fleet.vm_id not in (*holders, standby):
+            return None
+        return self._bucket(allowance)
 
     def _own_bucket(self, allowance: Allowance) -> TokenBucket | None:
         """Return the bucket of this VM's share, or None if it holds none."""
--- a/tests/entry/test_entry_quota.py
+++ b/tests/entry/test_entry_quota.py
@@ -125,6 +125,35 @@
     assert not fleet.vms[0].channel.sent
 
 
+# Guards against a standby that grants tokens beside the holders that it stands in for,
+# also while some VMs can't reach one of them.
+@pytest.mark.parametrize("rate", [0.2, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 5.0])
+@pytest.mark.parametrize("size", [3, 4, 12])
+@pytest.mark.parametrize("cut", [False, True])
+def test_small_quota_is_kept_with_a_standby(clock, rate, size, cut):
+    fleet, rng = LimiterFleet(clock, size, rate, 7.0), random.Random(1)
+    clock.advance(20.0)
+    unreachable = fleet.limiters[0].shares.ranked(fleet.workspace.name)[0]
+    address = next(vm for vm in fleet.vms if vm.name == unreachable).address
+    admitted = []
+    for step in range(80):
+        if step == 20:
+            # All shares that any VM has begun to hold are full again.
+            clock.advance(20.0)
+        for number in (rng.randrange(size) for _ in range(30)):
+            # The holder serves its own callers, while no other VM reaches it.
+            is_own = fleet.vms[number].name == unreachable
+            fleet.network.cut = {address} if cut and not is_own else set()
+            if fleet.admit(number).admitted:
+                admitted.append(clock.now())
+        if cut and step % 2:
+            fleet.network.cut = set()
+        clock.advance(0.1)
+    quota = rate * RULES.window_s + 7.0
+    counts = [sum(at <= t <= at + RULES.window_s for t in admitted) for at in admitted]
+    assert max(counts) <= quota + RULES.tolerance(fleet.workspace)
+
+
 def test_standby_grants_tokens_of_small_workspace_without_its_holder(clock):
     fleet = LimiterFleet(clock, 6, 2.0, 2.0)
     clock.advance(10.0)
