--- a/lacewingpond/http/writer.py
+++ b/lacewingpond/http/writer.py
@@ -9,6 +9,7 @@
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.response import Response
 from lacewingpond.util.clock import Clock
+from lacewingpond.util.sockets import unacknowledged_bytes
 
 MAX_SEND_BYTES = 65_536
 _FORBIDDEN_IN_LINE = re.compile(r"[\r\n\x00]")
@@ -36,7 +37,7 @@
     keep_alive : bool
         Whether the connection may be reused.
     timeout_s : float
-        Longest wait for the caller to accept a block of bytes, in seconds.
+        Longest time in which the caller reads nothing, in seconds.
     """
 
     __slots__ = (
@@ -168,10 +169,27 @@
 
     def _send(self, data: bytes) -> None:
         self.started = True
-        self._sock.settimeout(self._timeout_s)
-        if len(data) <= MAX_SEND_BYTES:
-            self._sock.sendall(data)
-            return
         view = memoryview(data)
-        for start in range(0, len(view), MAX_SEND_BYTES):
-            self._sock.sendall(view[start : start + MAX_SEND_BYTES])
+        while view:
+            view = view[self._send_some(view[:MAX_SEND_BYTES]) :]
+
+    def _send_some(self, data: memoryview) -> int:
+        """Send a part of `data` and return its size, as soon as the kernel accepts one.
+
+        The kernel accepts none until a third of its buffer is free, which takes a slow
+        caller longer than the timeout. So one that reads at all is waited for.
+        """
+        try:
+            self._sock.settimeout(0.0)
+            return self._sock.send(data)
+        except BlockingIOError:
+            unread = unacknowledged_bytes(self._sock)
+        self._sock.settimeout(self._timeout_s)
+        while True:
+            try:
+                return self._sock.send(data)
+            except TimeoutError:
+                left = unacknowledged_bytes(self._sock)
+                if unread is None or left is None or left >= unread:
+                    raise
+                unread = left
--- a/lacewingpond/util/sockets.py
+++ b/lacewingpond/util/sockets.py
@@ -1,8 +1,12 @@
 """Socket options, and the state of a socket without reading from it."""
 
+import fcntl
 import socket
+import struct
+import termios
 from enum import Enum
 
+_INT = struct.Struct("i")
 _TCP_ESTABLISHED = 1  # first byte of the TCP_INFO of Linux
 
 
@@ -45,6 +49,20 @@
     return state != _TCP_ESTABLISHED
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int | None:
+    """Return how many sent bytes the peer's system has not accepted yet.
+
+    It accepts bytes as the peer reads. None if this system does not tell, or the socket
+    is closed.
+    """
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except (OSError, ValueError):
+        # The socket was closed meanwhile, or knows no such request.
+        return None
+    return _INT.unpack(raw)[0]
+
+
 def set_stream_options(
     sock: socket.socket, idle_s: int, interval_s: int, probes: int
 ) -> None:
