--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -3,7 +3,8 @@
 In each failure domain one or two daemons watch the store (watchers); the others pull
 changes from one of them, the followed peer. There is no election: a daemon whose proof
 of freshness grows too old starts to watch, which replaces a lost watcher within a
-second or two.
+second or two. A watcher that stops, or that the store does not answer in time, asks its
+followers to watch at once.
 """
 
 import random
@@ -25,6 +26,7 @@
 )
 from lacewingpond.entry.peers.stream import fetch_changes
 from lacewingpond.entry.store_cache import StoreCache
+from lacewingpond.entry.store_latency import StoreLatency
 from lacewingpond.entry.store_view import StoreView
 from lacewingpond.store.base import (
     NO_ERA,
@@ -50,7 +52,6 @@
 LOST_PEER_AGE_S = 0.8  # the watcher does not respond
 TAKEOVER_SPREAD_S = 0.6  # keeps the daemons of a domain from starting together
 HANDOVER_SPREAD_S = 0.3  # as the watcher hands over, when proofs may be 1.4 s old
-OVERDUE_S = 0.25  # a response of the store takes so much longer than expected
 LISTING_OVERDUE_S = 0.5  # of several pages
 FOLLOWER_MEMORY_S = 2.0  # several pulls
 FIRST_RETRY_S = 0.5  # pause after a failed store call; doubles with each failure
@@ -92,7 +93,7 @@
     __slots__ += ("_channel", "_clock", "_rng", "_log", "_followed_peer", "_newer_peer")
     __slots__ += ("_wake", "_retry_at", "_retry_s", "_store_reachable", "_greenlets")
     __slots__ += ("_takeover_age_s", "_other_watcher", "_has_listing", "_leaving")
-    __slots__ += ("_announced", "_overdue", "_latency_s", "_pulled_at")
+    __slots__ += ("_announced", "_overdue", "_call_count", "_latency", "_pulled_at")
 
     def __init__(
         self,
@@ -128,7 +129,8 @@
         self._announced = False
         # Whether the present call to the store takes longer than expected.
         self._overdue = False
-        self._latency_s = 0.0
+        self._call_count = 0
+        self._latency = StoreLatency()
         self._pulled_at: dict[str, float] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._takeover_age_s = self._draw_takeover_age()
@@ -275,30 +277,32 @@
 
     def _call_watch(self, wait_s: float) -> Result[WatchBatch, StoreError]:
         called_at = self._clock.now()
-        due_s = wait_s + max(OVERDUE_S, self._latency_s * 2.0)
+        due_s = self._latency.due_s(wait_s)
         revision = self._cache.position.revision
         batch = self._call(due_s, lambda: self._store.watch("", revision, wait_s))
         if batch.is_ok():
-            # Events end the wait, so that the latency is known only within bounds.
-            took_s = self._clock.now() - called_at
-            self._latency_s = min(max(self._latency_s, took_s - wait_s), took_s)
+            self._latency.observe(self._clock.now() - called_at, wait_s)
         return batch
 
     def _call(self, due_s: float, call: Callable[[], Result]) -> Result:
         """Make a call to the store; hand the watch over while it is overdue."""
-        timer = gevent.spawn(self._hand_over_overdue, due_s)
+        timer = gevent.spawn(self._hand_over_overdue, due_s, self._call_count)
         try:
             return call()
         finally:
             timer.kill(block=False)
+            self._call_count += 1
             self._overdue = False
 
-    def _hand_over_overdue(self, due_s: float) -> None:
-        """Let followers take over the watch if a call is not done after `due_s`.
+    def _hand_over_overdue(self, due_s: float, number: int) -> None:
+        """Let followers take over the watch if call `number` is not done after `due_s`.
 
         Their proofs are too old by the time at which the call fails.
         """
         self._clock.sleep(due_s)
+        if number != self._call_count:
+            # It ended at this moment.
+            return
         self._overdue = True
         self._wake.set()
         if self._announced:
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -61,6 +61,7 @@
 MAX_NOT_SENT_ATTEMPTS = 4  # unsent attempts after which the request is refused
 MIN_ATTEMPT_S = 0.05  # no target responds in less
 QUARANTINE_RETRY_AFTER_S = 30.0  # half of the time that a quarantine lasts
+MAX_LOGGED_CHARS = 200  # of an id in a response
 MAX_RELAYS = 2  # a second peer, for an idempotent request that the first one lost
 GATEWAY_TIMEOUT = 504
 
@@ -340,12 +341,7 @@
         if response.status != GATEWAY_TIMEOUT:
             self._context.overdue.respond(waiting)
         request_id = self._request.request_id
-        evidence = {
-            "target": state.spec.target_id,
-            "conn": "kept" if response.reused else "new",
-            "answer": response.status,
-            "answer_ids": response.headers.get_all(names.request_id),
-        }
+        evidence = self._evidence(state, response)
         if names.states_not_run(
             response.status, response.headers, request_id, state.spec.target_id
         ):
@@ -391,6 +387,18 @@
         self._context.quarantine.clear_crashes(self._request.fingerprint)
         return Ok(forwarded)
 
+    def _evidence(
+        self, state: TargetState, response: TargetResponse
+    ) -> dict[str, object]:
+        """Return what the log tells about the response on which a refusal rests."""
+        ids = response.headers.get_all(self._context.names.request_id)
+        return {
+            "target": state.spec.target_id,
+            "conn": "kept" if response.reused else "new",
+            "answer": response.status,
+            "answer_ids": [each[:MAX_LOGGED_CHARS] for each in ids],
+        }
+
     def _observe(
         self, state: TargetState, response: TargetResponse, started: float
     ) -> TargetStatement:
--- a/lacewingpond/entry/store_contact.py
+++ b/lacewingpond/entry/store_contact.py
@@ -35,5 +35,9 @@
         self._last_at = max(self._last_at, at)
         if is_first or gap_s < MIN_OUTAGE_S:
             return 0.0
-        self.returned_at = at
+        self.record_return(at)
         return gap_s
+
+    def record_return(self, at: float) -> None:
+        """Record that an outage has ended at `at`, whether contacts show it or not."""
+        self.returned_at = at
--- a/lacewingpond/entry/store_view.py
+++ b/lacewingpond/entry/store_view.py
@@ -131,7 +131,7 @@
     def record_new_era(self) -> None:
         """Record that the store came back now, from a copy that may lack entries."""
         self._era_began_at = self._clock.now()
-        self._contact.returned_at = self._clock.boot()
+        self._contact.record_return(self._clock.boot())
 
     def is_listed(self, vm_id: str) -> bool:
         """Return whether the store has an entry of a daemon, as far as is known."""
--- a/tests/entry/test_entry_unproven.py
+++ b/tests/entry/test_entry_unproven.py
@@ -28,10 +28,8 @@
     def __init__(self, *responses):
         self.responses = list(responses)
         self.ran = 0
-        self.connections = 0
 
     def serve(self, sock):
-        self.connections += 1
         while read_head(sock):
             self.ran += 1
             gevent.sleep(WORK_S)
