--- a/tests/entry/fleet_helper.py
+++ b/tests/entry/fleet_helper.py
@@ -8,7 +8,7 @@
 import gevent
 import msgspec
 from entry_helper import FORMATS, KEY, entry_target
-from path_helper import CLOCK, caller_server, read_all
+from path_helper import CLOCK, caller_server, raw_target, read_all
 from result import Err, Ok
 from stack_helper import NAMES, parse_response, signed
 
@@ -164,6 +164,21 @@
     return view.config is not None and len(view.members) == size and view.targets
 
 
+def call_through(serve):
+    """Send a request that a VM relays to a carrier; return status and headers.
+
+    The carrier runs `serve(sock)` for each connection, in place of another VM.
+    """
+    with running_fleet(signed, size=2, targets=1) as vms, raw_target(serve) as carrier:
+        lose(vms[0])
+        members = vms[0].daemon.view.members
+        members["vm-2"] = msgspec.structs.replace(
+            members["vm-2"], relay=carrier.address
+        )
+        status, headers, _ = vms[0].call("id-1")
+    return status, headers
+
+
 def statuses(vms, count, first=0):
     """Return the statuses of `count` requests, sent in turn through `vms`."""
     return [
--- a/tests/entry/test_entry_broken_off.py
+++ b/tests/entry/test_entry_broken_off.py
@@ -2,10 +2,9 @@
 
 import pytest
 from entry_helper import config, entry_target
-from fleet_helper import lose, running_fleet
-from msgspec import structs
+from fleet_helper import call_through
 from path_helper import raw_target, read_head
-from stack_helper import Stack, running, signed
+from stack_helper import Stack, running
 
 BREAKS = [
     b"HTTP/1.1 200",
@@ -48,13 +47,6 @@
 @pytest.mark.parametrize("raw", BREAKS, ids=range(len(BREAKS)))
 def test_response_of_a_carrier_that_breaks_off_is_no_success(raw):
     broken = raw.replace(b"X-Id", b"Lacewingpond-Relay: response\r\nX-Id", 1)
-    with (
-        running_fleet(signed, size=2, targets=1) as vms,
-        raw_target(break_off(broken)) as carrier,
-    ):
-        lose(vms[0])
-        members = vms[0].daemon.view.members
-        members["vm-2"] = structs.replace(members["vm-2"], relay=carrier.address)
-        status, headers, _ = vms[0].call("id-1")
+    status, headers = call_through(break_off(broken))
     assert status == 502
     assert headers["lacewingpond-run"] == "unknown"
--- a/tests/entry/test_entry_unproven.py
+++ b/tests/entry/test_entry_unproven.py
@@ -5,8 +5,7 @@
 import gevent
 import pytest
 from entry_helper import config, entry_target, route
-from fleet_helper import lose, running_fleet
-from msgspec import structs
+from fleet_helper import call_through, lose, running_fleet
 from path_helper import raw_target, read_head
 from stack_helper import Stack, raw_head, running, signed
 
@@ -149,10 +148,6 @@
         read_head(sock)
         sock.sendall(raw_head(503, "Lacewingpond-Relay: not-run;over-rate"))
 
-    with running_fleet(signed, size=2, targets=1) as vms, raw_target(refuse) as carrier:
-        lose(vms[0])
-        members = vms[0].daemon.view.members
-        members["vm-2"] = structs.replace(members["vm-2"], relay=carrier.address)
-        status, headers, _ = vms[0].call("id-1")
+    status, headers = call_through(refuse)
     assert status == 502
     assert headers["lacewingpond-run"] == "unknown"
