--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,146 @@
+"""A write of an instance that the store executes late undoes that it is draining."""
+
+import asyncio
+import os
+import random
+import sys
+from pathlib import Path
+
+from rig_2.client import send
+from rig_2.instance import HEARTBEAT_S
+from rig_2.record import Record
+from rig_2.site import HOST, CantRunError, Site, rule
+
+DAEMONS = 3
+INSTANCES = 8
+ROUNDS = 4
+DRAIN_S = 2.0
+CALM_S = 4.0  # above `stable-window`, so that all machines are in touch
+LATE_S = 5.0  # "done 1 to 6 s later"
+SERVES_S = 7.0  # `drain` and a little longer: "at times many seconds"
+WORK_S = 0.4
+DEADLINE_MS = 8000
+PAUSE_S = 0.1  # of the consumers of one VM between two requests
+KEY = "ctnfzs989anu6wsjnban"
+SERVICE = "enrolment"
+TROUBLE = os.environ.get("TROUBLE") != "0"
+
+
+class Case:
+    """The rounds, in each of which one instance drains."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.site = Site(record)
+        self.broken = 0
+        self.answers: dict[str, int] = {}
+        self._number = 0
+
+    async def play(self) -> bool:
+        """Play all rounds; return whether the rule was kept."""
+        site = self.site
+        await site.start_store()
+        for number in range(INSTANCES):
+            await site.add_instance(f"i-{number:02d}", SERVICE, number, WORK_S)
+        rules = [rule("r-enrol", "/enrol/", "non_idempotent", SERVICE, "4000ms")]
+        tenants = [{"name": "sese880", "api-keys": [KEY], "priority": 1}]
+        await site.configure(rules, tenants, [SERVICE])
+        for number in range(1, DAEMONS + 1):
+            site.add_daemon(number)
+        await site.start_daemons()
+        clients = [asyncio.create_task(self._consume(d.front)) for d in site.daemons]
+        try:
+            for number in range(ROUNDS):
+                await asyncio.sleep(CALM_S)
+                await self._round(number)
+        finally:
+            for client in clients:
+                client.cancel()
+        return not self.broken
+
+    async def _round(self, number: int) -> None:
+        store, leaving = self.site.store, self.site.instances[number]
+        key = f"servers/{leaving.name}"
+        lost = leaving.entry()  # an ordinary heartbeat, of state `ready`
+        if TROUBLE:
+            self.record.line(f"{leaving.name}: the answer to its heartbeat is lost")
+            late = asyncio.create_task(self._execute_late(key, lost))
+        else:
+            await store.change({key: lost})
+        await asyncio.sleep(random.uniform(0.3, HEARTBEAT_S))
+        leaving.state = "draining"
+        await store.change({key: leaving.entry()})
+        drained_at = asyncio.get_running_loop().time()
+        self.record.line(f"{leaving.name} is draining: the store confirmed it")
+        await asyncio.sleep(SERVES_S)
+        late_arrivals = [
+            (at - drained_at, request_id)
+            for at, request_id, outcome in leaving.arrivals
+            if outcome == "runs" and at > drained_at + DRAIN_S
+        ]
+        for after_s, request_id in late_arrivals:
+            self.record.line(
+                f"BROKEN: {request_id} reached {leaving.name} {after_s:.2f} s after "
+                "it was draining"
+            )
+        self.broken += len(late_arrivals)
+        at_work = len(leaving.running)
+        await leaving.leave(store)
+        leaving.stop()
+        self.record.say(
+            f"round {number}: {len(late_arrivals)} requests reached {leaving.name} "
+            f"later than {DRAIN_S} s after it was draining; {at_work} were at work as "
+            "it exited"
+        )
+        if TROUBLE:
+            await late
+
+    async def _execute_late(self, key: str, value: bytes) -> None:
+        await asyncio.sleep(LATE_S)
+        await self.site.store.change({key: value})
+        self.record.line(f"the store executes the late write of {key}")
+
+    async def _consume(self, front: tuple[str, int]) -> None:
+        """Send requests to one VM, each on a new connection."""
+        pending: set[asyncio.Task] = set()
+        while True:
+            self._number += 1
+            task = asyncio.create_task(self._send(front, f"{self._number:08x}"))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            await asyncio.sleep(PAUSE_S * random.uniform(0.5, 1.5))
+
+    async def _send(self, front: tuple[str, int], request_id: str) -> None:
+        answer = await send(
+            front,
+            request_id,
+            "POST",
+            HOST,
+            "/enrol/2f",
+            KEY,
+            DEADLINE_MS,
+            self.record,
+            b"x" * 300,
+        )
+        status = str(answer.status)
+        self.answers[status] = self.answers.get(status, 0) + 1
+
+
+async def main() -> int:
+    """Play the case; return 1 if the rule was broken, 0 if it held."""
+    record = Record(Path(__file__).parent / "record.txt")
+    case = Case(record)
+    try:
+        kept = await case.play()
+    except CantRunError as exc:
+        record.say(f"can't run: {exc}")
+        return 2
+    finally:
+        case.site.close()
+    record.say(f"answers by status: {dict(sorted(case.answers.items()))}")
+    record.say("DRAIN was kept" if kept else f"DRAIN was broken {case.broken} times")
+    return 0 if kept else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- a/review/rig_2/site.py
+++ b/review/rig_2/site.py
@@ -11,6 +11,7 @@
 from rig_2.client import wait_ready
 from rig_2.daemon import Daemon
 from rig_2.instance import Instance
+from rig_2.proxy import Proxy
 from rig_2.record import Record
 from rig_2.store import Store
 
@@ -80,8 +81,18 @@
         self.instances.append(instance)
         return instance
 
-    def add_daemon(self, number: int, zone: str = "kigali-a") -> Daemon:
-        """Prepare a VM with its settings."""
+    async def add_proxy(self, number: int) -> tuple[Proxy, str]:
+        """Start a proxy to the store; return it with its address."""
+        ip = f"{self.net}.{50 + number}"
+        port = _free_port(ip)
+        proxy = Proxy((f"{self.net}.1", self._store_port))
+        await proxy.start(ip, port)
+        return proxy, f"{ip}:{port}"
+
+    def add_daemon(
+        self, number: int, zone: str = "kigali-a", store: str | None = None
+    ) -> Daemon:
+        """Prepare a VM with its settings; `store` is the address it calls."""
         ip = f"{self.net}.{10 + number}"
         internal = _free_ports(ip, INTERNAL_PORTS)
         ports = {
@@ -89,7 +100,7 @@
             "ready": _free_port(ip),
             "internal": internal,
         }
-        store = f"{self.net}.1:{self._store_port}"
+        store = store or f"{self.net}.1:{self._store_port}"
         daemon = Daemon(f"front-{zone}-{number}", zone, ip, ports, store, self.tmp)
         self.daemons.append(daemon)
         return daemon
