Send all keys to a peer whose changes would lack removals

Cause: after a listing, a cache holds what there is but not what was removed before, and yet took its changes since any revision for complete. A peer that was behind moved its position past the removals without getting them, and nothing brought them later. Members and evacuations were kept in the same way.

Change: a cache remembers the ranges of revisions in which it may have missed removals. A peer whose revision lies within one gets all keys, as after a change of era, if its request says that it takes them; else the response is incomplete, so that it asks another peer or the store.

Evidence: the six new tests of the follower and of the cache (targets, members, evacuations; a first and a second listing; a peer of an older build) fail on the code before.

Why this works: a key that came and went within a range is unknown at its start, and known to be gone at its end, so that only revisions between the two need all keys.

--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -174,16 +174,19 @@
     ) -> ChangesResponse:
         """Return the response to a peer's request for changes.
 
-        A peer in an earlier era gets all keys, or nothing if its build knows no eras.
+        A peer gets all keys if it is in an earlier era, or if removals after its
+        revision may be unknown here; nothing if its build does not take all keys then.
         A response of more than `max_bytes` is returned without its events, as
         incomplete.
         """
         cache = self._cache
-        is_listing = not cache.is_same_era(request.era)
-        if not is_listing:
+        events, is_listing = None, False
+        takes_listing = request.era != NO_ERA
+        if cache.is_same_era(request.era):
             events = cache.changes_since(request.after_revision)
-        else:
-            events = cache.all_entries() if request.era != NO_ERA else None
+            takes_listing = takes_listing or request.takes_listing
+        if events is None and takes_listing:
+            events, is_listing = cache.all_entries(), True
         changes = ChangesResponse(
             request.number,
             cache.position.revision,
@@ -415,7 +418,7 @@
         after = self._cache.position
         changes = self._channel.call(
             address,
-            lambda n: ChangesRequest(n, after.revision, after.era),
+            lambda n: ChangesRequest(n, after.revision, after.era, True),
             PULL_TIMEOUT_S,
         )
         if changes is not None:
@@ -458,7 +461,7 @@
     ) -> ChangesResponse | None:
         try:
             # A stream needs no number to pair the response with the request.
-            request = ChangesRequest(0, after.revision, after.era)
+            request = ChangesRequest(0, after.revision, after.era, True)
             return fetch_changes(address, request)
         except (OSError, msgspec.MsgspecError) as exc:
             self._log.decision("news", address, f"changes not fetched: {exc}")
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -20,11 +20,15 @@
         Revision up to which the sender has all changes.
     era : int
         Era of that revision.
+    takes_listing : bool
+        Whether the sender takes all keys where the changes would be incomplete. A
+        sender that states an era does so as well.
     """
 
     number: int
     after_revision: int
     era: int = NO_ERA
+    takes_listing: bool = False
 
 
 class ChangesResponse(Struct, frozen=True, array_like=True, tag=2):
@@ -42,14 +46,14 @@
         Whether the sender watches the store and is not about to stop.
     complete : bool
         False if `events` lacks changes: the datagram is too small for them, or the
-        sender no longer keeps all removals after the requested revision.
+        sender does not know all removals after the requested revision.
     events : tuple of WatchEvent
         Changes after the requested revision.
     era : int
         Era of `revision`.
     is_listing : bool
         Whether `events` are all keys, because the sender of the request was in another
-        era.
+        era, or because changes alone would be incomplete.
     """
 
     number: int
--- a/lacewingpond/entry/store_cache.py
+++ b/lacewingpond/entry/store_cache.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
+from lacewingpond.entry.history_gaps import HistoryGaps
 from lacewingpond.store.base import NO_ERA, Listing, StorePosition, WatchEvent
 
 MAX_TOMBSTONES = 10_000
@@ -40,7 +41,7 @@
     """
 
     __slots__ = ("position", "has_changed_era", "_events", "_tombstone_count")
-    __slots__ += ("_dropped_revision", "_listeners", "_is_same", "_holds_over")
+    __slots__ += ("_gaps", "_listeners", "_is_same", "_holds_over")
     __slots__ += ("_last_values", "_held_over", "_era_listeners")
 
     def __init__(
@@ -54,7 +55,7 @@
         self._last_values: OrderedDict[str, bytes] = OrderedDict()
         self._held_over: set[str] = set()
         self._tombstone_count = 0
-        self._dropped_revision = 0
+        self._gaps = HistoryGaps()
         self._listeners: list[Listener] = []
         self._era_listeners: list[Callable[[], None]] = []
 
@@ -127,6 +128,7 @@
         if self.begins_era(listing):
             self._begin_era(listing)
             return True
+        self._gaps.add(self.position.revision, listing.revision)
         listed = {entry.key for entry in listing.entries}
         removed = [
             WatchEvent(event.key, None, listing.revision)
@@ -146,10 +148,10 @@
         Returns
         -------
         tuple of WatchEvent or None
-            The last change of each key; None if a removal after `revision` has been
-            dropped, so that the changes would be incomplete.
+            The last change of each key; None if removals after `revision` may be
+            unknown, so that the changes would be incomplete.
         """
-        if 0 < revision < self._dropped_revision:
+        if self._gaps.covers(revision):
             return None
         newer: list[WatchEvent] = []
         for event in reversed(self._events.values()):
@@ -165,7 +167,8 @@
     def _begin_era(self, listing: Listing) -> None:
         copied = {entry.key: entry for entry in listing.entries}
         known, self._events = self._events, OrderedDict()
-        self._tombstone_count, self._dropped_revision = 0, 0
+        self._tombstone_count, self._gaps = 0, HistoryGaps()
+        self._gaps.add(0, listing.revision)
         self.position, self.has_changed_era = listing.position, True
         self._held_over.clear()
         changed: list[WatchEvent] = []
@@ -254,5 +257,5 @@
             if event.value is None:
                 del self._events[key]
                 self._tombstone_count -= 1
-                self._dropped_revision = max(self._dropped_revision, event.revision)
+                self._gaps.add(0, event.revision)
                 return
--- a/tests/entry/test_entry_compatibility.py
+++ b/tests/entry/test_entry_compatibility.py
@@ -31,6 +31,7 @@
     CURRENT_VERSION,
     DECISIONS_VERSION,
     LIMITS_VERSION,
+    LOADS_VERSION,
     STATEMENTS_VERSION,
     version_of,
 )
@@ -46,6 +47,7 @@
     "ee9febd": LIMITS_VERSION,
     "a52f939": STATEMENTS_VERSION,
     "d6532bd": DECISIONS_VERSION,
+    "bb22e14": LOADS_VERSION,
 }
 TYPES = {"int": int, "float": float, "bool": bool, "str": str, "float | None": object}
 
@@ -74,12 +76,11 @@
         )
 
     assert [name for name, _ in forms["WatchEvent"]] == ["key", "value", "revision"]
-    row = defined("OutcomeRow", forms["OutcomeRow"], TYPES)
-    types = {
-        **TYPES,
-        "tuple[WatchEvent, ...]": tuple[Event, ...],
-        "tuple[OutcomeRow, ...]": tuple[row, ...],
-    }
+    types = {**TYPES, "tuple[WatchEvent, ...]": tuple[Event, ...]}
+    for name in ("OutcomeRow", "LoadRow"):
+        if name in forms:
+            row = defined(name, forms[name], TYPES)
+            types[f"tuple[{name}, ...]"] = tuple[row, ...]
     union = None
     for tag, message in forms["messages"].items():
         kind = defined(message["name"], message["fields"], types, tag=int(tag))
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -16,7 +16,8 @@
 )
 
 from lacewingpond.entry.follower import WATCH_PAUSE_S, WATCH_TIMEOUT_S, Follower
-from lacewingpond.entry.peers.messages import WatcherNotice
+from lacewingpond.entry.member import Member
+from lacewingpond.entry.peers.messages import ChangesRequest, WatcherNotice
 from lacewingpond.store.base import WatchEvent
 from lacewingpond.store.memory import MemoryStore
 
@@ -317,3 +318,71 @@
         if isinstance(message, WatcherNotice) and message.leaving
     ]
     assert len(asked) == len(fleet) - 1
+
+
+@contextmanager
+def fleet_without_a_removal(clock, store, key, value):
+    """Yield a VM that missed the removal of `key`, and one that started after it."""
+    store.put(key, value, "")
+    network = Network()
+    vms = [Vm(f"vm-{number}", number, network, clock) for number in (1, 2)]
+    for vm in vms:
+        store.put(f"members/{vm.name}", vm.member.encode(), "")
+    behind, restarted = [FollowingVm(vm, store) for vm in vms]
+    network.cut.add(behind.vm.address)
+    behind.follower.start()
+    run(clock, 1.0)
+    behind.store.unavailable = True
+    # Changes before and after the removal, so that its revision lies between others.
+    store.put("targets/t8", msgspec.json.encode(entry_target("t8")), "")
+    store.delete_if(key, store.get(key).ok_value.revision)
+    store.put("targets/t9", msgspec.json.encode(entry_target("t9")), "")
+    restarted.follower.start()
+    run(clock, 1.0)
+    yield behind, restarted
+    behind.follower.stop()
+    restarted.follower.stop()
+
+
+# Guards against requests to a target that has left, and against members that are kept
+# for good: a VM that has just started does not know what was removed before.
+@pytest.mark.parametrize(
+    "key, value",
+    [
+        ("targets/t1", msgspec.json.encode(entry_target("t1"))),
+        ("members/vm-7", Member("10.0.0.7:7000", "zone-a").encode()),
+        ("evacuate/zone-b", b"{}"),
+    ],
+)
+def test_vm_behind_gets_a_removal_from_a_vm_that_started_after_it(
+    clock, store, key, value
+):
+    with fleet_without_a_removal(clock, store, key, value) as (behind, restarted):
+        assert key in {event.key for event in behind.vm.cache.all_entries()}
+        behind.vm.channel.network.cut.clear()
+        behind.follower.catch_up(restarted.vm.name)
+        run(clock, 1.0)
+        keys = {event.key for event in behind.vm.cache.all_entries()}
+        assert keys == {event.key for event in restarted.vm.cache.all_entries()}
+        assert "targets/t9" in keys
+        assert key not in keys
+        assert behind.vm.freshness.is_fresh
+
+
+# Guards against an older build that takes all keys for changes and keeps the others.
+def test_peer_of_an_older_build_gets_no_incomplete_changes(clock, store):
+    value = msgspec.json.encode(entry_target("t1"))
+    with fleet_without_a_removal(clock, store, "targets/t1", value) as (_, restarted):
+        later = restarted.vm.cache.position.revision
+        for revision in range(1, later):
+            older = restarted.follower.changes_for(ChangesRequest(1, revision))
+            assert (older.complete, older.is_listing, older.events) == (
+                False,
+                False,
+                (),
+            )
+            newer = restarted.follower.changes_for(
+                ChangesRequest(1, revision, takes_listing=True)
+            )
+            assert (newer.complete, newer.is_listing) == (True, True)
+        assert restarted.follower.changes_for(ChangesRequest(1, later)).complete
--- a/tests/entry/test_entry_store_cache.py
+++ b/tests/entry/test_entry_store_cache.py
@@ -71,3 +71,26 @@
     cache.apply([event("a", None, 3), event("b", None, 4)], at(4))
     assert cache.changes_since(2) is None
     assert cache.changes_since(3) == (event("b", None, 4),)
+
+
+# Guards against a daemon that takes a listing for all that happened before it: a peer
+# that is behind would keep the keys that were removed meanwhile.
+def test_changes_within_the_history_before_a_listing_are_unknown():
+    cache = StoreCache(FORMATS.is_same, holds_nothing)
+    cache.apply_listing(Listing((StoreEntry("b", b"1", 2),), 9))
+    assert cache.changes_since(5) is None
+    assert cache.changes_since(9) == ()
+    # A peer that knows no keys has none to remove.
+    assert cache.changes_since(0) == (event("b", b"1", 2),)
+
+
+def test_changes_before_a_second_listing_are_known_but_for_those_it_may_hide():
+    cache, _ = filled()
+    cache.apply_listing(Listing((StoreEntry("b", b"1", 2),), 9))
+    assert cache.changes_since(1) == (event("b", b"1", 2), event("a", None, 9))
+    assert cache.changes_since(2) == (event("a", None, 9),)
+    assert cache.changes_since(4) is None
+    cache.apply([event("c", b"1", 12)], at(12))
+    assert cache.changes_since(2) == (event("a", None, 9), event("c", b"1", 12))
+    assert cache.changes_since(8) is None
+    assert cache.changes_since(10) == (event("c", b"1", 12),)
