Pass on all changes that a peer may lack, not only those seen here

What callers saw: nothing that is on record.

Cause: a cache passes on the last change of each key that it saw. It did not keep the removal of a key that it did not know or that it knew to be removed, and it dated a value that was equivalent to the known one by the first of them. Peers that had seen a change in between got nothing. An entry that a later page of a listing showed could hide changes with lower revisions.

Change: removals are always kept. Changes from a peer keep their revision. A VM that takes over changes takes over the gaps of their source. Entries of a listing are dated by it, and its gap ends with the last page. A request states up to which revision its sender may know changes.

Why this works: a cache never holds a change that is dated after its position, and changes that it may not know lie within its gaps.

--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -183,8 +183,8 @@
         events, is_listing = None, False
         takes_listing = request.era != NO_ERA
         if cache.is_same_era(request.era):
-            events = cache.changes_since(request.after_revision)
-            takes_listing = takes_listing or request.takes_listing
+            events = cache.changes_since(request.after_revision, request.seen_until)
+            takes_listing = takes_listing or request.seen_until > 0
         if events is None and takes_listing:
             events, is_listing = cache.all_entries(), True
         changes = ChangesResponse(
@@ -196,6 +196,7 @@
             events or (),
             cache.position.era,
             is_listing,
+            cache.complete_from,
         )
         if max_bytes is not None and len(encode(changes)) > max_bytes:
             return msgspec.structs.replace(changes, complete=False, events=())
@@ -415,16 +416,18 @@
         if address is None:
             return
         called_at = self._clock.boot()
-        after = self._cache.position
+        after, seen_until = self._cache.position, self._cache.seen_until
         changes = self._channel.call(
             address,
-            lambda n: ChangesRequest(n, after.revision, after.era, True),
+            lambda n: ChangesRequest(n, after.revision, after.era, seen_until),
             PULL_TIMEOUT_S,
         )
         if changes is not None:
             self._fleet.record_message(address)
             if not changes.complete:
-                changes = self._fetch_over_tcp(address, after)
+                # A stream needs no number to pair the response with the request.
+                request = ChangesRequest(0, after.revision, after.era, seen_until)
+                changes = self._fetch_over_tcp(address, request)
         if changes is None or not changes.complete:
             self._drop_followed_peer(address, LOST_PEER_AGE_S, "no answer")
             return
@@ -445,7 +448,9 @@
         """Apply what a peer has sent; return False if it is in an earlier era."""
         if not changes.is_listing:
             position = StorePosition(changes.era, changes.revision)
-            return self._cache.apply(changes.events, position)
+            return self._cache.apply_peer_changes(
+                changes.events, position, changes.complete_from
+            )
         if self._cache.is_earlier_era(changes.era):
             return False
         entries = tuple(
@@ -453,15 +458,15 @@
             for event in changes.events
             if event.value is not None
         )
-        self._apply_listing(Listing(entries, changes.revision, changes.era), source)
+        last_revision = changes.complete_from
+        listing = Listing(entries, changes.revision, changes.era, last_revision)
+        self._apply_listing(listing, source)
         return True
 
     def _fetch_over_tcp(
-        self, address: str, after: StorePosition
+        self, address: str, request: ChangesRequest
     ) -> ChangesResponse | None:
         try:
-            # A stream needs no number to pair the response with the request.
-            request = ChangesRequest(0, after.revision, after.era, True)
             return fetch_changes(address, request)
         except (OSError, msgspec.MsgspecError) as exc:
             self._log.decision("news", address, f"changes not fetched: {exc}")
--- a/lacewingpond/entry/history_gaps.py
+++ b/lacewingpond/entry/history_gaps.py
@@ -33,6 +33,21 @@
             apart[:2] = [(apart[0][0], apart[1][1])]
         self._ranges = apart
 
-    def covers(self, revision: int) -> bool:
-        """Return whether changes after `revision` may lack removals."""
-        return any(first < revision < last for first, last in self._ranges)
+    @property
+    def end(self) -> int:
+        """Revision from which on all changes are known; 0 without a gap."""
+        return self._ranges[-1][1] if self._ranges else 0
+
+    def covers(self, revision: int, seen_until: int) -> bool:
+        """Return whether changes after `revision` may lack removals.
+
+        Parameters
+        ----------
+        revision : int
+            Revision up to which all changes are known to the daemon that asks.
+        seen_until : int
+            Revision up to which it may know some; at least `revision`.
+        """
+        return any(
+            first < seen_until and revision < last for first, last in self._ranges
+        )
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -20,15 +20,15 @@
         Revision up to which the sender has all changes.
     era : int
         Era of that revision.
-    takes_listing : bool
-        Whether the sender takes all keys where the changes would be incomplete. A
-        sender that states an era does so as well.
+    seen_until : int
+        Revision up to which the sender may know some changes. If it states one, or an
+        era, it takes all keys where the changes would be incomplete.
     """
 
     number: int
     after_revision: int
     era: int = NO_ERA
-    takes_listing: bool = False
+    seen_until: int = 0
 
 
 class ChangesResponse(Struct, frozen=True, array_like=True, tag=2):
@@ -54,6 +54,9 @@
     is_listing : bool
         Whether `events` are all keys, because the sender of the request was in another
         era, or because changes alone would be incomplete.
+    complete_from : int
+        Revision from which on the sender knows all changes, not only the last one of
+        each key; 0 if it knows all.
     """
 
     number: int
@@ -64,6 +67,7 @@
     events: tuple[WatchEvent, ...] = ()
     era: int = NO_ERA
     is_listing: bool = False
+    complete_from: int = 0
 
 
 class WatcherNotice(Struct, frozen=True, array_like=True, tag=3):
--- a/lacewingpond/entry/store_cache.py
+++ b/lacewingpond/entry/store_cache.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable, Iterable
 
 from lacewingpond.entry.history_gaps import HistoryGaps
-from lacewingpond.store.base import NO_ERA, Listing, StorePosition, WatchEvent
+from lacewingpond.store.base import (
+    NO_ERA,
+    Listing,
+    StoreEntry,
+    StorePosition,
+    WatchEvent,
+)
 
 MAX_TOMBSTONES = 10_000
 """Removed keys that are remembered for peers; the oldest is dropped first."""
@@ -51,6 +57,7 @@
         self.has_changed_era = False
         self._is_same = is_same
         self._holds_over = holds_over
+        # By rising revision; none is later than `position`.
         self._events: OrderedDict[str, WatchEvent] = OrderedDict()
         self._last_values: OrderedDict[str, bytes] = OrderedDict()
         self._held_over: set[str] = set()
@@ -98,6 +105,16 @@
         # What is known comes from peers of a build that knows no eras.
         return listing.revision < self.position.revision
 
+    @property
+    def complete_from(self) -> int:
+        """Revision from which on all changes are known, also those undone since."""
+        return self._gaps.end
+
+    @property
+    def seen_until(self) -> int:
+        """Revision up to which some changes may be known; at least the position's."""
+        return max(self.position.revision, self._gaps.end)
+
     def apply(self, events: Iterable[WatchEvent], position: StorePosition) -> bool:
         """Apply `events`, which hold all changes up to `position`.
 
@@ -106,10 +123,49 @@
         bool
             False if `position` is of another era, so that nothing was applied.
         """
+        return self._apply(events, position, collapsed=False)
+
+    def apply_peer_changes(
+        self,
+        events: Iterable[WatchEvent],
+        position: StorePosition,
+        complete_from: int,
+    ) -> bool:
+        """Apply the last change of each key that a peer knows.
+
+        Parameters
+        ----------
+        events : iterable of WatchEvent
+            The changes up to `position`.
+        position : StorePosition
+            Position of the peer.
+        complete_from : int
+            Revision from which on the peer knows all changes. Before it, a key may have
+            come and gone unseen; see `changes_since`.
+
+        Returns
+        -------
+        bool
+            False if `position` is of another era, so that nothing was applied.
+        """
+        if self.is_same_era(position.era):
+            self._gaps.add(self.position.revision, complete_from)
+        return self._apply(events, position, collapsed=True)
+
+    def _apply(
+        self, events: Iterable[WatchEvent], position: StorePosition, collapsed: bool
+    ) -> bool:
         if not self.is_same_era(position.era):
             return False
         era = max(self.position.era, position.era)
-        applied = tuple(event for event in events if self._apply_event(event))
+        # What is known up to the old position is complete. A peer of an earlier build
+        # may send changes after the new one, which come again.
+        fresh = [
+            event
+            for event in events
+            if self.position.revision < event.revision <= position.revision
+        ]
+        applied = tuple(event for event in fresh if self._apply_event(event, collapsed))
         revision = max(self.position.revision, position.revision)
         self.position = StorePosition(era, revision)
         self._notify(applied)
@@ -128,7 +184,8 @@
         if self.begins_era(listing):
             self._begin_era(listing)
             return True
-        self._gaps.add(self.position.revision, listing.revision)
+        last_revision = max(listing.revision, listing.last_revision)
+        self._gaps.add(self.position.revision, last_revision)
         listed = {entry.key for entry in listing.entries}
         removed = [
             WatchEvent(event.key, None, listing.revision)
@@ -137,21 +194,29 @@
             and event.key not in listed
             and event.revision <= listing.revision
         ]
-        present = [WatchEvent(e.key, e.value, e.revision) for e in listing.entries]
-        return self.apply(
-            sorted(present, key=lambda e: e.revision) + removed, listing.position
-        )
+        present = [self._listed_event(entry, listing) for entry in listing.entries]
+        present.sort(key=lambda event: event.revision)
+        return self.apply(present + removed, listing.position)
 
-    def changes_since(self, revision: int) -> tuple[WatchEvent, ...] | None:
+    def changes_since(
+        self, revision: int, seen_until: int = 0
+    ) -> tuple[WatchEvent, ...] | None:
         """Return the changes after `revision` of this era, by rising revision.
 
+        Parameters
+        ----------
+        revision : int
+            Revision up to which all changes are known to the daemon that asks.
+        seen_until : int
+            Its `seen_until`, if that is later.
+
         Returns
         -------
         tuple of WatchEvent or None
             The last change of each key; None if removals after `revision` may be
             unknown, so that the changes would be incomplete.
         """
-        if self._gaps.covers(revision):
+        if revision and self._gaps.covers(revision, max(revision, seen_until)):
             return None
         newer: list[WatchEvent] = []
         for event in reversed(self._events.values()):
@@ -164,20 +229,38 @@
         """Return the present keys, by rising revision."""
         return tuple(e for e in self._events.values() if e.value is not None)
 
+    def _listed_event(self, entry: StoreEntry, listing: Listing) -> WatchEvent:
+        """Return the write that a listing shows, dated by the listing if need be.
+
+        Later pages may show writes after its revision. A peer dates an entry by the
+        first of equivalent writes that it knows; what was written between them may be
+        known here.
+        """
+        dated = WatchEvent(entry.key, entry.value, listing.revision)
+        if entry.revision >= listing.revision:
+            return dated
+        event = WatchEvent(entry.key, entry.value, entry.revision)
+        if entry.revision > self.position.revision or entry.key in self._held_over:
+            return event
+        known = self._events.get(entry.key)
+        is_known = known is not None and self._is_equivalent(event, known)
+        return event if is_known else dated
+
     def _begin_era(self, listing: Listing) -> None:
         copied = {entry.key: entry for entry in listing.entries}
         known, self._events = self._events, OrderedDict()
         self._tombstone_count, self._gaps = 0, HistoryGaps()
-        self._gaps.add(0, listing.revision)
+        self._gaps.add(0, max(listing.revision, listing.last_revision))
         self.position, self.has_changed_era = listing.position, True
         self._held_over.clear()
         changed: list[WatchEvent] = []
         for entry in sorted(listing.entries, key=lambda e: e.revision):
-            event = WatchEvent(entry.key, entry.value, entry.revision)
+            revision = min(entry.revision, listing.revision)
+            event = WatchEvent(entry.key, entry.value, revision)
             before = known.get(entry.key)
             if before is not None and self._holds(before, entry.value):
                 continue
-            self._events[entry.key] = event
+            self._set(event)
             if before is None or not self._is_equivalent(event, before):
                 changed.append(event)
         for key, before in known.items():
@@ -192,7 +275,7 @@
             event = WatchEvent(key, value, listing.revision)
             if value is None:
                 self._tombstone_count += 1
-            self._events[key] = event
+            self._set(event)
             if value is None and before.value is not None:
                 self._remember(key, before.value)
                 changed.append(event)
@@ -207,32 +290,39 @@
             return False
         return self._holds_over(known.key, value, removed, copied)
 
-    def _apply_event(self, event: WatchEvent) -> bool:
+    def _apply_event(self, event: WatchEvent, collapsed: bool) -> bool:
+        """Apply a write or a removal; return whether it changes what is known.
+
+        If the changes are `collapsed`, a value that is equivalent to the known one may
+        hide another between the two, which a third daemon knows.
+        """
         known = self._events.get(event.key)
-        if event.revision <= self.position.revision:
-            # All changes up to there have been applied.
-            return False
         if known is not None and known.revision >= event.revision:
             return False
-        if known is None and event.value is None:
-            return False
-        is_changed = known is None or not self._is_equivalent(event, known)
-        if not is_changed and event.key not in self._held_over:
+        was_present = known is not None and known.value is not None
+        is_repeated = was_present and self._is_equivalent(event, known)
+        if is_repeated and not collapsed and event.key not in self._held_over:
             # The next value is compared with the newest one. The revision stays, so
             # that peers are not sent a value that is equivalent to theirs.
             self._events[event.key] = WatchEvent(event.key, event.value, known.revision)
             return False
         self._held_over.discard(event.key)
-        if known is not None and known.value is None:
+        if known is not None and not was_present:
             self._tombstone_count -= 1
+        self._set(event)
+        if event.value is not None:
+            return not is_repeated
+        # Peers may know a key that is unknown here, or was removed before.
+        self._tombstone_count += 1
+        if was_present:
+            self._remember(event.key, known.value)
+        self._drop_oldest_tombstone()
+        return was_present
+
+    def _set(self, event: WatchEvent) -> None:
+        """Record a change, as the last one."""
         self._events[event.key] = event
         self._events.move_to_end(event.key)
-        if event.value is None:
-            if known is not None and known.value is not None:
-                self._remember(event.key, known.value)
-            self._tombstone_count += 1
-            self._drop_oldest_tombstone()
-        return is_changed
 
     def _remember(self, key: str, value: bytes) -> None:
         self._last_values.pop(key, None)
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -125,7 +125,8 @@
             if not page.ok_value.more_pages or not entries:
                 break
             query["after"] = entries[-1].key
-        return Ok(Listing(tuple(entries), revision or 0, era))
+        last_revision = page.ok_value.current_rev
+        return Ok(Listing(tuple(entries), revision, era, last_revision))
 
     def watch(
         self, prefix: str, after_revision: int, timeout_s: float
--- a/lacewingpond/store/base.py
+++ b/lacewingpond/store/base.py
@@ -94,11 +94,24 @@
 
 
 class Listing(Struct, frozen=True):
-    """All entries with a key prefix, and the revision to start a watch from."""
+    """All entries with a key prefix, and the revision to start a watch from.
+
+    Parameters
+    ----------
+    entries : tuple of StoreEntry
+        The entries. They may show changes after `revision` in part.
+    revision : int
+        Revision from which a watch goes on.
+    era : int
+        Era of `revision`.
+    last_revision : int
+        Revision up to which the entries may show changes; 0 if that is `revision`.
+    """
 
     entries: tuple[StoreEntry, ...]
     revision: int
     era: int = NO_ERA
+    last_revision: int = 0
 
     @property
     def position(self) -> StorePosition:
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -382,7 +382,7 @@
                 (),
             )
             newer = restarted.follower.changes_for(
-                ChangesRequest(1, revision, takes_listing=True)
+                ChangesRequest(1, revision, seen_until=revision)
             )
             assert (newer.complete, newer.is_listing) == (True, True)
         assert restarted.follower.changes_for(ChangesRequest(1, later)).complete
--- a/tests/entry/test_entry_history_gaps.py
+++ b/tests/entry/test_entry_history_gaps.py
@@ -5,7 +5,7 @@
 
 
 def covered(gaps, revisions):
-    return [revision for revision in revisions if gaps.covers(revision)]
+    return [revision for revision in revisions if gaps.covers(revision, revision)]
 
 
 def test_ends_of_a_range_are_not_covered():
@@ -36,3 +36,12 @@
     for start in (10, 20, 30):
         gaps.add(start, start + 3)
     assert covered(gaps, range(40)) == [*range(11, 23), 31, 32]
+
+
+def test_daemon_that_has_seen_a_part_of_a_range_is_within_it():
+    gaps = HistoryGaps()
+    gaps.add(5, 9)
+    assert gaps.covers(5, 6)
+    assert gaps.covers(3, 6)
+    assert not gaps.covers(5, 5)
+    assert not gaps.covers(9, 12)
