Ignore writes of targets that the store executes late

Cause: `sequence`, which numbers the writes of a target since its start, was not read, so that what came last from the store counted as the newest.

Change: the platform's formats compare two values by `born` and `sequence`, if both state both. An entry whose sequence is no whole number from 0 on names no target, as with its other fields.

Why this works: the order of the writer holds, whichever order the store gives its writes, and by whichever way an entry comes.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -48,6 +48,7 @@
 from lacewingpond.entry.targets.reporter import OutcomeReporter
 from lacewingpond.entry.targets.statements import TargetStatements
 from lacewingpond.entry.targets.table import TargetTable
+from lacewingpond.entry.write_order import WriteOrder
 from lacewingpond.http.options import HttpOptions
 from lacewingpond.http.server import CallerServer
 from lacewingpond.retries.budget import RetryBudget
@@ -140,7 +141,8 @@
         self._versions_logged: dict[str, int] = {}
         bounds, vm = cfg.bounds, cfg.vm
         host, port = vm.ip, cfg.listen.peer_ports[0]
-        cache = StoreCache(formats.is_same, holds_over(formats))
+        order = WriteOrder(formats.is_older, clock, log)
+        cache = StoreCache(formats.is_same, holds_over(formats), order)
         freshness = self._freshness = Freshness(clock, log, _max_proof_age_s(bounds))
         self.view = StoreView(
             cache, formats, clock, log, bounds.seconds("store_return")
--- a/lacewingpond/entry/formats.py
+++ b/lacewingpond/entry/formats.py
@@ -15,6 +15,10 @@
     return Ok(None)
 
 
+def _states_no_order(key: str, value: bytes, other: bytes) -> bool:
+    return False
+
+
 def _no_warmup(headers: Headers) -> Result[float, str]:
     return Err("the platform states no warm-up")
 
@@ -34,6 +38,9 @@
         Decodes a target's entry, from its id and value.
     is_same : callable
         Returns whether two values of a key are equivalent for the daemon.
+    is_older : callable
+        Takes a key and two of its values. Returns whether the first was written before
+        the second, by an order that its writer states.
     decode_statement : callable
         Decodes what a response says of its target, from its status and headers.
     evacuations_prefix : str
@@ -53,6 +60,7 @@
     decode_instance: Callable[[str, bytes], Result[EntryTarget, str]]
     is_same: Callable[[str, bytes, bytes], bool]
     decode_statement: Callable[[int, Headers], TargetStatement]
+    is_older: Callable[[str, bytes, bytes], bool] = _states_no_order
     evacuations_prefix: str = ""
     decode_evacuation: Callable[[bytes], Result[None, str]] = _accept
     decode_warmup: Callable[[Headers], Result[float, str]] = _no_warmup
--- a/lacewingpond/entry/store_cache.py
+++ b/lacewingpond/entry/store_cache.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from lacewingpond.entry.history_gaps import HistoryGaps
+from lacewingpond.entry.write_order import WriteOrder
 from lacewingpond.store.base import (
     NO_ERA,
     Listing,
@@ -37,6 +38,8 @@
         such a change is not passed on.
     holds_over : callable
         See `HoldsOver`.
+    order : WriteOrder or None
+        Tells which writes to ignore, as the store has executed them late.
 
     Attributes
     ----------
@@ -48,15 +51,19 @@
 
     __slots__ = ("position", "has_changed_era", "_events", "_tombstone_count")
     __slots__ += ("_gaps", "_listeners", "_is_same", "_holds_over")
-    __slots__ += ("_last_values", "_held_over", "_era_listeners")
+    __slots__ += ("_last_values", "_held_over", "_era_listeners", "_order")
 
     def __init__(
-        self, is_same: Callable[[str, bytes, bytes], bool], holds_over: HoldsOver
+        self,
+        is_same: Callable[[str, bytes, bytes], bool],
+        holds_over: HoldsOver,
+        order: WriteOrder | None = None,
     ) -> None:
         self.position = StorePosition()
         self.has_changed_era = False
         self._is_same = is_same
         self._holds_over = holds_over
+        self._order = order
         # By rising revision; none is later than `position`.
         self._events: OrderedDict[str, WatchEvent] = OrderedDict()
         self._last_values: OrderedDict[str, bytes] = OrderedDict()
@@ -299,12 +306,15 @@
         known = self._events.get(event.key)
         if known is not None and known.revision >= event.revision:
             return False
+        if known is not None and self._is_late(event, known):
+            return False
         was_present = known is not None and known.value is not None
         is_repeated = was_present and self._is_equivalent(event, known)
         if is_repeated and not collapsed and event.key not in self._held_over:
             # The next value is compared with the newest one. The revision stays, so
             # that peers are not sent a value that is equivalent to theirs.
             self._events[event.key] = WatchEvent(event.key, event.value, known.revision)
+            self._record_order(event.key)
             return False
         self._held_over.discard(event.key)
         if known is not None and not was_present:
@@ -323,6 +333,20 @@
         """Record a change, as the last one."""
         self._events[event.key] = event
         self._events.move_to_end(event.key)
+        self._record_order(event.key)
+
+    def _record_order(self, key: str) -> None:
+        if self._order is not None:
+            self._order.record(key)
+
+    def _is_late(self, event: WatchEvent, known: WatchEvent) -> bool:
+        """Return whether a write came before what is known, by the writer's order."""
+        if self._order is None or event.value is None:
+            return False
+        last = known.value
+        if last is None:
+            last = self._last_values.get(event.key)
+        return last is not None and self._order.is_late(event.key, event.value, last)
 
     def _remember(self, key: str, value: bytes) -> None:
         self._last_values.pop(key, None)
--- a/lacewingpond/platform/formats.py
+++ b/lacewingpond/platform/formats.py
@@ -5,7 +5,7 @@
 from lacewingpond.entry.formats import Formats
 from lacewingpond.platform.config_document import decode_config
 from lacewingpond.platform.evacuation_value import decode_evacuation
-from lacewingpond.platform.instance_entry import decode_instance
+from lacewingpond.platform.instance_entry import decode_instance, is_older_write
 from lacewingpond.platform.names import (
     CONFIG_KEY,
     EVACUATIONS_PREFIX,
@@ -39,6 +39,14 @@
     return first == second
 
 
+def is_older(key: str, value: bytes, other: bytes) -> bool:
+    """Return whether `value` was written to `key` before `other`.
+
+    Only targets state the order of their writes.
+    """
+    return key.startswith(TARGETS_PREFIX) and is_older_write(value, other)
+
+
 FORMATS = Formats(
     config_key=CONFIG_KEY,
     targets_prefix=TARGETS_PREFIX,
@@ -46,6 +54,7 @@
     decode_config=decode_config,
     decode_instance=decode_instance,
     is_same=is_same,
+    is_older=is_older,
     decode_statement=StatementDecoder(LIMIT_HEADER, LEAVING_HEADER).decode,
     evacuations_prefix=EVACUATIONS_PREFIX,
     decode_evacuation=decode_evacuation,
--- a/lacewingpond/platform/instance_entry.py
+++ b/lacewingpond/platform/instance_entry.py
@@ -3,7 +3,7 @@
 from typing import Annotated, Literal
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 from result import Err, Ok, Result
 
 from lacewingpond.entry.model.entry_target import EntryTarget
@@ -18,6 +18,9 @@
 _Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 
 
+_Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+
+
 class _InstanceEntry(Struct, rename="kebab"):
     service: _Name
     address: str
@@ -25,9 +28,18 @@
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     warmup_left: str = "0ms"
-    # Start time in Unix milliseconds. It identifies the incarnation, so it is only
-    # compared for equality. Messages between daemons have 64 bits for it.
-    born: Annotated[int, Meta(ge=0, le=2**63 - 1)] = 0
+    # Start time in Unix milliseconds, which identifies the incarnation. Messages
+    # between daemons have 64 bits for it.
+    born: _Number = 0
+    # Counts the writes of one incarnation.
+    sequence: _Number | UnsetType = UNSET
+
+
+class _WriteNumber(Struct, order=True):
+    """Orders the writes of a target: by its start, and by their number since then."""
+
+    born: _Number
+    sequence: _Number
 
 
 def decode_instance(target_id: str, raw: bytes) -> Result[EntryTarget, str]:
@@ -57,3 +69,18 @@
         )
     except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
         return Err(str(exc)[:MAX_ERROR_CHARS])
+
+
+def is_older_write(value: bytes, other: bytes) -> bool:
+    """Return whether a target wrote `value` before `other`.
+
+    False if one of them does not state its number, or the start of its writer: the
+    numbers begin anew with each start.
+    """
+    try:
+        return _decode_number(value) < _decode_number(other)
+    except (msgspec.MsgspecError, RecursionError):
+        return False
+
+
+_decode_number = msgspec.json.Decoder(_WriteNumber).decode
--- a/tests/platform/test_platform_instances.py
+++ b/tests/platform/test_platform_instances.py
@@ -49,6 +49,8 @@
         raw(address=None),
         msgspec.json.encode({k: v for k, v in ENTRY.items() if k != "service"}),
         raw(**{"warmup-left": 3}),
+        raw(sequence="six"),
+        raw(sequence=None),
     ],
 )
 def test_malformed_entry_is_an_error(bad):
@@ -79,6 +81,9 @@
         with_number("born", b"9223372036854775808"),
         with_number("born", b"-1"),
         with_number("sequence", HUGE).replace(b'"ready"', b'"' + HUGE + b'"'),
+        with_number("sequence", HUGE),
+        with_number("sequence", b"9223372036854775808"),
+        with_number("sequence", b"-1"),
         raw(address="10.128.0.9:0"),
         raw(address="10.128.0.9:99999"),
         raw(address="10.128.0.9:" + "9" * 5000),
@@ -99,6 +104,11 @@
     assert decode_instance(target_id, raw()).is_err()
 
 
+def test_entry_without_a_number_is_decoded():
+    entry = {k: v for k, v in ENTRY.items() if k not in ("sequence", "born")}
+    assert decode_instance("i-1", msgspec.json.encode(entry)).unwrap().incarnation == 0
+
+
 def test_largest_numbers_are_decoded():
     entry = raw(slots=65_535, born=2**63 - 1)
     assert decode_instance("i-1", entry).unwrap().incarnation == 2**63 - 1
