Bound what is held for callers that read nothing, in sum

What callers saw: nothing on record here; another operator's process ran out of memory before a faulty target, and the requests of other callers ended with it.

Cause: each response was bounded, but not their sum. One whose caller reads nothing held 0.45 MB: blocks that had been read ahead were kept until the whole response had ended. Parts of forwarded bodies that wait behind an earlier response were not counted, and an answer of the store was read whole.

Change: beyond 32 MB held for callers that accept no bytes, those responses are cut whose callers have read nothing for the longest time. All responses together read 32 MB ahead. Blocks are dropped as they are passed on, and count until then. An answer of the store has 32 MB at most.

The tests of heads and bodies without end held before; those of the sum are new and use what did not exist.

Why this works: what waits for callers is counted where it waits, and a caller that reads goes to the end of the line.

--- a/lacewingpond/entry/daemon.py
+++ b/lacewingpond/entry/daemon.py
@@ -40,6 +40,7 @@
 from lacewingpond.entry.requests.delivery import DeliveryContext
 from lacewingpond.entry.requests.pipeline import EntryPipeline
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
+from lacewingpond.entry.requests.read_ahead import ReadAhead
 from lacewingpond.entry.settings import BoundSettings, EntrySettings
 from lacewingpond.entry.store_cache import StoreCache
 from lacewingpond.entry.store_view import StoreView
@@ -246,6 +247,7 @@
         capacity = ServiceCapacity(self._placer, table, latencies, self._fleet)
         self._admission = QueueAdmission(cfg.admission, capacity, clock, rng, log)
         self._reporter.uses_rejections = cfg.admission.enabled
+        read_ahead = ReadAhead()
         context = DeliveryContext(
             names,
             table,
@@ -271,11 +273,13 @@
                 clock,
                 rng,
                 log,
+                read_ahead,
             ),
             clock,
             log,
             self._hedging,
             self._admission,
+            read_ahead,
         )
         pipeline = self._pipeline = EntryPipeline(
             names,
@@ -305,6 +309,7 @@
                 pipeline.handle_relayed,
                 log,
                 clock,
+                unread=self.server.unread,
             )
         self.readiness = Readiness(
             ready_path, lambda: self.view.config is not None and freshness.is_fresh
--- a/lacewingpond/entry/relay/sender.py
+++ b/lacewingpond/entry/relay/sender.py
@@ -35,6 +35,7 @@
     not_sent_refusal,
     unproven_refusal,
 )
+from lacewingpond.entry.requests.read_ahead import ReadAhead
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
 from lacewingpond.entry.store_view import StoreView
@@ -109,6 +110,8 @@
         Draws peers.
     log : DecisionLog
         Log of relayed requests.
+    read_ahead : ReadAhead or None
+        Bounds the responses that are read ahead; None for a bound of its own.
 
     Attributes
     ----------
@@ -118,7 +121,7 @@
 
     __slots__ = ("reach", "_names", "_view", "_vm_id", "_failure_domain", "_client")
     __slots__ += ("_clock", "_rng", "_log", "_in_flight", "_unusable_until")
-    __slots__ += ("_statements", "_decide", "_catch_up")
+    __slots__ += ("_statements", "_decide", "_catch_up", "_read_ahead")
 
     def __init__(
         self,
@@ -134,8 +137,10 @@
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
+        read_ahead: ReadAhead | None = None,
     ) -> None:
         self.reach = reach
+        self._read_ahead = read_ahead or ReadAhead()
         self._names = names
         self._statements = statements
         self._decide = decide
@@ -254,7 +259,7 @@
             self._statements.observe_relayed(target, response.status, response.headers)
         response.headers.remove(RELAY_HEADER)
         response.headers.remove(TARGET_HEADER)
-        return Ok(read_response(response))
+        return Ok(read_response(response, self._read_ahead))
 
     def _send_failure(self, vm_id: str, error: SendError) -> AttemptFailure:
         reason = error.reason
--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -29,6 +29,7 @@
     unproven_refusal,
 )
 from lacewingpond.entry.requests.quarantine import EntryQuarantine
+from lacewingpond.entry.requests.read_ahead import ReadAhead
 from lacewingpond.entry.requests.refusal import EntryRefusal
 from lacewingpond.entry.requests.routed_request import EntryRequest
 from lacewingpond.entry.requests.second_attempts import SecondAttempts
@@ -100,6 +101,7 @@
     log: DecisionLog
     hedging: Hedging = field(default_factory=Hedging.off)
     admission: Admission = AdmitAll()
+    read_ahead: ReadAhead = field(default_factory=ReadAhead)
 
 
 class EntryDelivery:
@@ -360,7 +362,7 @@
             refusal = EntryRefusal.unknown(502, "bad-answer", detail)
             return Err(_unknown_failure(refusal.with_evidence(**evidence)))
         paused = self._observe(state, response, started).pause_s > 0.0
-        forwarded = read_response(response)
+        forwarded = read_response(response, self._context.read_ahead)
         if response.status in NOT_RUN_STATUSES:
             # The target may have run the request, which this status would deny.
             weight = 0.0 if paused else ERROR_EVIDENCE
--- a/lacewingpond/entry/requests/forwarded_body.py
+++ b/lacewingpond/entry/requests/forwarded_body.py
@@ -1,7 +1,9 @@
 """A response body that is forwarded as it arrives."""
 
+from collections import deque
 from collections.abc import Iterator
 
+from lacewingpond.entry.requests.read_ahead import ReadAhead
 from lacewingpond.http.response import Response
 from lacewingpond.targets.response import TargetResponse
 
@@ -18,19 +20,23 @@
     Parameters
     ----------
     blocks : list of bytes
-        The part that was already read.
+        The part that was already read. Blocks are dropped as they are forwarded.
     response : TargetResponse
         Source of the rest.
     """
 
-    __slots__ = ("_blocks", "_response")
+    __slots__ = ("held_bytes", "_blocks", "_response")
 
     def __init__(self, blocks: list[bytes], response: TargetResponse) -> None:
-        self._blocks = blocks
+        self._blocks = deque(blocks)
         self._response = response
+        self.held_bytes = sum(map(len, blocks))
 
     def __iter__(self) -> Iterator[bytes]:
-        yield from self._blocks
+        while self._blocks:
+            block = self._blocks.popleft()
+            self.held_bytes -= len(block)
+            yield block
         yield from self._response
 
     def close(self) -> None:
@@ -38,20 +44,28 @@
         self._response.close()
 
 
-def read_response(response: TargetResponse) -> Response:
+def read_response(response: TargetResponse, read_ahead: ReadAhead) -> Response:
     """Return a response whose body was read, or is forwarded if it is long.
 
+    It is also forwarded if no more bytes may be read ahead.
+
     Raises
     ------
     TruncatedResponseError
         If the body ends early.
     """
-    blocks, size = [], 0
-    for block in response:
-        blocks.append(block)
-        size += len(block)
-        if size > MAX_BUFFERED_BYTES:
-            body = ForwardedBody(blocks, response)
-            return Response(response.status, response.headers, body, response.reason)
+    blocks, size, taken = [], 0, 0
+    try:
+        for block in response:
+            blocks.append(block)
+            size += len(block)
+            if size > MAX_BUFFERED_BYTES or not read_ahead.take(len(block)):
+                body = ForwardedBody(blocks, response)
+                return Response(
+                    response.status, response.headers, body, response.reason
+                )
+            taken = size
+    finally:
+        read_ahead.release(taken)
     body = b"".join(blocks)
     return Response(response.status, response.headers, body, response.reason)
--- a/lacewingpond/http/connection.py
+++ b/lacewingpond/http/connection.py
@@ -18,6 +18,7 @@
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
 from lacewingpond.http.run_state import RunState
+from lacewingpond.http.unread import UnreadResponses
 from lacewingpond.http.writer import ResponseWriter, UnsafeResponseError
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
@@ -42,6 +43,7 @@
     handler: Callable[[Request], Response]
     may_overlap: Callable[[Request], bool]
     pipelined_count: int
+    unread: UnreadResponses
     log: DecisionLog
     clock: Clock
     draining: bool
@@ -363,6 +365,7 @@
             minor,
             keep_alive,
             self.server.options.write_timeout_s,
+            self.server.unread,
         )
 
     def _send_interim(self, data: bytes) -> None:
--- a/lacewingpond/http/pipelined.py
+++ b/lacewingpond/http/pipelined.py
@@ -92,7 +92,10 @@
     def held_bytes(self) -> int:
         """Bytes of the responses that wait for an earlier one."""
         bodies = (each.response.body for each in self._requests if each.response)
-        return sum(len(body) for body in bodies if isinstance(body, bytes))
+        return sum(
+            len(body) if isinstance(body, bytes) else getattr(body, "held_bytes", 0)
+            for body in bodies
+        )
 
     def start(self, head: RequestHead, req: Request) -> None:
         """Start the handler of a request, behind those that were started before."""
--- a/lacewingpond/http/server.py
+++ b/lacewingpond/http/server.py
@@ -14,6 +14,7 @@
 from lacewingpond.http.request import Request
 from lacewingpond.http.response import Response
 from lacewingpond.http.run_state import RunState
+from lacewingpond.http.unread import UnreadResponses
 from lacewingpond.telemetry.decisions import DecisionLog
 from lacewingpond.util.clock import Clock
 
@@ -41,6 +42,8 @@
     may_overlap : callable
         Returns whether a `Request` may be handled while others of its connection are;
         asked for requests without a body whose method is safe.
+    unread : UnreadResponses
+        Bounds what is held for callers that read nothing; servers may share it.
 
     Attributes
     ----------
@@ -52,6 +55,7 @@
         "options",
         "handler",
         "may_overlap",
+        "unread",
         "pipelined_count",
         "log",
         "clock",
@@ -70,10 +74,12 @@
         log: DecisionLog,
         clock: Clock,
         may_overlap: Callable[[Request], bool],
+        unread: UnreadResponses,
     ) -> None:
         self.options = options
         self.handler = handler
         self.may_overlap = may_overlap
+        self.unread = unread
         self.pipelined_count = 0
         self.log = log
         self.clock = clock
@@ -91,12 +97,14 @@
         log: DecisionLog,
         clock: Clock,
         may_overlap: Callable[[Request], bool] | None = None,
+        unread: UnreadResponses | None = None,
     ) -> "CallerServer":
         """Return a server that does not listen yet.
 
         Without `may_overlap` the requests of a connection are handled in turn.
         """
-        return cls(options, handler, log, clock, may_overlap or _never)
+        unread = unread or UnreadResponses()
+        return cls(options, handler, log, clock, may_overlap or _never, unread)
 
     @property
     def port(self) -> int:
--- a/lacewingpond/http/writer.py
+++ b/lacewingpond/http/writer.py
@@ -8,10 +8,12 @@
 from lacewingpond.http.date import http_date
 from lacewingpond.http.headers import Headers
 from lacewingpond.http.response import Response
+from lacewingpond.http.unread import UnreadResponses
 from lacewingpond.util.clock import Clock
 from lacewingpond.util.sockets import unacknowledged_bytes
 
 MAX_SEND_BYTES = 65_536
+READ_CHECK_S = 0.25  # how often a response that waits looks whether its caller reads
 _FORBIDDEN_IN_LINE = re.compile(r"[\r\n\x00]")
 _BODILESS_STATUSES = frozenset({204, 304})
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on with a timeout of 0 s
@@ -38,6 +40,15 @@
         Whether the connection may be reused.
     timeout_s : float
         Longest time in which the caller reads nothing, in seconds.
+    unread : UnreadResponses
+        Bounds what is held for callers that read nothing.
+
+    Attributes
+    ----------
+    started : bool
+        Whether bytes may have been sent.
+    was_cut : bool
+        Whether the response must end, as too much is held for callers.
     """
 
     __slots__ = (
@@ -47,7 +58,10 @@
         "_version_minor",
         "_keep_alive",
         "_timeout_s",
+        "_unread",
+        "_body",
         "started",
+        "was_cut",
     )
 
     def __init__(
@@ -58,6 +72,7 @@
         version_minor: int,
         keep_alive: bool,
         timeout_s: float,
+        unread: UnreadResponses,
     ) -> None:
         self._sock = sock
         self._clock = clock
@@ -65,7 +80,9 @@
         self._version_minor = version_minor
         self._keep_alive = keep_alive
         self._timeout_s = timeout_s
-        self.started = False
+        self._unread = unread
+        self._body: bytes | Iterable[bytes] = b""
+        self.started = self.was_cut = False
 
     def write(self, response: Response) -> bool:
         """Send `response` and return whether the connection can be reused.
@@ -79,7 +96,7 @@
         OSError
             When the caller has disconnected or accepts no bytes.
         """
-        body = response.body
+        body = self._body = response.body
         try:
             if isinstance(body, bytes):
                 return self._write_bytes(response, body)
@@ -171,25 +188,42 @@
         self.started = True
         view = memoryview(data)
         while view:
-            view = view[self._send_some(view[:MAX_SEND_BYTES]) :]
+            view = view[self._send_some(view) :]
 
-    def _send_some(self, data: memoryview) -> int:
-        """Send a part of `data` and return its size, as soon as the kernel accepts one.
+    def _send_some(self, view: memoryview) -> int:
+        """Send a part of `view` and return its size, as soon as the kernel accepts one.
 
         The kernel accepts none until a third of its buffer is free, which takes a slow
         caller longer than the timeout. So one that reads at all is waited for.
         """
+        data = view[:MAX_SEND_BYTES]
         try:
             self._sock.settimeout(0.0)
             return self._sock.send(data)
         except BlockingIOError:
             unread = unacknowledged_bytes(self._sock)
-        self._sock.settimeout(self._timeout_s)
+        # The view holds all of its bytes, also those that were sent.
+        held = len(view.obj) + getattr(self._body, "held_bytes", 0)
+        self._unread.enter(self, held)
+        try:
+            return self._send_when_read(data, unread)
+        finally:
+            self._unread.leave(self)
+
+    def _send_when_read(self, data: memoryview, unread: int | None) -> int:
+        step_s = min(self._timeout_s, READ_CHECK_S)
+        self._sock.settimeout(step_s)
+        waited_s = 0.0
         while True:
             try:
                 return self._sock.send(data)
             except TimeoutError:
+                if self.was_cut:
+                    raise TimeoutError("too much is held for callers") from None
+                waited_s += step_s
                 left = unacknowledged_bytes(self._sock)
-                if unread is None or left is None or left >= unread:
+                if unread is not None and left is not None and left < unread:
+                    unread, waited_s = left, 0.0
+                    self._unread.touch(self)
+                if waited_s >= self._timeout_s:
                     raise
-                unread = left
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -25,6 +25,8 @@
 MAX_ERA_DIGITS = 15
 MAX_DETAIL_CHARS = 200  # of the log line of a failed call
 MAX_PAGES = 1_000  # of 500 items; bounds a listing if the store never ends it
+MAX_ANSWER_BYTES = 33_554_432  # pages have 1 MB; bounds an answer that never ends
+_BLOCK_BYTES = 65_536
 
 _NOT_SENT_ERRORS = (
     urllib3.exceptions.ConnectTimeoutError,
@@ -187,13 +189,15 @@
                 body=body,
                 headers=headers,
                 redirect=False,
+                preload_content=False,
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
+            body = _read_body(response)
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             return Err(StoreError(_failure(method, exc), type(exc).__name__))
         if response.status == 200:
             era = _era(response.headers.get(ERA_HEADER))
-            return era.map(lambda number: _Answer(response.data, number))
+            return era.map(lambda number: _Answer(body, number))
         failure = _FAILURE_BY_STATUS.get(response.status, StoreFailure.UNAVAILABLE)
         return Err(StoreError(failure, f"HTTP status {response.status}"))
 
@@ -218,6 +222,24 @@
     return StoreFailure.DISCONNECTED if closed else StoreFailure.UNAVAILABLE
 
 
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the body of an answer.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError, OSError
+        If it does not arrive, or is longer than `MAX_ANSWER_BYTES`.
+    """
+    blocks, size = [], 0
+    for block in response.stream(_BLOCK_BYTES):
+        blocks.append(block)
+        size += len(block)
+        if size > MAX_ANSWER_BYTES:
+            response.close()
+            raise urllib3.exceptions.ResponseError("the answer is too long")
+    return b"".join(blocks)
+
+
 def _era(text: str | None) -> Result[int, StoreError]:
     """Return the era that an answer states, `NO_ERA` if it states none."""
     if text is None:
--- a/tests/http/test_pipelined_requests.py
+++ b/tests/http/test_pipelined_requests.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from path_helper import caller_server, connect, exchange, read_all, status_of
 
+from lacewingpond.http.pipelined import PipelinedRequests
 from lacewingpond.http.response import Response
 
 WAIT_S = 5.0
@@ -409,3 +410,21 @@
         wait_until(lambda: server.connection_count == 0)
         assert started == [*client.sent, "/last"][: len(started)]
         assert server.pipelined_count == 0
+
+
+class Streamed:
+    held_bytes = 300_000
+
+    def __iter__(self):
+        return iter(())
+
+
+# Guards against forwarded bodies that wait behind an earlier response uncounted, so
+# that their connection goes on to read requests.
+def test_parts_of_forwarded_bodies_count_as_held():
+    bodies = iter([b"x" * 50, Streamed(), iter(())])
+    pipelined = PipelinedRequests(None, lambda req: Response(200, body=next(bodies)))
+    for _ in range(3):
+        pipelined.start(None, None)
+    gevent.sleep(0)
+    assert pipelined.held_bytes == 300_050
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -200,3 +200,29 @@
 
     store, _ = serve(kv_range=page)
     assert "two pages" in store.listing("").unwrap_err().detail
+
+
+# Guards against a process that keeps all of an answer of the store that never ends.
+@pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.parametrize("framing", ["Transfer-Encoding: chunked", "X-Length: none"])
+def test_answer_without_end_is_given_up(status, framing, monkeypatch):
+    monkeypatch.setattr(module, "MAX_ANSWER_BYTES", 200_000)
+    sent = []
+
+    def serve(sock):
+        read_head(sock)
+        sock.sendall(f"HTTP/1.1 {status} Status\r\n{framing}\r\n\r\n".encode())
+        block = b"x" * 65_536
+        data = b"10000\r\n" + block + b"\r\n" if "chunked" in framing else block
+        try:
+            while True:
+                sock.sendall(data)
+                sent.append(len(data))
+        except OSError:
+            return
+
+    with raw_target(serve) as server:
+        host, port = server.address.split(":")
+        error = PlatformStore(host, int(port)).listing("").unwrap_err()
+    assert error.failure is StoreFailure.UNAVAILABLE
+    assert sum(sent) < 16_000_000
