Send nothing for the first time once a planned stop refuses requests

What callers saw: nothing on record here; another operator's callers lost requests that were taken late in the grace of a stop and cut at its end, among them ones that may not be repeated.

Cause: only requests whose head or body came late were refused. One that waited for a proof or for admission, or that targets had rejected, was still sent to a target at any time before the end.

Change: before each attempt, a request that no target may have run is refused if the server refuses new ones by then. `stopping` asks callers to return at once, as the HTTP server's own refusal does.

Why this works: what is refused has not run, and its caller has the rest of its time for another VM.

--- a/lacewingpond/entry/requests/delivery.py
+++ b/lacewingpond/entry/requests/delivery.py
@@ -155,6 +155,8 @@
         if self._is_quarantined():
             return Err(_quarantine_refusal())
         while True:
+            if self._is_too_late():
+                return Err(EntryRefusal.stopping())
             outcome = self._next_attempt()
             if outcome is None:
                 return self._give_up()
@@ -164,6 +166,14 @@
             if not self._take_retry(outcome) or self._is_quarantined():
                 return self._give_up()
 
+    def _is_too_late(self) -> bool:
+        """Return whether the VM stops, and no target may have run the request yet.
+
+        Sent now, it might be cut at the end of the stop. Its caller can still send it
+        to another VM.
+        """
+        return self._request.is_refused() and not self._may_have_run
+
     def _next_attempt(self) -> Outcome | None:
         """Return the outcome of a relayed or a direct attempt, None without target."""
         if self.should_relay():
--- a/lacewingpond/entry/requests/pipeline.py
+++ b/lacewingpond/entry/requests/pipeline.py
@@ -142,7 +142,7 @@
         try:
             outcome = self._process(req, request_id, relayed=False)
         except RequestInterruptedError:
-            outcome = Err(_stopping())
+            outcome = Err(EntryRefusal.stopping())
         if outcome.is_ok():
             return outcome.ok_value
         return self._refuse("refuse", request_id, outcome.err_value)
@@ -163,12 +163,12 @@
         if self._context.reach.lost:
             outcome = Err(_unavailable("no-path", "This VM reaches no target."))
         elif self.stopping:
-            outcome = Err(_stopping())
+            outcome = Err(EntryRefusal.stopping())
         else:
             try:
                 outcome = self._carry(req, request_id)
             except RequestInterruptedError:
-                outcome = Err(_stopping())
+                outcome = Err(EntryRefusal.stopping())
         if outcome.is_ok():
             response = outcome.ok_value
             response.headers.set(RELAY_HEADER, RESPONSE)
@@ -324,7 +324,7 @@
             return Err(_too_large())
         if not req.body.is_empty and req.is_refused():
             # Its target would not respond before the end of the stop.
-            return Err(_stopping())
+            return Err(EntryRefusal.stopping())
         routed = EntryRequest(
             request_id=request_id,
             route=route,
@@ -346,6 +346,7 @@
             excluded=excluded,
             evacuated=evacuated,
             priority=priority,
+            is_refused=req.is_refused,
         )
         if not may_send():
             return Err(
@@ -363,7 +364,7 @@
         except RequestInterruptedError:
             self._log_cut(routed, "end of the stop grace")
             if not routed.may_have_run:
-                return Err(_stopping())
+                return Err(EntryRefusal.stopping())
             detail = "This VM stops; the request may have run."
             return Err(EntryRefusal.unknown(504, "stopping", detail))
         finally:
@@ -500,10 +501,6 @@
     return EntryRefusal.not_run(413, "body-too-large", "The body is too long.")
 
 
-def _stopping() -> EntryRefusal:
-    return _unavailable("stopping", "This VM is being stopped.")
-
-
 def _unavailable(reason: str, detail: str) -> EntryRefusal:
     return EntryRefusal.not_run(503, reason, detail, UNAVAILABLE_RETRY_AFTER_S)
 
--- a/lacewingpond/entry/requests/refusal.py
+++ b/lacewingpond/entry/requests/refusal.py
@@ -10,6 +10,8 @@
 from lacewingpond.http.response import Response
 from lacewingpond.http.run_state import RunState
 
+STOPPING_RETRY_AFTER_S = 0.0  # other VMs serve at once
+
 
 class EntryRefusal(Struct, frozen=True):
     """Why the daemon itself responds to a request, instead of a target.
@@ -51,6 +53,12 @@
         """Return the error for a request that a target may have run."""
         return cls(status, reason, detail, RunState.UNKNOWN)
 
+    @classmethod
+    def stopping(cls) -> "EntryRefusal":
+        """Return the refusal of a request that comes too late in a planned stop."""
+        detail = "This VM is being stopped."
+        return cls.not_run(503, "stopping", detail, STOPPING_RETRY_AFTER_S)
+
     def with_evidence(self, **evidence: object) -> "EntryRefusal":
         """Return this refusal as one that rests on the response of a target."""
         return replace(self, evidence=evidence)
--- a/lacewingpond/entry/requests/routed_request.py
+++ b/lacewingpond/entry/requests/routed_request.py
@@ -58,13 +58,15 @@
     priority : int
         Priority class, that of the workspace before that of the route; 0 is the
         highest.
+    is_refused : callable
+        Returns whether the server refuses requests by now, as it stops.
     """
 
     __slots__ = ("request_id", "route", "service", "workspace", "method", "path")
     __slots__ += ("headers", "body", "deadline", "is_disconnected")
     __slots__ += ("fingerprint", "received_at", "targets", "caller_headers")
     __slots__ += ("is_relayed", "attempts_elsewhere", "config", "excluded")
-    __slots__ += ("evacuated", "priority")
+    __slots__ += ("evacuated", "priority", "is_refused")
     __slots__ += ("may_have_run", "_may_send")
 
     def __init__(
@@ -89,6 +91,7 @@
         excluded: frozenset[str] = frozenset(),
         priority: int | None = None,
         evacuated: frozenset[str] = frozenset(),
+        is_refused: Callable[[], bool] = bool,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -112,6 +115,7 @@
         self.excluded = excluded
         self.evacuated = evacuated
         self.priority = route.priority if priority is None else priority
+        self.is_refused = is_refused
 
     def may_send(self) -> bool:
         """Return whether it may be sent; called just before the first byte is."""
