Do not take silent connections to the store for its outage

Cause: a call on a silent connection and the pause after it left the store unheard for 2.5 s or more, which counted as an outage, in which removed targets are kept for 2 s.

Change: a read without an answer, on connections that have carried others, is told from other failures, and the watcher calls the store again at once. All open connections are replaced then, as idle ones may be silent too. An outage has 2.75 s; targets lose their entries after 3 s without a heartbeat at the earliest.

Why this works: the store is heard again 2.4 s after the last answer at the latest.

--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -235,12 +235,14 @@
         wait_s = WATCH_TIMEOUT_S if self._freshness.age_s < WATCH_TIMEOUT_S * 2 else 0.0
         called_at = self._clock.boot()
         batch = self._call_watch(wait_s)
-        was_cut = _is_cut(batch)
-        if was_cut:
-            # A store that is up may close the connection of a waiting watch.
+        lost = _lost_connection(batch)
+        if lost is not None:
+            # The store may be up: it may close the connection of a waiting watch, and
+            # an open connection may fall silent.
             waited_s = round(self._clock.boot() - called_at, 3)
-            self._log.decision("store", "watch", "disconnected", waited_s=waited_s)
-            self._clock.sleep(self._rng.uniform(0.0, MAX_RECONNECT_S))
+            self._log.decision("store", "watch", lost.value, waited_s=waited_s)
+            if lost is StoreFailure.DISCONNECTED:
+                self._clock.sleep(self._rng.uniform(0.0, MAX_RECONNECT_S))
             called_at = self._clock.boot()
             batch = self._call_watch(0.0)
         if batch.is_err():
@@ -270,7 +272,7 @@
             # Also sent without events, so that watchers discover one another.
             self._channel.broadcast(self._fleet.domain_peers(), self._notice())
             self._announced = True
-        if changes.events or was_cut:
+        if changes.events or lost is not None:
             self._clock.sleep(WATCH_PAUSE_S)
         if self._other_watcher is not None:
             self._log.decision(
@@ -526,5 +528,10 @@
         return min_age_s + self._rng.uniform(0.0, TAKEOVER_SPREAD_S)
 
 
-def _is_cut(batch: Result[WatchBatch, StoreError]) -> bool:
-    return batch.is_err() and batch.err_value.failure is StoreFailure.DISCONNECTED
+def _lost_connection(batch: Result[WatchBatch, StoreError]) -> StoreFailure | None:
+    """Return how a watch has lost its connection; None if it has not."""
+    if batch.is_ok():
+        return None
+    failure = batch.err_value.failure
+    lost = (StoreFailure.DISCONNECTED, StoreFailure.TIMED_OUT)
+    return failure if failure in lost else None
--- a/lacewingpond/entry/store_contact.py
+++ b/lacewingpond/entry/store_contact.py
@@ -1,8 +1,9 @@
 """When the store was last out of reach of this VM and of all peers it heard."""
 
-MIN_OUTAGE_S = 2.5
+MIN_OUTAGE_S = 2.75
 """Shortest time without contact that counts as an outage: longer than a change of the
-watcher takes, shorter than targets need to lose their entries."""
+watcher takes, or a call on a connection that has fallen silent; shorter than targets
+need to lose their entries."""
 
 
 class StoreContact:
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -92,12 +92,13 @@
         Address of the store.
     """
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_address", "_pool", "_has_answered")
 
     def __init__(self, host: str, port: int) -> None:
-        self._pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=MAX_CONNECTIONS, block=False, retries=False
-        )
+        self._address = (host, port)
+        self._pool = self._new_pool()
+        # Whether a call on the present pool got an answer.
+        self._has_answered = False
 
     def listing(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all keys that start with `prefix`, and the revision to watch from.
@@ -182,8 +183,9 @@
         timeout_s: float = READ_TIMEOUT_S,
     ) -> Result[_Answer, StoreError]:
         headers = {"Content-Type": "application/json"} if body is not None else None
+        pool = self._pool
         try:
-            response = self._pool.request(
+            response = pool.request(
                 method,
                 path,
                 body=body,
@@ -193,14 +195,39 @@
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
             body = _read_body(response)
+        except urllib3.exceptions.ReadTimeoutError as exc:
+            failure = self._replace_silent(pool, method)
+            return Err(StoreError(failure, type(exc).__name__))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             return Err(StoreError(_failure(method, exc), type(exc).__name__))
+        self._has_answered = True
         if response.status == 200:
             era = _era(response.headers.get(ERA_HEADER))
             return era.map(lambda number: _Answer(body, number))
         failure = _FAILURE_BY_STATUS.get(response.status, StoreFailure.UNAVAILABLE)
         return Err(StoreError(failure, f"HTTP status {response.status}"))
 
+    def _replace_silent(
+        self, pool: urllib3.HTTPConnectionPool, method: str
+    ) -> StoreFailure:
+        """Return what a call without an answer means, and close its pool.
+
+        All open connections may have fallen silent, also those that are idle.
+        """
+        was_kept = self._has_answered
+        if pool is self._pool:
+            self._pool, self._has_answered = self._new_pool(), False
+            pool.close()
+        if method != "GET":
+            return StoreFailure.UNKNOWN
+        return StoreFailure.TIMED_OUT if was_kept else StoreFailure.UNAVAILABLE
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        host, port = self._address
+        return urllib3.HTTPConnectionPool(
+            host, port, maxsize=MAX_CONNECTIONS, block=False, retries=False
+        )
+
 
 _FAILURE_BY_STATUS = {
     404: StoreFailure.CONFLICT,  # no such lease
--- a/lacewingpond/store/base.py
+++ b/lacewingpond/store/base.py
@@ -17,6 +17,9 @@
     """The call provably had no effect."""
     DISCONNECTED = "disconnected"
     """The store closed the connection of a read before it responded."""
+    TIMED_OUT = "timed-out"
+    """A read got no response on a connection that had carried others, and may have
+    fallen silent. The next call opens a new one."""
     UNKNOWN = "unknown"
     """The call may have taken effect; only reading back tells."""
     CONFLICT = "conflict"
--- a/tests/entry/entry_helper.py
+++ b/tests/entry/entry_helper.py
@@ -22,11 +22,13 @@
 from lacewingpond.entry.store_view import StoreView
 from lacewingpond.entry.targets.statements import TargetStatements
 from lacewingpond.platform.evacuation_value import decode_evacuation
+from lacewingpond.platform.store import WATCH_TIMEOUT_MARGIN_S
 from lacewingpond.platform.target_statement import StatementDecoder
 from lacewingpond.store.base import StoreError, StoreFailure, StorePosition
 from lacewingpond.telemetry.recording_decisions import RecordingDecisionLog
 
 UNAVAILABLE = StoreError(StoreFailure.UNAVAILABLE, "unavailable")
+TIMED_OUT = StoreError(StoreFailure.TIMED_OUT, "no response")
 DISCONNECTED = StoreError(StoreFailure.DISCONNECTED, "connection closed")
 COMPACTED = StoreError(StoreFailure.COMPACTED, "compacted")
 MAX_AGE_S = 3.5
@@ -102,6 +104,7 @@
         self.unavailable = False
         self.compacted = False
         self.hang_s = 0.0
+        self.is_silent = False
         self.watch_count = 0
         self.closes_waiting = False
         self.delay_s = 0.0
@@ -118,6 +121,11 @@
             # As on a link that drops all packets: the client's timeout ends the call.
             self.store._clock.sleep(self.hang_s)
             return Err(UNAVAILABLE)
+        if self.is_silent:
+            # As on a connection that has fallen silent; the next call opens a new one.
+            self.is_silent = False
+            self.store._clock.sleep(timeout_s + WATCH_TIMEOUT_MARGIN_S)
+            return Err(TIMED_OUT)
         if self.unavailable:
             return Err(UNAVAILABLE)
         if self.compacted:
--- a/tests/entry/test_entry_follower.py
+++ b/tests/entry/test_entry_follower.py
@@ -268,6 +268,31 @@
     assert all(each.vm.view.targets == {} for each in fleet)
 
 
+# Guards against requests to targets that have left, as open connections to the store
+# fell silent and that was taken for its outage, in which leases lapse.
+@pytest.mark.parametrize("leaves_after_s", [0.8, 1.1, 1.4])
+@pytest.mark.parametrize("wait_s", [0.0, 0.2, 0.4, 0.6, 0.8, 1.0])
+@pytest.mark.parametrize("domains", [("zone-a",) * 3, ("zone-a", "zone-b", "zone-c")])
+def test_removal_is_followed_in_time_after_connections_fell_silent(
+    clock, store, domains, wait_s, leaves_after_s
+):
+    with following(clock, store, domains, LongestWaits()) as fleet:
+        store.put("targets/t1", msgspec.json.encode(entry_target()), "")
+        run(clock, wait_s + 0.1)
+        for each in fleet:
+            each.store.is_silent = True
+        for _ in range(round(leaves_after_s / 0.2)):
+            store.put("targets/t2", msgspec.json.encode(entry_target("t2")), "")
+            run(clock, 0.2)
+        store.delete_if("targets/t1", store.get("targets/t1").ok_value.revision)
+        for _ in range(round((DRAIN_S - 0.1) / STEP_S)):
+            run(clock, STEP_S)
+            for each in fleet:
+                each.vm.view.drop_missing()
+        assert all("t1" not in each.vm.view.targets for each in fleet)
+        assert all(each.vm.freshness.is_fresh for each in fleet)
+
+
 # Guards against a VM that follows a watcher which the store no longer answers, and
 # learns of a change only when its proof is too old.
 @pytest.mark.parametrize("answer", ["hangs", "refuses"])
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -4,6 +4,7 @@
 import socket
 from urllib.parse import parse_qs, urlsplit
 
+import gevent
 import msgspec
 import pytest
 from path_helper import caller_server, raw_target, read_head
@@ -166,6 +167,47 @@
     assert error.failure is StoreFailure.UNAVAILABLE
 
 
+# Guards against silent connections that are taken for an outage of the store, and that
+# are used one after the other.
+def test_call_after_a_silent_one_opens_a_new_connection(monkeypatch):
+    monkeypatch.setattr(module, "WATCH_TIMEOUT_MARGIN_S", 0.05)
+    document = msgspec.json.encode({"events": [], "current-rev": 9})
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(document)
+    silent, served = set(), []
+
+    def serve_one(sock):
+        number = len(served)
+        served.append(0)
+        while read_head(sock):
+            if number in silent:
+                sock.recv(1)
+                return
+            served[number] += 1
+            gevent.sleep(0.02)
+            sock.sendall(answer + document)
+
+    with raw_target(serve_one) as target:
+        store = PlatformStore("127.0.0.1", int(target.address.rpartition(":")[2]))
+        calls = [gevent.spawn(store.watch, "", 1, 0.05) for _ in range(2)]
+        assert all(call.get().is_ok() for call in calls)
+        assert served == [1, 1]
+        silent |= {0, 1}
+        failures = [store.watch("", 1, 0.05) for _ in range(3)]
+        assert failures[0].unwrap_err().failure is StoreFailure.TIMED_OUT
+        assert all(each.is_ok() for each in failures[1:])
+        assert served == [1, 1, 2]
+
+
+# Guards against a store that is away and is called twice as often for each failure.
+def test_silence_on_a_new_connection_is_no_silent_connection(monkeypatch):
+    monkeypatch.setattr(module, "WATCH_TIMEOUT_MARGIN_S", 0.05)
+    with raw_target(lambda sock: (read_head(sock), sock.recv(1))) as target:
+        store = PlatformStore("127.0.0.1", int(target.address.rpartition(":")[2]))
+        for _ in range(2):
+            error = store.watch("", 1, 0.05).unwrap_err()
+            assert error.failure is StoreFailure.UNAVAILABLE
+
+
 def test_hung_watch_and_retry_pause_fit_into_the_proof_age():
     hung_s = WATCH_TIMEOUT_S + module.WATCH_TIMEOUT_MARGIN_S
     assert hung_s + MAX_RETRY_S / 2 < 5.0 * MAX_PROOF_AGE_RATIO
