--- a/tests/entry/test_entry_endless.py
+++ b/tests/entry/test_entry_endless.py
@@ -125,6 +125,33 @@
     return parse_response(head)[0], size
 
 
+# Guards against a response that is read to its end, which never comes, as its request
+# runs on without its caller.
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(("start", "block"), BODIES.values(), ids=BODIES)
+def test_body_without_end_is_closed_after_its_caller(start, block, idempotent):
+    closed = gevent.event.Event()
+    serve = endless(start, block, closed)
+    with stack_before(serve, idempotent) as stack, bounded_memory():
+        address = ("127.0.0.1", stack.server.port)
+        with gevent.socket.create_connection(address) as sock:
+            sock.sendall(raw_request("id-1"))
+            assert sock.recv(100)
+        assert closed.wait(2.0)
+
+
+def test_bodies_without_end_of_many_targets_take_little_memory():
+    cfg = config(routes=(route(idempotent=True),))
+    with ExitStack() as exits:
+        stack = exits.enter_context(running(Stack(cfg)))
+        for number, (start, block) in enumerate([*BODIES.values()] * 3):
+            target = exits.enter_context(raw_target(endless(start, block)))
+            stack.add_target(entry_target(f"t{number}", target.address))
+        exits.enter_context(bounded_memory(12 * 1_000_000))
+        readers = [gevent.spawn(read_and_count, stack) for _ in range(12)]
+        assert [reader.get()[0] for reader in readers] == [200] * 12
+
+
 @pytest.mark.parametrize("framing", [(LONG, BLOCK), (CHUNKED, CHUNK)])
 @pytest.mark.parametrize("idempotent", [True, False])
 def test_refusal_with_a_body_without_end_is_passed_on_at_once(framing, idempotent):
