Tell peers of writes that were ignored as late

What callers saw: nothing; found by the random test of four caches, once it had late writes. A VM that knew only the late write, as it had just started, kept it until the next change of the entry: a target that drains could have got requests for as long.

Cause: a VM that ignores a late write holds another state than the store. The next heartbeat is equivalent to it, and was not passed on to peers.

Change: a VM that has ignored a write passes on the next one of its key. It names the key to peers that pull from it, which then do the same, and asks for it where it pulls itself. The same write is ignored again among all keys of a peer; another state there is believed, as peers do not know the numbers of all heartbeats.

--- a/lacewingpond/entry/follower.py
+++ b/lacewingpond/entry/follower.py
@@ -187,6 +187,8 @@
             takes_listing = takes_listing or request.seen_until > 0
         if events is None and takes_listing:
             events, is_listing = cache.all_entries(), True
+        elif events is not None:
+            events += cache.states_of(request.late_keys)
         changes = ChangesResponse(
             request.number,
             cache.position.revision,
@@ -197,6 +199,7 @@
             cache.position.era,
             is_listing,
             cache.complete_from,
+            cache.late_keys,
         )
         if max_bytes is not None and len(encode(changes)) > max_bytes:
             return msgspec.structs.replace(changes, complete=False, events=())
@@ -356,13 +359,15 @@
         self._record_store_failure(f"era {era} after {known}")
         return False
 
-    def _apply_listing(self, listing: Listing, source: str) -> None:
+    def _apply_listing(
+        self, listing: Listing, source: str, late_keys: tuple[str, ...] = ()
+    ) -> None:
         """Apply all keys of the store, which may begin a new era."""
         cache = self._cache
         before = cache.position
         if cache.begins_era(listing):
             self._view.record_new_era()
-        cache.apply_listing(listing)
+        cache.apply_listing(listing, late_keys)
         if cache.position.era != before.era:
             self._log.decision(
                 "era",
@@ -418,17 +423,12 @@
         if address is None:
             return
         called_at = self._clock.boot()
-        after, seen_until = self._cache.position, self._cache.seen_until
-        changes = self._channel.call(
-            address,
-            lambda n: ChangesRequest(n, after.revision, after.era, seen_until),
-            PULL_TIMEOUT_S,
-        )
+        # A stream needs no number to pair the response with the request.
+        request = self._changes_request(0)
+        changes = self._channel.call(address, self._changes_request, PULL_TIMEOUT_S)
         if changes is not None:
             self._fleet.record_message(address)
             if not changes.complete:
-                # A stream needs no number to pair the response with the request.
-                request = ChangesRequest(0, after.revision, after.era, seen_until)
                 changes = self._fetch_over_tcp(address, request)
         if changes is None or not changes.complete:
             self._drop_followed_peer(address, LOST_PEER_AGE_S, "no answer")
@@ -446,12 +446,22 @@
             # Daemons that pull only from one another would all become stale.
             self._followed_peer = None
 
+    def _changes_request(self, number: int) -> ChangesRequest:
+        cache = self._cache
+        return ChangesRequest(
+            number,
+            cache.position.revision,
+            cache.position.era,
+            cache.seen_until,
+            cache.late_keys,
+        )
+
     def _apply_changes(self, changes: ChangesResponse, source: str) -> bool:
         """Apply what a peer has sent; return False if it is in an earlier era."""
         if not changes.is_listing:
             position = StorePosition(changes.era, changes.revision)
             return self._cache.apply_peer_changes(
-                changes.events, position, changes.complete_from
+                changes.events, position, changes.complete_from, changes.late_keys
             )
         if self._cache.is_earlier_era(changes.era):
             return False
@@ -462,7 +472,7 @@
         )
         last_revision = changes.complete_from
         listing = Listing(entries, changes.revision, changes.era, last_revision)
-        self._apply_listing(listing, source)
+        self._apply_listing(listing, source, changes.late_keys)
         return True
 
     def _fetch_over_tcp(
--- a/lacewingpond/entry/peers/messages.py
+++ b/lacewingpond/entry/peers/messages.py
@@ -23,12 +23,16 @@
     seen_until : int
         Revision up to which the sender may know some changes. If it states one, or an
         era, it takes all keys where the changes would be incomplete.
+    late_keys : tuple of str
+        Keys whose last write the sender has ignored, as the store executed it late; it
+        wants to know what the receiver knows of them.
     """
 
     number: int
     after_revision: int
     era: int = NO_ERA
     seen_until: int = 0
+    late_keys: tuple[str, ...] = ()
 
 
 class ChangesResponse(Struct, frozen=True, array_like=True, tag=2):
@@ -57,6 +61,8 @@
     complete_from : int
         Revision from which on the sender knows all changes, not only the last one of
         each key; 0 if it knows all.
+    late_keys : tuple of str
+        Keys whose last write the sender has ignored, as the store executed it late.
     """
 
     number: int
@@ -68,6 +74,7 @@
     era: int = NO_ERA
     is_listing: bool = False
     complete_from: int = 0
+    late_keys: tuple[str, ...] = ()
 
 
 class WatcherNotice(Struct, frozen=True, array_like=True, tag=3):
--- a/lacewingpond/entry/store_cache.py
+++ b/lacewingpond/entry/store_cache.py
@@ -1,5 +1,6 @@
 """Local copy of the store's keys, ordered by position in its history."""
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
@@ -15,6 +16,8 @@
 
 MAX_TOMBSTONES = 10_000
 """Removed keys that are remembered for peers; the oldest is dropped first."""
+MAX_LATE_KEYS = 20
+"""Keys whose last write was ignored, of which peers are told and asked at a time."""
 MAX_LAST_VALUES = 2_000
 """Removed keys whose last value is remembered, for a store that brings them back."""
 
@@ -51,7 +54,7 @@
 
     __slots__ = ("position", "has_changed_era", "_events", "_tombstone_count")
     __slots__ += ("_gaps", "_listeners", "_is_same", "_holds_over")
-    __slots__ += ("_last_values", "_held_over", "_era_listeners", "_order")
+    __slots__ += ("_last_values", "_held_over", "_era_listeners", "_order", "_late")
 
     def __init__(
         self,
@@ -68,6 +71,9 @@
         self._events: OrderedDict[str, WatchEvent] = OrderedDict()
         self._last_values: OrderedDict[str, bytes] = OrderedDict()
         self._held_over: set[str] = set()
+        # Writes that were ignored here as late, or by the peer that the changes came
+        # from (None), until the next write of their key.
+        self._late: dict[str, bytes | None] = {}
         self._tombstone_count = 0
         self._gaps = HistoryGaps()
         self._listeners: list[Listener] = []
@@ -117,6 +123,11 @@
         """Revision from which on all changes are known, also those undone since."""
         return self._gaps.end
 
+    @property
+    def late_keys(self) -> tuple[str, ...]:
+        """Keys whose last write was ignored as late, here or by a peer."""
+        return tuple(itertools.islice(self._late, MAX_LATE_KEYS))
+
     @property
     def seen_until(self) -> int:
         """Revision up to which some changes may be known; at least the position's."""
@@ -137,6 +148,7 @@
         events: Iterable[WatchEvent],
         position: StorePosition,
         complete_from: int,
+        late_keys: Iterable[str] = (),
     ) -> bool:
         """Apply the last change of each key that a peer knows.
 
@@ -149,15 +161,27 @@
         complete_from : int
             Revision from which on the peer knows all changes. Before it, a key may have
             come and gone unseen; see `changes_since`.
+        late_keys : iterable of str
+            The peer's `late_keys`.
 
         Returns
         -------
         bool
             False if `position` is of another era, so that nothing was applied.
         """
-        if self.is_same_era(position.era):
-            self._gaps.add(self.position.revision, complete_from)
-        return self._apply(events, position, collapsed=True)
+        if not self.is_same_era(position.era):
+            return False
+        self._gaps.add(self.position.revision, complete_from)
+        is_newer = position.revision > self.position.revision
+        self._apply(events, position, collapsed=True)
+        if is_newer:
+            self._record_late(late_keys)
+        return True
+
+    def _record_late(self, keys: Iterable[str]) -> None:
+        """Record that the peer whose state was taken over ignored writes of `keys`."""
+        for key in keys:
+            self._late.setdefault(key, None)
 
     def _apply(
         self, events: Iterable[WatchEvent], position: StorePosition, collapsed: bool
@@ -178,11 +202,18 @@
         self._notify(applied)
         return True
 
-    def apply_listing(self, listing: Listing) -> bool:
+    def apply_listing(self, listing: Listing, late_keys: Iterable[str] = ()) -> bool:
         """Apply a listing of all keys; known keys that it lacks were removed.
 
         A listing of a later era begins that era here.
 
+        Parameters
+        ----------
+        listing : Listing
+            All keys, of the store or of a peer.
+        late_keys : iterable of str
+            The `late_keys` of that peer.
+
         Returns
         -------
         bool
@@ -203,7 +234,11 @@
         ]
         present = [self._listed_event(entry, listing) for entry in listing.entries]
         present.sort(key=lambda event: event.revision)
-        return self.apply(present + removed, listing.position)
+        is_newer = listing.revision > self.position.revision
+        is_applied = self.apply(present + removed, listing.position)
+        if is_applied and is_newer:
+            self._record_late(late_keys)
+        return is_applied
 
     def changes_since(
         self, revision: int, seen_until: int = 0
@@ -232,6 +267,15 @@
             newer.append(event)
         return tuple(reversed(newer))
 
+    def states_of(self, keys: Iterable[str]) -> tuple[WatchEvent, ...]:
+        """Return what is known of `keys` now, for a peer that has ignored a write.
+
+        Keys that are unknown, or of which a write was ignored here too, are left out.
+        """
+        revision = self.position.revision
+        known = [self._events.get(key) for key in keys if key not in self._late]
+        return tuple(WatchEvent(e.key, e.value, revision) for e in known if e)
+
     def all_entries(self) -> tuple[WatchEvent, ...]:
         """Return the present keys, by rising revision."""
         return tuple(e for e in self._events.values() if e.value is not None)
@@ -240,8 +284,8 @@
         """Return the write that a listing shows, dated by the listing if need be.
 
         Later pages may show writes after its revision. A peer dates an entry by the
-        first of equivalent writes that it knows; what was written between them may be
-        known here.
+        first of equivalent writes that it knows, and may know no later one; what was
+        written between them may be known here.
         """
         dated = WatchEvent(entry.key, entry.value, listing.revision)
         if entry.revision >= listing.revision:
@@ -250,8 +294,13 @@
         if entry.revision > self.position.revision or entry.key in self._held_over:
             return event
         known = self._events.get(entry.key)
-        is_known = known is not None and self._is_equivalent(event, known)
-        return event if is_known else dated
+        if known is not None and self._is_equivalent(event, known):
+            return event
+        if entry.value == self._late.get(entry.key):
+            return event
+        if self._order is not None:
+            self._order.forget(entry.key)
+        return dated
 
     def _begin_era(self, listing: Listing) -> None:
         copied = {entry.key: entry for entry in listing.entries}
@@ -307,10 +356,14 @@
         if known is not None and known.revision >= event.revision:
             return False
         if known is not None and self._is_late(event, known):
+            # A peer may know this one: the next write is passed on, even if it is
+            # equivalent to what is known here.
+            self._late[event.key] = event.value
             return False
         was_present = known is not None and known.value is not None
         is_repeated = was_present and self._is_equivalent(event, known)
-        if is_repeated and not collapsed and event.key not in self._held_over:
+        is_known_to_peers = not collapsed and event.key not in self._late
+        if is_repeated and is_known_to_peers and event.key not in self._held_over:
             # The next value is compared with the newest one. The revision stays, so
             # that peers are not sent a value that is equivalent to theirs.
             self._events[event.key] = WatchEvent(event.key, event.value, known.revision)
@@ -333,6 +386,7 @@
         """Record a change, as the last one."""
         self._events[event.key] = event
         self._events.move_to_end(event.key)
+        self._late.pop(event.key, None)
         self._record_order(event.key)
 
     def _record_order(self, key: str) -> None:
--- a/lacewingpond/entry/write_order.py
+++ b/lacewingpond/entry/write_order.py
@@ -45,6 +45,10 @@
         while now - next(iter(self._changed_at.values())) > LATE_WRITE_S:
             self._changed_at.popitem(last=False)
 
+    def forget(self, key: str) -> None:
+        """Believe the next write of `key`, whatever its order."""
+        self._changed_at.pop(key, None)
+
     def is_late(self, key: str, value: bytes, known: bytes) -> bool:
         """Return whether `value` was written before `known`, the newest value of `key`.
 
--- a/tests/entry/form_recorder.py
+++ b/tests/entry/form_recorder.py
@@ -73,6 +73,8 @@
     if field.name == "rows":
         kind = LoadRow if field.type == tuple[LoadRow, ...] else OutcomeRow
         return (example(kind),)
+    if field.type == tuple[str, ...]:
+        return (f"text-{index}",)
     values = {int: 41 + index, float: 0.5 + index, bool: True, str: f"text-{index}"}
     return values.get(field.type, 2.5)
 
