Keep the error of a failed send for the reader of the response

Callers got the part of a response as a complete one. A target answered a long upload at once, without a length, sent a part of its body and reset the connection while the upload was still being written; the part arrived as 200 with a proper end.

Cause: the kernel reports the error of a connection once. The send that fails with it takes it, and the read that follows finds an ordinary end of the stream, which ends a response without a length. The same holds for a connection that the kernel gives up while a request is sent (ETIMEDOUT), which was also taken for a timeout of the send.

The connection now keeps such an error, and the stream of the response raises at its end in place of ending. EPIPE is left out: a send gets it as the first error only if the target closed its side before, so that the response was ended cleanly. Responses with a length or in chunks end before the end of the stream and are not touched.

The upload goes straight to the target and over a hop, by callers of HTTP/1.0 and 1.1, with a body that is read ahead and one that has begun to go out.

--- a/lacewingpond/targets/http_connection.py
+++ b/lacewingpond/targets/http_connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connections: urllib3's, with strict parsing of responses."""
 
+import errno
 import http.client
 import re
 import socket
@@ -222,6 +223,15 @@
     check_stalled : callable
         Called when no byte could be sent within the connection's timeout; raises to
         stop sending.
+
+    Attributes
+    ----------
+    bytes_sent : int
+        Bytes of the current request that were sent.
+    final_response : FinalResponse or None
+        Parser of the current response.
+    send_error : OSError or None
+        Error of the connection that a send has taken, so that reads get none.
     """
 
     def __init__(
@@ -234,6 +244,7 @@
         super().__init__(host, port)
         self.bytes_sent = 0
         self.final_response: FinalResponse | None = None
+        self.send_error: OSError | None = None
         self._wait_for_response = wait
         self._check_stalled = check_stalled
         self._id_header = ""
@@ -259,7 +270,7 @@
         url: str | None = None,
     ) -> FinalResponse:
         """Return the parser of the next response."""
-        source = ResponseSocket(sock, self._wait_for_response)
+        source = ResponseSocket(sock, self._wait_for_response, self.send_error)
         self.final_response = FinalResponse(source, debuglevel, method, url)
         self.final_response.id_header = self._id_header
         self.final_response.expected_id = self._expected_id
@@ -273,8 +284,23 @@
         while view:
             try:
                 sent_bytes = self.sock.send(view)
-            except TimeoutError:
+            except TimeoutError as exc:
+                self._note_send_error(exc)
                 self._check_stalled()
                 continue
+            except OSError as exc:
+                self._note_send_error(exc)
+                raise
             self.bytes_sent += sent_bytes
             view = view[sent_bytes:]
+
+    def _note_send_error(self, exc: OSError) -> None:
+        """Keep an error of the connection for the reader of the response.
+
+        The kernel reports it once: after a send has failed with it, a read finds an
+        ordinary end of the stream. EPIPE is none of them, as a connection that fails
+        after the target has closed its side gives it; the response ended before. A
+        timeout of gevent has no number.
+        """
+        if exc.errno not in (None, errno.EPIPE):
+            self.send_error = exc
--- a/lacewingpond/targets/stream.py
+++ b/lacewingpond/targets/stream.py
@@ -17,6 +17,9 @@
         Connection to the target.
     wait : callable
         Called before each read.
+    send_error : OSError or None
+        Error that a send has taken from the connection. The end of the stream is
+        then not that of the response, and a read at it raises.
 
     Attributes
     ----------
@@ -24,10 +27,13 @@
         True once the target has closed its side and all bytes were read.
     """
 
-    def __init__(self, sock: socket.socket, wait: WaitReadable) -> None:
+    def __init__(
+        self, sock: socket.socket, wait: WaitReadable, send_error: OSError | None
+    ) -> None:
         super().__init__()
         self._raw = sock.makefile("rb", 0)
         self._wait = wait
+        self._send_error = send_error
         self._stopped = False
         self.at_eof = False
 
@@ -46,6 +52,10 @@
         self._wait(self._raw.fileno())
         size = self._raw.readinto(buffer)
         self.at_eof = size == 0
+        if self.at_eof and self._send_error is not None:
+            raise ConnectionResetError(
+                "connection broken before the end of the response"
+            ) from self._send_error
         return size
 
     def close(self) -> None:
@@ -58,13 +68,18 @@
 class ResponseSocket:
     """Replaces the socket from which `http.client` opens its reader."""
 
-    __slots__ = ("_sock", "_wait")
+    __slots__ = ("_sock", "_wait", "_send_error")
 
-    def __init__(self, sock: socket.socket, wait: WaitReadable) -> None:
+    def __init__(
+        self, sock: socket.socket, wait: WaitReadable, send_error: OSError | None
+    ) -> None:
         self._sock = sock
         self._wait = wait
+        self._send_error = send_error
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a buffered reader over a `ResponseStream`."""
         del mode
-        return io.BufferedReader(ResponseStream(self._sock, self._wait))
+        return io.BufferedReader(
+            ResponseStream(self._sock, self._wait, self._send_error)
+        )
--- a/tests/entry/fleet_helper.py
+++ b/tests/entry/fleet_helper.py
@@ -132,8 +132,13 @@
 
 
 @contextmanager
-def running_fleet(respond, size=4, targets=4, domains=("zone-a",), cfg=None):
-    """Run `size` daemons in front of `targets` targets, and yield the VMs."""
+def running_fleet(
+    respond, size=4, targets=4, domains=("zone-a",), cfg=None, addresses=()
+):
+    """Run `size` daemons in front of `targets` targets, and yield the VMs.
+
+    `addresses` are those of further targets.
+    """
     with ExitStack() as exits:
         store = MemoryStore(CLOCK)
         network = next(_networks)
@@ -145,6 +150,9 @@
             server = exits.enter_context(caller_server(respond))
             target = entry_target(f"t{number}", f"127.0.0.1:{server.port}")
             store.put(f"targets/t{number}", msgspec.json.encode(target), "")
+        for address in addresses:
+            target = entry_target(f"at-{address}", address)
+            store.put(f"targets/{target.target_id}", msgspec.json.encode(target), "")
         for vm in vms:
             if cfg is not None:
                 vm.daemon.view._formats = msgspec.structs.replace(
--- /dev/null
+++ b/tests/entry/test_entry_early_reset.py
@@ -0,0 +1,174 @@
+"""Tests of responses without a length that end while the upload is still sent."""
+
+import pytest
+from entry_helper import config, entry_target, route
+from fleet_helper import lose, running_fleet
+from path_helper import (
+    caller_server,
+    forward,
+    raw_target,
+    target_client,
+)
+from stack_helper import Stack, running, signed
+from upload_helper import (
+    BLOCK,
+    CLEAN_ENDS,
+    PART,
+    RESETS,
+    SIGNED,
+    Upload,
+    close_in_pause,
+    close_unread,
+    half_close,
+    reset,
+    respond_early,
+    respond_in_pause,
+)
+
+from lacewingpond.entry.requests import forwarded_body
+
+HTTP_10 = SIGNED.replace(b"HTTP/1.1", b"HTTP/1.0")
+SHORT_UPLOAD = b"u" * 900_000  # is buffered, so that it can be sent again
+
+
+def upload(serve, **options):
+    """Return an upload through a VM to the raw target `serve`."""
+    with running(Stack(config())) as stack, raw_target(serve) as target:
+        stack.add_target(entry_target("t0", target.address))
+        return Upload(("127.0.0.1", stack.server.port), **options)
+
+
+def upload_over_hop(serve, **options):
+    """Return an upload through a VM that reaches no target, and another that does."""
+    with (
+        raw_target(serve) as target,
+        running_fleet(signed, size=2, targets=0, addresses=[target.address]) as vms,
+    ):
+        lose(vms[0])
+        return Upload((vms[0].ip, vms[0].daemon.server.port), **options)
+
+
+def upload_streamed(serve, **options):
+    """Return an upload whose response goes out as it arrives."""
+    with raw_target(serve) as target:
+        handler = forward(target_client(), target, idempotent=False)
+        with caller_server(handler) as front:
+            return Upload(("127.0.0.1", front.port), **options)
+
+
+# Guards against the part of a response that a caller got as a complete one: the send
+# that failed took the error with it, and the reader saw an ordinary end of the stream.
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize(
+    "options",
+    [{}, {"chunked": True}, {"method": "PUT"}, {"version": "1.0"}, {"pauses": [2, 9]}],
+    ids=str,
+)
+def test_response_that_is_reset_during_the_upload_is_no_success(end, options):
+    assert upload(respond_early(end), **options).status == 502
+
+
+@pytest.mark.parametrize("end", RESETS)
+def test_http_1_0_response_that_is_reset_during_the_upload_is_no_success(end):
+    assert upload(respond_early(end, HTTP_10)).status == 502
+
+
+# The rest of the upload was sent only after the reset, not before.
+def test_response_that_is_reset_in_a_pause_of_the_upload_is_no_success():
+    serve = respond_in_pause(reset, 2 * len(BLOCK))
+    assert upload(serve, pauses=[2]).status == 502
+
+
+# An empty part is none either.
+@pytest.mark.parametrize("end", RESETS)
+def test_head_that_is_followed_by_a_reset_is_no_success(end):
+    assert upload(respond_early(end, part=b"")).status == 502
+
+
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_response_that_is_reset_during_the_upload_is_no_success_over_a_hop(
+    end, version
+):
+    assert upload_over_hop(respond_early(end), version=version).status == 502
+
+
+# The status has gone out, so that only a missing end can tell the caller.
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_body_that_has_begun_to_go_out_has_no_end_after_a_reset(
+    end, version, monkeypatch
+):
+    monkeypatch.setattr(forwarded_body, "MAX_BUFFERED_BYTES", len(PART) // 2)
+    got = upload(respond_early(end), version=version)
+    assert (got.status, got.body) == (200, None)
+
+
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_streamed_body_has_no_end_after_a_reset(end, version):
+    got = upload_streamed(respond_early(end), version=version)
+    assert (got.status, got.body) == (200, None)
+
+
+# A response that tells its length is complete with its last byte, however it ends.
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize(
+    ("framing", "body"),
+    [
+        (b"Content-Length: 7000\r\n\r\n", PART),
+        (b"Transfer-Encoding: chunked\r\n\r\n", b"1b58\r\n" + PART + b"\r\n0\r\n\r\n"),
+    ],
+)
+def test_whole_response_that_tells_its_end_is_complete_after_a_reset(
+    end, framing, body
+):
+    got = upload(respond_early(end, SIGNED[:-2] + framing, body))
+    assert (got.status, got.body) == (200, PART)
+
+
+# Guards against a complete response being refused: its end is that of the stream.
+@pytest.mark.parametrize("end", CLEAN_ENDS)
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("send", [upload, upload_over_hop, upload_streamed])
+def test_response_that_ends_cleanly_during_the_upload_is_complete(send, version, end):
+    got = send(respond_early(end), version=version)
+    assert (got.status, got.body) == (200, PART)
+
+
+# The reset that answers the rest of the upload comes after the end of the response.
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("send", [upload, upload_over_hop, upload_streamed])
+def test_response_that_ends_before_the_reset_is_complete(send, version):
+    serve = respond_in_pause(close_in_pause, 2 * len(BLOCK))
+    got = send(serve, version=version, pauses=[2])
+    assert (got.status, got.body) == (200, PART)
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_body_that_has_begun_to_go_out_ends_with_the_stream(version, monkeypatch):
+    monkeypatch.setattr(forwarded_body, "MAX_BUFFERED_BYTES", len(PART) // 2)
+    got = upload(respond_early(half_close), version=version)
+    assert (got.status, got.body) == (200, PART)
+
+
+# The part must not keep an idempotent request from its next target.
+@pytest.mark.parametrize("end", [reset, close_unread])
+def test_idempotent_upload_goes_to_another_target_after_a_reset(end):
+    cfg = config(routes=(route(idempotent=True),))
+    respond, begun = respond_early(end), []
+
+    def serve(sock):
+        begun.append(sock)
+        respond(sock)
+
+    with (
+        running(Stack(cfg)) as stack,
+        raw_target(serve) as broken,
+        caller_server(signed) as sound,
+    ):
+        stack.add_target(entry_target("t0", broken.address))
+        stack.add_target(entry_target("t1", f"127.0.0.1:{sound.port}"))
+        while not begun:
+            status, _, body = stack.call(body=SHORT_UPLOAD)
+            assert (status, body) == (200, b"done")
