Refuse responses of targets with a status above 599

A signed response of status 600 or 999 was passed on as the target's answer.

Cause: the parser took any three digits that do not begin with 0. Codes outside of 100 to 599 are invalid (RFC 9110, section 15): no caller can know what such a response means, and its bytes are no answer of a sound target.

The status line now accepts the five classes only, so that such a response fails like one of status 000: 502, "unknown", the next target for idempotent requests.

Evidence: the 6 tests of 600, 666 and 999, directly and over a hop, failed before and pass now; 201, 299, 404, 500 and 599 are passed on before and after.

--- a/lacewingpond/targets/http_connection.py
+++ b/lacewingpond/targets/http_connection.py
@@ -27,7 +27,7 @@
 _MAX_TRAILERS = 32
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 _STATUS_LINE = re.compile(
-    rb"(HTTP/1\.[01]) ([1-9][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n"
+    rb"(HTTP/1\.[01]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n"
 )
 _FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r\n")
 _BODILESS = frozenset({204, 304})
--- a/tests/entry/test_entry_malformed_heads.py
+++ b/tests/entry/test_entry_malformed_heads.py
@@ -107,3 +107,15 @@
 )
 def test_malformed_head_is_refused_over_a_hop(raw):
     assert_refused(call_over_hop(raw))
+
+
+# Codes above 599 have no meaning (RFC 9110, section 15).
+@pytest.mark.parametrize("status", [b"600", b"666", b"999"])
+@pytest.mark.parametrize("send", [call, call_over_hop])
+def test_status_without_a_class_is_refused(status, send):
+    assert_refused(send(VALID.replace(b"200", status)))
+
+
+@pytest.mark.parametrize("status", [b"201", b"299", b"404", b"500", b"599"])
+def test_status_with_a_class_is_passed_on(status):
+    assert call(VALID.replace(b"200", status))[0] == int(status)
