Refuse responses in HTTP/1.0 that have a Transfer-Encoding

Such a response was decoded and passed on as complete.

Cause: the framing was derived from the fields alone, whichever version the status line had. HTTP/1.0 knows no chunks, so that the framing of such a message is faulty whatever follows (RFC 9112, section 6.1): where its body ends can't be told.

The parser now ends the exchange, as for other ambiguous framing: 502, "unknown", and the connection is closed.

Evidence: 4 of the 6 tests of chunked responses failed before, directly and over a hop; those with a length as well were refused already. All pass now. A response in HTTP/1.0 with a length or up to the end of the stream is passed on before and after.

--- a/lacewingpond/targets/http_connection.py
+++ b/lacewingpond/targets/http_connection.py
@@ -18,6 +18,8 @@
 MAX_HEAD_BYTES = 262_144
 """Most bytes of all heads that come before the body of a response."""
 MAX_INTERIM_RESPONSES = 16
+HTTP_1_0, HTTP_1_1 = 10, 11
+"""Versions as `http.client` numbers them."""
 MAX_FIELDS = 200
 MAX_STRAY_RESPONSES = 8
 MAX_STRAY_BYTES = 1_048_576
@@ -96,7 +98,7 @@
         version, self.status, reason = self._read_status()
         self.code = self.status
         self.reason = reason.strip()
-        self.version = 10 if version == "HTTP/1.0" else 11
+        self.version = HTTP_1_0 if version == "HTTP/1.0" else HTTP_1_1
         self.headers = self.msg = self._read_fields()
         self._set_framing()
 
@@ -127,6 +129,8 @@
                 SendReason.PROTOCOL,
                 "more than one Content-Length or Transfer-Encoding header",
             )
+        if codings and self.version == HTTP_1_0:
+            raise ExchangeError(SendReason.PROTOCOL, "Transfer-Encoding in HTTP/1.0")
         if codings and codings[0].lower() != "chunked":
             raise ExchangeError(SendReason.PROTOCOL, "unsupported Transfer-Encoding")
         if lengths and not _LENGTH.fullmatch(lengths[0]):
--- a/tests/entry/test_entry_malformed_heads.py
+++ b/tests/entry/test_entry_malformed_heads.py
@@ -119,3 +119,25 @@
 @pytest.mark.parametrize("status", [b"201", b"299", b"404", b"500", b"599"])
 def test_status_with_a_class_is_passed_on(status):
     assert call(VALID.replace(b"200", status))[0] == int(status)
+
+
+# Chunks are unknown to HTTP/1.0, so that the framing is faulty whatever follows (RFC
+# 9112, section 6.1).
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n" + BODY,
+        b"Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n\r\n0\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("send", [call, call_over_hop])
+def test_chunked_response_in_http_1_0_is_refused(send, framing):
+    assert_refused(send(b"HTTP/1.0 200 OK\r\n" + OWN + framing))
+
+
+@pytest.mark.parametrize("framing", [BODY, b"\r\nok"])
+@pytest.mark.parametrize("send", [call, call_over_hop])
+def test_response_in_http_1_0_is_passed_on(send, framing):
+    status, _, body = send(b"HTTP/1.0 200 OK\r\n" + OWN + framing)
+    assert (status, body) == (200, b"ok")
