Refuse responses with a malformed field in all clients of urllib3

Clients of the store, of the operators' API and the load generator took a response whose head had a field name with a blank or a control byte. The clients of the platform's store then saw no era, so that an answer of an older copy counted as one of the copy known here; a value whose length was hidden was returned as whole though a part of it was missing.

Cause: the parser of http.client ends the head at the first malformed line and drops the rest; urllib3 only logs a warning about it.

The pools of these clients now use a connection that raises HeaderParsingError instead. Clients take it like other errors of urllib3: a read fails as unavailable, a write is unknown, and the connection is closed.

--- a/lacewingpond/load/caller.py
+++ b/lacewingpond/load/caller.py
@@ -9,6 +9,7 @@
 from lacewingpond.http.refusal import RUN_HEADER
 from lacewingpond.load.schedule import ScheduledRequest
 from lacewingpond.proxy.routed_request import IDEMPOTENCY_KEY_HEADER
+from lacewingpond.util.strict_pool import StrictConnectionPool
 
 LIMITED_STATUS = 429
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -60,6 +61,7 @@
 
     def __init__(self, timeout_s: float, seed: int) -> None:
         self._pool = urllib3.PoolManager(num_pools=64, maxsize=256, retries=False)
+        self._pool.pool_classes_by_scheme = {"http": StrictConnectionPool}
         self._timeout_s = timeout_s
         self._seed = seed
 
--- a/lacewingpond/operator/client.py
+++ b/lacewingpond/operator/client.py
@@ -15,6 +15,7 @@
     PlanView,
     StatusView,
 )
+from lacewingpond.util.strict_pool import StrictConnectionPool
 
 TIMEOUT_S = 10.0
 REPEATABLE = frozenset({"GET"})
@@ -58,7 +59,7 @@
     def __init__(self, address: str, token: str, timeout_s: float = TIMEOUT_S) -> None:
         host, _, port = address.rpartition(":")
         self._headers = {"Authorization": BEARER + token}
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictConnectionPool(
             host, int(port), retries=False, timeout=timeout_s
         )
 
--- a/lacewingpond/platform/store.py
+++ b/lacewingpond/platform/store.py
@@ -17,6 +17,7 @@
     WatchBatch,
     WatchEvent,
 )
+from lacewingpond.util.strict_pool import StrictConnectionPool
 
 CONNECT_TIMEOUT_S = 1.0  # connecting takes milliseconds, or hangs on a cut link
 READ_TIMEOUT_S = 2.0  # the store responds in 4 ms, under load in 60 times as long
@@ -207,9 +208,7 @@
         failure = _FAILURE_BY_STATUS.get(response.status, StoreFailure.UNAVAILABLE)
         return Err(StoreError(failure, f"HTTP status {response.status}"))
 
-    def _replace_silent(
-        self, pool: urllib3.HTTPConnectionPool, method: str
-    ) -> StoreFailure:
+    def _replace_silent(self, pool: StrictConnectionPool, method: str) -> StoreFailure:
         """Return what a call without an answer means, and close its pool.
 
         All open connections may have fallen silent, also those that are idle.
@@ -222,9 +221,9 @@
             return StoreFailure.UNKNOWN
         return StoreFailure.TIMED_OUT if was_kept else StoreFailure.UNAVAILABLE
 
-    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+    def _new_pool(self) -> StrictConnectionPool:
         host, port = self._address
-        return urllib3.HTTPConnectionPool(
+        return StrictConnectionPool(
             host, port, maxsize=MAX_CONNECTIONS, block=False, retries=False
         )
 
--- a/lacewingpond/store/http.py
+++ b/lacewingpond/store/http.py
@@ -24,6 +24,7 @@
     VMS_PATH,
     WATCH_PATH,
 )
+from lacewingpond.util.strict_pool import StrictConnectionPool
 
 READ_METHODS = frozenset({"GET"})
 
@@ -52,7 +53,7 @@
         host, _, port = options.address.rpartition(":")
         self._options = options
         self.counts = counts if counts is not None else CallCounts()
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictConnectionPool(
             host,
             int(port),
             maxsize=options.max_connections,
