Load generator: a response that does not tell its end is no answer

The load generator counted the part of a response as an answer, where its status was not 200 or its request had no body to compare with.

Cause: urllib3 passes over the reset that a send meets and reads on; the reset is gone then, and a response without a length ends with the stream. Daemons send each response in HTTP/1.1 with a length or in chunks, so that one without is none of theirs.

Such a response is an error of the call now ("no length").

A part that has a length or chunks was an error before.

--- a/lacewingpond/load/caller.py
+++ b/lacewingpond/load/caller.py
@@ -11,6 +11,7 @@
 from lacewingpond.proxy.routed_request import IDEMPOTENCY_KEY_HEADER
 from lacewingpond.util.strict_pool import StrictConnectionPool
 
+BODILESS_STATUSES = frozenset({204, 304})
 LIMITED_STATUS = 429
 REQUEST_ID_HEADER = "X-Request-Id"
 
@@ -95,6 +96,8 @@
             )
         except urllib3.exceptions.HTTPError as exc:
             return CallResult(CallOutcome.ERROR, detail=type(exc).__name__)
+        if request.kind.method != "HEAD" and not _tells_its_end(response):
+            return CallResult(CallOutcome.ERROR, response.status, detail="no length")
         return _classify(response, request_id, body)
 
     def _headers(self, request: ScheduledRequest, request_id: str) -> dict[str, str]:
@@ -113,6 +116,18 @@
     return (line * (size // len(line) + 1))[:size]
 
 
+def _tells_its_end(response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether a part of the response can be told from all of it.
+
+    Daemons send each response in HTTP/1.1 with a length or in chunks. Without one,
+    urllib3 also ends a response at a reset that a send has met.
+    """
+    if response.status in BODILESS_STATUSES:
+        return True
+    framing = ("Content-Length", "Transfer-Encoding")
+    return any(name in response.headers for name in framing)
+
+
 def _classify(
     response: urllib3.BaseHTTPResponse, request_id: str, sent_body: bytes
 ) -> CallResult:
--- a/tests/entry/test_entry_early_reset.py
+++ b/tests/entry/test_entry_early_reset.py
@@ -7,6 +7,7 @@
     caller_server,
     forward,
     raw_target,
+    reset,
     target_client,
 )
 from stack_helper import Stack, running, signed
@@ -20,7 +21,6 @@
     close_in_pause,
     close_unread,
     half_close,
-    reset,
     respond_early,
     respond_in_pause,
 )
--- a/tests/entry/upload_helper.py
+++ b/tests/entry/upload_helper.py
@@ -1,26 +1,18 @@
 """Targets that respond during an upload and end the connection, and their callers."""
 
 import socket
-import struct
 
 import gevent
 from entry_helper import KEY
 from gevent.socket import wait_read
-from path_helper import WAIT_S, read_head
+from path_helper import WAIT_S, read_head, reset
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on with a timeout of 0 s
 BLOCK = b"u" * 65_536
 UPLOAD_BLOCKS = 64
 PART = b"x" * 7_000
 SIGNED = b"HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s\r\n\r\n"
 
 
-def reset(sock):
-    """Reset the connection."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    sock.close()
-
-
 def close_unread(sock):
     """Close while bytes of the upload are unread, which resets the connection."""
     wait_read(sock.fileno(), timeout=WAIT_S)
--- a/tests/path_helper.py
+++ b/tests/path_helper.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+import struct
 from contextlib import contextmanager
 
 from gevent.server import StreamServer
@@ -22,6 +23,7 @@
 
 CLOCK = RuntimeClock()
 WAIT_S = 5.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on with a timeout of 0 s
 
 
 @contextmanager
@@ -48,6 +50,12 @@
         server.stop(0)
 
 
+def reset(sock):
+    """Reset the connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
+
+
 def target_of(server):
     return Target("t", f"127.0.0.1:{server.port}")
 
