--- a/lacewingpond/targets/http_connection.py
+++ b/lacewingpond/targets/http_connection.py
@@ -302,9 +302,9 @@
         """Keep an error of the connection for the reader of the response.
 
         The kernel reports it once: after a send has failed with it, a read finds an
-        ordinary end of the stream. EPIPE is none of them, as a connection that fails
-        after the target has closed its side gives it; the response ended before. A
-        timeout of gevent has no number.
+        ordinary end of the stream. EPIPE is not kept: as the first error of a send it
+        means that the target had closed its side, which ended the response. Timeouts
+        of gevent have no error number.
         """
         if exc.errno not in (None, errno.EPIPE):
             self.send_error = exc
