--- a/tests/entry/test_entry_early_reset.py
+++ b/tests/entry/test_entry_early_reset.py
@@ -14,11 +14,12 @@
     RESETS,
     RESETS_AT_ONCE,
     SIGNED,
+    UPLOAD_BYTES,
     Upload,
-    close_in_pause,
+    close_all_read,
     half_close,
+    respond_after,
     respond_early,
-    respond_in_pause,
 )
 
 from lacewingpond.entry.requests import forwarded_body
@@ -94,7 +95,7 @@
 
 # The rest of the upload is sent only after the reset.
 def test_response_that_is_reset_in_a_pause_of_the_upload_is_no_success(send):
-    serve = respond_in_pause(reset, 2 * len(BLOCK))
+    serve = respond_after(2 * len(BLOCK), reset)
     assert send(serve, pauses=[2]).status == 502
 
 
@@ -172,11 +173,22 @@
 # The reset that answers the rest of the upload comes after the end of the response.
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 def test_response_that_ends_before_the_reset_is_complete(send, version):
-    serve = respond_in_pause(close_in_pause, 2 * len(BLOCK))
+    serve = respond_after(2 * len(BLOCK), close_all_read)
     got = send(serve, version=version, pauses=[2])
     assert (got.status, got.body) == (200, PART)
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_response_that_ends_after_the_whole_upload_is_complete(send, version):
+    got = send(respond_after(UPLOAD_BYTES, close_all_read), version=version)
+    assert (got.status, got.body) == (200, PART)
+
+
+# No send is left to meet the reset, so that the read does.
+def test_response_that_is_reset_after_the_whole_upload_is_no_success(send):
+    assert send(respond_after(UPLOAD_BYTES, reset)).status == 502
+
+
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 def test_body_that_has_begun_to_go_out_ends_with_the_stream(
     send, version, begins_early
--- a/tests/entry/upload_helper.py
+++ b/tests/entry/upload_helper.py
@@ -9,6 +9,7 @@
 
 BLOCK = b"u" * 65_536
 UPLOAD_BLOCKS = 64
+UPLOAD_BYTES = UPLOAD_BLOCKS * len(BLOCK)
 PART = b"x" * 7_000
 SIGNED = b"HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s\r\n\r\n"
 
@@ -43,22 +44,22 @@
     gevent.sleep(WAIT_S)
 
 
-def read_all_and_close(sock):
-    """Close after all of the upload was read."""
+def half_close_and_read(sock):
+    """End the response, then read what still comes of the upload."""
     sock.shutdown(socket.SHUT_WR)
     while sock.recv(65_536):
         pass
 
 
-def close_in_pause(sock):
-    """Close after all that has come was read; the rest of the upload comes later."""
+def close_all_read(sock):
+    """Close while no byte that has come is unread."""
     sock.close()
 
 
 RESETS_AT_ONCE = [reset, close_unread]
 RESETS_LATER = [reset_after_reading, reset_while_sending, reset_while_reading]
 RESETS = RESETS_AT_ONCE + RESETS_LATER
-CLEAN_ENDS = [half_close, read_all_and_close]
+CLEAN_ENDS = [half_close, half_close_and_read]
 
 
 def read_exactly(sock, size):
@@ -80,7 +81,7 @@
     return serve
 
 
-def respond_in_pause(end, read_bytes):
+def respond_after(read_bytes, end):
     """Return a target that reads `read_bytes` of the upload before it responds."""
 
     def serve(sock):
@@ -108,7 +109,7 @@
         self.was_reset = False
         self._pauses = set(pauses)
         self._chunked = chunked
-        framing = f"Content-Length: {len(BLOCK) * UPLOAD_BLOCKS}"
+        framing = f"Content-Length: {UPLOAD_BYTES}"
         if chunked:
             framing = "Transfer-Encoding: chunked"
         head = (
