--- a/review/rig_3/instance.py
+++ b/review/rig_3/instance.py
@@ -15,6 +15,8 @@
 HEARTBEAT_S = 1.5
 SILENT_BEATS = 3
 SLOTS = 6
+HOST = "127.0.0.2"
+"""No client's address, so that no connection takes the port while it is down."""
 QUEUE = 24
 _RESET = struct.pack("ii", 1, 0)
 ID = "x-lacewingpond-request-id"
@@ -91,7 +93,7 @@
     async def start(self) -> None:
         """Serve on a loopback port, the same one after each crash, and register."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self._port, limit=1 << 20
+            self._serve, HOST, self._port, limit=1 << 20
         )
         self._port = self._server.sockets[0].getsockname()[1]
         self._is_up, self._sequence = True, 0
@@ -118,7 +120,7 @@
         self._sequence += 1
         entry = {
             "service": self.service,
-            "address": f"127.0.0.1:{self._port}",
+            "address": f"{HOST}:{self._port}",
             "zone": self.zone,
             "version": "v1",
             "slots": SLOTS,
